--- /dev/null
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -0,0 +1,224 @@
+package pumicemoor;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * The interface of the decision module: the settings it is handed at its start, the events it sees and the
+ * actions it asks for, free of any protocol. Times are microseconds, sizes are kilobytes; a class, a zone
+ * and a cell are given as numbers, the places of their entries in the settings.
+ */
+public interface RouterApi {
+
+    /** Takes one event at the given time and hands every action it wants, in order, to the sink. */
+    void handle(long now, Event event, Consumer<Action> sink);
+
+    // ---- settings -------------------------------------------------------------------------------------
+
+    /** What a router is told when it starts; nothing in it changes while it runs. */
+    record Settings(int router, int routers, int location, List<Integer> routersByLocation,
+            List<Integer> hubByLocation, List<RequestClass> classes, Limits limits, Rules rules,
+            Prices prices,
+            Fills fills, LoadReports loadReports, boolean watchList, Weights weights,
+            boolean clientsMarkRepeats) {
+    }
+
+    /** What a weight in the list of members stands for. */
+    enum Weights { NONE, NOMINAL, ROUGH, LIVE }
+
+    /** Whether a request may run more than once: always, within a group that drops repeats, never. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** The members that drop the repeats of a keyed request. */
+    enum RepeatGroup { ALL, ZONE, CELL }
+
+    /** A class of requests; fresh 0 means that a copy is good until it is purged. */
+    record RequestClass(String name, long aim, double aimStretch, long deadline, double worth,
+            double lateWorth,
+            Effect effect, RepeatGroup group, long window, boolean streamed, boolean uncacheable,
+            boolean parts,
+            long fresh, long grace, double staleWorth) {
+    }
+
+    /** What the site allows. */
+    record Limits(int attempts, int openRequests, boolean probes, boolean peerNotes, boolean cancel,
+            boolean secondCopies, boolean retryAfter, long longestRetryAfter, long connectTimeout) {
+    }
+
+    /** The figures of the rules; those of cold members once for caches and once for parents. */
+    record Rules(long answerSlack, long drainGrace, ColdStart cache, ColdStart parent, long overloadSpan,
+            long purgeGrace, long purgeDone, long askWithin) {
+    }
+
+    /**
+     * A member starts with this share of its capacity, has all by warmAfter, falls over past the multiple.
+     */
+    record ColdStart(double share, long warmAfter, double multiple) {
+    }
+
+    /** Points taken off the result, each times its rate. */
+    record Prices(double crossZone, double waste, double probe, double peer, double lateFail, double origin,
+            double linkIn) {
+    }
+
+    /** Which caches may be the source of a fill. */
+    enum SiblingSources { NONE, LOCATION, ANY }
+
+    /** What an outcome tells of how a request was served. */
+    enum Notes { NONE, HIT_ONLY, ALL }
+
+    /** How fills work here; a pace or link of 0 is not told. */
+    record Fills(boolean direct, boolean joins, SiblingSources siblings, Notes notes,
+            double transferKbPerSecond,
+            double originFallMultiple, long originBears, List<Double> linkKbPerSecond) {
+    }
+
+    /** How load reports come. */
+    enum ReportBy { NONE, PROBE, ANSWER }
+
+    /** Load reports and what their two free fields mean. */
+    record LoadReports(ReportBy by, List<String> fields) {
+    }
+
+    // ---- members --------------------------------------------------------------------------------------
+
+    /** What a member is for. */
+    enum Role { CACHE, PARENT, ORIGIN }
+
+    /** What the list says of a member. */
+    enum State { READY, DRAINING, GONE }
+
+    /** One line of the list; started 0 means long ago. */
+    record Member(long id, Role role, int zone, int cell, double weight, long started, State state) {
+    }
+
+    // ---- events ---------------------------------------------------------------------------------------
+
+    /** What a router may see. */
+    sealed interface Event permits MembersListed, RequestArrived, AnswerStarted, AttemptEnded, RequestGone,
+            ProbeEnded, TimerDue, Purged, PeerNote {
+    }
+
+    /** How a list has come: as changes, whole, as last held before a start, or not at all. */
+    enum ListKind { CHANGES, WHOLE, REMEMBERED, FAILED }
+
+    /** News of the members. */
+    record MembersListed(ListKind kind, long version, List<Member> members) implements Event {
+    }
+
+    /** A request; sizeKb 0 means not told, tenant and group as given. */
+    record RequestArrived(String id, int requestClass, String object, int part, int group, double sizeKb,
+            long timeLeft, boolean repeat) implements Event {
+    }
+
+    /** A streamed answer has begun. */
+    record AnswerStarted(String id, int attempt, long member, long latency) implements Event {
+    }
+
+    /** How an attempt may end. */
+    enum Outcome {
+        OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
+                CANCELLED(false),
+        MOOT(true), MISS(true);
+
+        /** Whether this outcome proves that the request never ran. */
+        public final boolean provesNotRun;
+
+        Outcome(boolean provesNotRun) {
+            this.provesNotRun = provesNotRun;
+        }
+    }
+
+    /** What an outcome may tell of a fill. */
+    enum FillNote {
+        NONE, HIT, FILLED, FILLED_BY_ORIGIN, JOINED, STALE, SOURCE_REFUSED, SOURCE_FAILED, SOURCE_LACKS,
+                NO_PLACE,
+        ORIGIN_FAILED
+    }
+
+    /** The end of an attempt; closed means that the request is over. Load is empty when none came along. */
+    record AttemptEnded(String id, int attempt, long member, Outcome outcome, long latency, boolean closed,
+            FillNote note, long waited, Map<String, Double> load) implements Event {
+    }
+
+    /** The client has left, or the answer is overdue. */
+    record RequestGone(String id) implements Event {
+    }
+
+    /** The end of a probe. */
+    record ProbeEnded(long member, Outcome outcome, long latency, Map<String, Double> load) implements Event {
+    }
+
+    /** A timer set earlier is due. */
+    record TimerDue(long token) implements Event {
+    }
+
+    /** A purge made that long ago, of an object or, where object is null, of a whole group. */
+    record Purged(String object, int group, long age) implements Event {
+    }
+
+    /** A message of another router. */
+    record PeerNote(int from, byte[] text) implements Event {
+    }
+
+    // ---- actions --------------------------------------------------------------------------------------
+
+    /** What a router may ask for. */
+    sealed interface Action permits Lookup, Fetch, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, TellPeer,
+            WatchList, AskList, Log {
+    }
+
+    /** An attempt that asks a member only for a fresh copy that it holds; the origin holds everything. */
+    record Lookup(String id, long member, long timeout) implements Action {
+    }
+
+    /**
+     * An attempt that names the source of a fill (the member itself for none), the rank at which the copy is
+     * kept (0 for not at all) and the oldest copy that will do (0 for the class's own bound).
+     */
+    record Fetch(String id, long member, long source, int keepRank, long oldest, boolean join,
+            boolean onlyIfHeld,
+            boolean passParent, boolean renew, long timeout) implements Action {
+    }
+
+    /** Final answer: turned away, trying again is harmless; retryAfter 0 gives no advice. */
+    record Refuse(String id, long retryAfter) implements Action {
+    }
+
+    /** Final answer: failed, nothing promised. */
+    record Fail(String id) implements Action {
+    }
+
+    /** Calls an attempt off. */
+    record Cancel(String id, int attempt) implements Action {
+    }
+
+    /** Asks a member for its load. */
+    record Probe(long member) implements Action {
+    }
+
+    /** Closes idle connections to a member. */
+    record CloseIdle(long member) implements Action {
+    }
+
+    /** Asks for a TimerDue event. */
+    record SetTimer(long delay, long token) implements Action {
+    }
+
+    /** Sends a note to one router, or to all for a negative number. */
+    record TellPeer(int router, byte[] text) implements Action {
+    }
+
+    /** Asks for changes of the list, or no more of them. */
+    record WatchList(boolean on) implements Action {
+    }
+
+    /** Asks for the whole list once. */
+    record AskList() implements Action {
+    }
+
+    /** A line for on-call staff. */
+    record Log(String text) implements Action {
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/wire/Message.java
@@ -0,0 +1,179 @@
+package pumicemoor.wire;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One JSON object of the wire, read whole, with typed access to its fields. */
+final class Message {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final String path;
+    private final Map<String, Object> fields;
+
+    private Message(String path, Map<String, Object> fields) {
+        this.path = path;
+        this.fields = fields;
+    }
+
+    /** Reads the one object that a line must hold. */
+    static Message parse(String line) throws WireException {
+        try (JsonParser parser = JSON.createParser(line)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new WireException("not a JSON object");
+            }
+            Map<String, Object> fields = readObject(parser);
+            if (parser.nextToken() != null) {
+                throw new WireException("more than one JSON value on the line");
+            }
+            return new Message("", fields);
+        } catch (JsonProcessingException e) {
+            throw new WireException("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new WireException("not JSON: " + e.getMessage());
+        }
+    }
+
+    private static Map<String, Object> readObject(JsonParser parser) throws IOException {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            fields.put(name, readValue(parser));
+        }
+        return fields;
+    }
+
+    private static Object readValue(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> readObject(parser);
+            case START_ARRAY -> {
+                List<Object> values = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    values.add(readValue(parser));
+                }
+                yield values;
+            }
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            default -> null;
+        };
+    }
+
+    boolean has(String name) {
+        return fields.get(name) != null;
+    }
+
+    String text(String name) throws WireException {
+        return required(name, String.class);
+    }
+
+    String text(String name, String absent) throws WireException {
+        return has(name) ? text(name) : absent;
+    }
+
+    long integer(String name) throws WireException {
+        return required(name, Number.class).longValue();
+    }
+
+    long integer(String name, long absent) throws WireException {
+        return has(name) ? integer(name) : absent;
+    }
+
+    double number(String name, double absent) throws WireException {
+        return has(name) ? required(name, Number.class).doubleValue() : absent;
+    }
+
+    boolean flag(String name) throws WireException {
+        return has(name) && required(name, Boolean.class);
+    }
+
+    Message object(String name) throws WireException {
+        return object(path + name, required(name, Map.class));
+    }
+
+    /** The object of that name, or one without fields. */
+    Message objectOrEmpty(String name) throws WireException {
+        return has(name) ? object(name) : new Message(path + name + ".", Map.of());
+    }
+
+    /** The elements of a list of objects; an absent list is empty. */
+    List<Message> objects(String name) throws WireException {
+        List<Message> objects = new ArrayList<>();
+        for (Object element : list(name)) {
+            if (!(element instanceof Map)) {
+                throw wrongType(name);
+            }
+            objects.add(object(path + name + "[" + objects.size() + "]", element));
+        }
+        return objects;
+    }
+
+    List<String> texts(String name) throws WireException {
+        return elements(name, String.class);
+    }
+
+    List<Number> numbers(String name) throws WireException {
+        return elements(name, Number.class);
+    }
+
+    List<Boolean> flags(String name) throws WireException {
+        return elements(name, Boolean.class);
+    }
+
+    /** All fields that hold numbers, by name. */
+    Map<String, Double> numbersByName() {
+        Map<String, Double> numbers = new LinkedHashMap<>();
+        fields.forEach((name, value) -> {
+            if (value instanceof Number number) {
+                numbers.put(name, number.doubleValue());
+            }
+        });
+        return numbers;
+    }
+
+    private <T> List<T> elements(String name, Class<T> type) throws WireException {
+        List<T> elements = new ArrayList<>();
+        for (Object element : list(name)) {
+            if (!type.isInstance(element)) {
+                throw wrongType(name);
+            }
+            elements.add(type.cast(element));
+        }
+        return elements;
+    }
+
+    private List<?> list(String name) throws WireException {
+        return has(name) ? required(name, List.class) : List.of();
+    }
+
+    private <T> T required(String name, Class<T> type) throws WireException {
+        Object value = fields.get(name);
+        if (value == null) {
+            throw new WireException("field '" + path + name + "' is missing");
+        }
+        if (!type.isInstance(value)) {
+            throw wrongType(name);
+        }
+        return type.cast(value);
+    }
+
+    private WireException wrongType(String name) {
+        return new WireException("field '" + path + name + "' has a value of the wrong type");
+    }
+
+    private static Message object(String path, Object value) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        ((Map<?, ?>) value).forEach((key, element) -> fields.put((String) key, element));
+        return new Message(path + ".", fields);
+    }
+}
--- /dev/null
+++ b/src/test/java/pumicemoor/RouterHarness.java
@@ -0,0 +1,181 @@
+package pumicemoor;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import pumicemoor.RouterApi.Action;
+import pumicemoor.RouterApi.AttemptEnded;
+import pumicemoor.RouterApi.ColdStart;
+import pumicemoor.RouterApi.Effect;
+import pumicemoor.RouterApi.Event;
+import pumicemoor.RouterApi.Fetch;
+import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.Fills;
+import pumicemoor.RouterApi.Limits;
+import pumicemoor.RouterApi.ListKind;
+import pumicemoor.RouterApi.LoadReports;
+import pumicemoor.RouterApi.Lookup;
+import pumicemoor.RouterApi.Member;
+import pumicemoor.RouterApi.MembersListed;
+import pumicemoor.RouterApi.Notes;
+import pumicemoor.RouterApi.Outcome;
+import pumicemoor.RouterApi.Prices;
+import pumicemoor.RouterApi.RepeatGroup;
+import pumicemoor.RouterApi.ReportBy;
+import pumicemoor.RouterApi.RequestArrived;
+import pumicemoor.RouterApi.RequestClass;
+import pumicemoor.RouterApi.Role;
+import pumicemoor.RouterApi.Rules;
+import pumicemoor.RouterApi.Settings;
+import pumicemoor.RouterApi.SiblingSources;
+import pumicemoor.RouterApi.State;
+import pumicemoor.RouterApi.TimerDue;
+import pumicemoor.RouterApi.Weights;
+
+/** Drives one router by hand: a clock, a fleet and the actions that come back. */
+final class RouterHarness {
+
+    static final long MILLI = 1_000;
+    static final long SECOND = 1_000_000;
+    static final int HOME = 0;
+    static final int HUB = 1;
+    static final int PAGE = 0;
+    static final int WRITE = 1;
+
+    /** Settings that a test may vary before it starts the router. */
+    Effect effect = Effect.SAFE;
+    RepeatGroup group = RepeatGroup.ALL;
+    boolean direct;
+    boolean joins = true;
+    boolean cancel = true;
+    boolean secondCopies = true;
+    boolean retryAfter = true;
+    boolean peerNotes;
+    boolean probes;
+    long fresh;
+    int routersHere = 1;
+    Notes notes = Notes.ALL;
+
+    long now = 1_000 * SECOND;
+    final List<Member> members = new ArrayList<>();
+    private Logic logic;
+    private int requests;
+
+    Settings settings() {
+        List<RequestClass> classes = List.of(
+                new RequestClass("page", 500 * MILLI, 2, 5 * SECOND, 1, 0.2, effect, group, 5 * SECOND,
+                false, false,
+                        false, fresh, 0, 0.5),
+                new RequestClass("write", 700 * MILLI, 0, 3 * SECOND, 3, 0, Effect.UNSAFE, RepeatGroup.ALL,
+                0, false,
+                        true, false, 0, 0, 0));
+        return new Settings(0, 2 * routersHere, HOME, List.of(routersHere, 0), List.of(HUB, HUB), classes,
+                new Limits(8, 1000, probes, peerNotes, cancel, secondCopies, retryAfter, 500 * MILLI,
+                400 * MILLI),
+                new Rules(8 * MILLI, 2 * SECOND, new ColdStart(0.2, 10 * SECOND, 2.5),
+                        new ColdStart(0.1, 20 * SECOND, 2), SECOND, SECOND, 6 * SECOND, 10 * SECOND),
+                new Prices(0.01, 0.1, 0.01, 0, 0.03, 0.1, 0.05),
+                new Fills(direct, joins, SiblingSources.LOCATION, notes, 10_000, 0, 0, List.of(0.0, 0.0)),
+                new LoadReports(ReportBy.NONE, List.of()), false, Weights.NONE, false);
+    }
+
+    /** A router with the members added so far on its remembered list. */
+    RouterHarness start() {
+        logic = new Logic(settings(), 7);
+        list(ListKind.REMEMBERED);
+        return this;
+    }
+
+    /** Caches 1 to n of the home location, parents 101 and on, and one origin, 900. */
+    RouterHarness fleet(int caches, int parents) {
+        for (int i = 1; i <= caches; i++) {
+            add(i, Role.CACHE, HOME);
+        }
+        for (int i = 1; i <= parents; i++) {
+            add(100 + i, Role.PARENT, HUB);
+        }
+        add(900, Role.ORIGIN, HUB);
+        return this;
+    }
+
+    void add(long id, Role role, int zone) {
+        members.add(new Member(id, role, zone, 0, 1, 0, State.READY));
+    }
+
+    List<Action> change(long id, State state, long started) {
+        Member old = members.stream().filter(m -> m.id() == id).findFirst().orElseThrow();
+        Member changed = new Member(id, old.role(), old.zone(), old.cell(), old.weight(), started, state);
+        members.set(members.indexOf(old), changed);
+        return handle(new MembersListed(ListKind.CHANGES, 2, List.of(changed)));
+    }
+
+    List<Action> list(ListKind kind) {
+        return handle(new MembersListed(kind, 1, List.copyOf(members)));
+    }
+
+    List<Action> handle(Event event) {
+        List<Action> actions = new ArrayList<>();
+        logic.handle(now, event, actions::add);
+        return actions;
+    }
+
+    /** Lets time pass with the timer's ticks; returns all that the router did meanwhile. */
+    List<Action> pass(long span) {
+        List<Action> actions = new ArrayList<>();
+        long end = now + span;
+        while (now < end) {
+            now = Math.min(end, now + 20 * MILLI);
+            actions.addAll(handle(new TimerDue(0)));
+        }
+        return actions;
+    }
+
+    List<Action> ask(String object) {
+        return ask(object, PAGE, 1_000);
+    }
+
+    /** A request named q1, q2, ... in order of arrival. */
+    List<Action> ask(String object, int requestClass, double sizeKb) {
+        long left = requestClass == WRITE ? 3 * SECOND : 5 * SECOND;
+        return handle(new RequestArrived("q" + ++requests, requestClass, object, 0, 4, sizeKb, left, false));
+    }
+
+    List<Action> end(Fetch fetch, int attempt, Outcome outcome, FillNote note) {
+        return end(fetch.id(), attempt, fetch.member(), outcome, note);
+    }
+
+    List<Action> end(String id, int attempt, long member, Outcome outcome, FillNote note) {
+        return handle(new AttemptEnded(id, attempt, member, outcome, 100 * MILLI, outcome == Outcome.OK,
+                note, 0,
+                Map.of()));
+    }
+
+    /** Asks for an object and serves it; returns how it was sent. */
+    Fetch serve(String object, FillNote note) {
+        Fetch fetch = fetch(ask(object));
+        now += 100 * MILLI;
+        end(fetch, 0, Outcome.OK, note);
+        return fetch;
+    }
+
+    static <T extends Action> List<T> only(Class<T> type, List<Action> actions) {
+        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** The one fetch among these actions. */
+    static Fetch fetch(List<Action> actions) {
+        List<Fetch> fetches = only(Fetch.class, actions);
+        if (fetches.size() != 1) {
+            throw new AssertionError("not one fetch: " + actions);
+        }
+        return fetches.get(0);
+    }
+
+    static Lookup lookup(List<Action> actions) {
+        List<Lookup> lookups = only(Lookup.class, actions);
+        if (lookups.size() != 1) {
+            throw new AssertionError("not one lookup: " + actions);
+        }
+        return lookups.get(0);
+    }
+}
