Bound what members have of ours by limits that fall when answers come late

Cause: fills jam, clients leave, dropped fills keep nothing; a router went on sending. Change: a limit a member on attempts and presumed fills, cut by late answers; when a source is full the request looks first, then waits its turn by worth for size, else is refused. Should hold against any jam; may hurt where lateness has another cause than load. Also new, not yet measured: with no room in the caches a request may pass them by.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -4,12 +4,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /**
@@ -34,7 +36,7 @@
     private static final int NOTE_BYTES = 256;  // longest peer note that is sent
     private static final double RETRY_SHARE = 0.2;  // further attempts earned by a request
     private static final double RETRY_BURST = 40;  // attempts that may be saved up: one cache's work
-    private static final int ATTEMPTS = 5;  // attempts for a request at most
+    private static final int ATTEMPTS = 5;  // attempts for a request at most, those that only look too
     private static final int STRIKES = 2;  // failures in a row that take a member out
     private static final double FAIL_SHARE = 0.75;  // share of failures that takes a member out
     private static final double FAIL_GAIN = 0.15;  // weight of the newest outcome in that share
@@ -42,20 +44,20 @@
     private static final long DOWN_LONGEST = 8 * SECOND;  // longest time out
     private static final long PATIENCE = 250 * MILLI;  // least time before silence counts
     private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
-    private static final double MEAN_GAIN = 0.05;  // weight of the newest in slow averages
-    private static final double PACE_GAIN = 0.2;  // weight of the newest in fast averages
-    private static final double WIDTH_START = 6;  // transfers a cache takes at full pace, first guess
-    private static final double WIDTH_LEAST = 2;  // never thought narrower than this
-    private static final double CROWDED = 1.3;  // slower than this times its own time: crowded
-    private static final double SPILL = 2;  // transfers over width at which others step in
+    private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
+    private static final double LIMIT_START = 12;  // attempts a member may have of ours at once, first guess
+    private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
+    private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
+    private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
+    private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
     private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
+    private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
-    private static final long HOLD_LEAST = 100 * MILLI;  // with less time left nothing is held back
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
 
     // ---- state ----------------------------------------------------------------------------------------
     private final Settings settings;
-    private final long salt;
+    private final boolean weighted;
     private final Map<Long, Node> nodes = new TreeMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
@@ -66,11 +68,18 @@
             return size() > OBJECTS;
         }
     };
+    private final TreeSet<Job> waiting = new TreeSet<>(Comparator.comparingDouble((Job j) -> -j.priority)
+            .thenComparingLong(j -> j.number));
     private final Map<String, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
-    private double fillWait = PATIENCE;
+    private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
+    private double missShare = 0.5;  // share of attempts of unknown fate that miss, lately
+    private double originShare = 0.5;  // share of fills from parents that went on to the origin, lately
     private double retryTokens = RETRY_BURST;
+    private long arrivals;
+    private long lastFill;
+    private Node lastFiller;
     private boolean ticking;
     private long watchAgainAt = Long.MAX_VALUE;
     private long now;
@@ -81,15 +90,16 @@
         Member member;
         boolean listed;
         int open;
+        double load;
+        double limit;
+        long cutAt;
         int strikes;
         double failShare;
-        double width;
-        double pace = 1;
         long lastAnswer;
         long downUntil;
         long downFor;
         long coldFrom;
-        final ArrayDeque<double[]> coldWork = new ArrayDeque<>();
+        final ArrayDeque<double[]> sentWork = new ArrayDeque<>();
     }
 
     /** A request that is owed an answer, or whose attempts are still out. */
@@ -97,20 +107,25 @@
         RequestArrived request;
         RequestClass type;
         String key;
-        long arrived;
-        long deadline;
+        long number;
         double work;
+        double priority;
+        long startBy;
+        long deadline;
         int attempts;
-        long mayHaveRunAt = -1;
-        Node ranAt;
+        boolean mayHaveRun;
         boolean closed;
         boolean streaming;
         boolean held;
+        boolean alone;
+        boolean missed;
+        boolean parentMissed;
+        boolean retry;
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
     }
 
-    /** An attempt that is out. */
+    /** An attempt that is out, and the shares of it that count on the limits of members. */
     private static final class Attempt {
         int number;
         Node target;
@@ -120,7 +135,9 @@
         boolean overdue;
         boolean cancelled;
         boolean expectHit;
-        int openThen;
+        boolean look;
+        boolean lookAtParent;
+        final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
     /**
@@ -133,7 +150,7 @@
         int notes;
         Job filler;
         Node fillerAt;
-        final List<Job> waiting = new ArrayList<>();
+        final List<Job> followers = new ArrayList<>();
     }
 
     private record Holder(Node node, long started, long since, long until) {
@@ -141,7 +158,7 @@
 
     public Logic(Settings settings, long salt) {
         this.settings = settings;
-        this.salt = salt;
+        this.weighted = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
         this.meanWork = new double[settings.classes().size()];
     }
 
@@ -162,19 +179,18 @@
             arrived(e);
         } else if (event instanceof AttemptEnded e) {
             ended(e);
-        } else if (event instanceof RequestGone e) {
-            gone(e);
+        } else if (event instanceof RequestGone e && jobs.containsKey(e.id())) {
+            close(jobs.get(e.id()));
         } else if (event instanceof TimerDue) {
             tick();
         } else if (event instanceof MembersListed e) {
             listed(e);
+        } else if (event instanceof Purged e && e.object() == null) {
+            purgedGroups.merge(e.group(), now - e.age(), Math::max);
         } else if (event instanceof Purged e) {
-            purged(e);
-        } else if (event instanceof AnswerStarted e) {
-            Job job = jobs.get(e.id());
-            if (job != null) {
-                job.streaming = true;
-            }
+            purgedObjects.merge(e.object(), now - e.age(), Math::max);
+        } else if (event instanceof AnswerStarted e && jobs.containsKey(e.id())) {
+            jobs.get(e.id()).streaming = true;
         } else if (event instanceof PeerNote e) {
             peerNote(e);
         }
@@ -183,39 +199,21 @@
     private void listed(MembersListed e) {
         if (e.kind() == ListKind.FAILED) {
             watchAgainAt = now + SECOND;
-            return;
-        }
-        if (e.kind() != ListKind.CHANGES) {
+        } else if (e.kind() != ListKind.CHANGES) {
             nodes.values().forEach(n -> n.listed = false);
         }
         for (Member m : e.members()) {
             Node n = nodes.computeIfAbsent(m.id(), id -> new Node());
-            boolean restarted = n.member != null && n.member.started() != m.started();
-            n.member = m;
-            n.listed = m.state() == State.READY;
-            if (n.width == 0) {
-                n.width = weighted() ? m.weight() : WIDTH_START;
-            }
-            if (restarted) {
+            if (n.member == null || n.member.started() != m.started()) {
                 n.strikes = 0;
                 n.failShare = 0;
                 n.downUntil = 0;
                 n.downFor = 0;
-                n.pace = 1;
+                n.limit = weighted ? Math.max(LIMIT_LEAST, LIMIT_WEIGHT * m.weight()) : LIMIT_START;
             }
-            if (m.started() > n.coldFrom) {
-                n.coldFrom = m.started();
-            }
-        }
-    }
-
-    private void purged(Purged e) {
-        long at = now - e.age();
-        if (e.object() == null) {
-            purgedGroups.merge(e.group(), at, Math::max);
-        } else {
-            purgedObjects.remove(e.object());
-            purgedObjects.put(e.object(), at);
+            n.member = m;
+            n.listed = m.state() == State.READY;
+            n.coldFrom = Math.max(n.coldFrom, m.started());
         }
     }
 
@@ -224,39 +222,35 @@
         job.request = r;
         job.type = settings.classes().get(r.requestClass());
         job.key = r.object() + '#' + r.part();
-        job.arrived = now;
-        job.deadline = now + r.timeLeft();
-        double pace = settings.fills().transferKbPerSecond();
-        boolean sized = r.sizeKb() > 0 && pace > 0;
+        job.number = arrivals++;
         double mean = meanWork[r.requestClass()];
-        job.work = sized ? r.sizeKb() / pace * SECOND : mean > 0 ? mean : job.type.aim() / 2.0;
-        if (sized) {
+        job.work = mean > 0 ? mean : job.type.aim() / 2.0;
+        if (r.sizeKb() > 0 && settings.fills().transferKbPerSecond() > 0) {
+            job.work = r.sizeKb() / settings.fills().transferKbPerSecond() * SECOND;
             meanWork[r.requestClass()] = mean == 0 ? job.work : mean + MEAN_GAIN * (job.work - mean);
         }
+        job.priority = job.type.worth() / job.work;
+        job.deadline = now + r.timeLeft();
+        job.startBy = Math.min(job.deadline - 2 * TICK,
+                now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
         jobs.put(r.id(), job);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        if (!job.type.uncacheable()) {
-            table.computeIfAbsent(job.key, k -> new Entry()).seen++;
-        }
+        entry(job).seen++;
         route(job);
     }
 
-    private void gone(RequestGone e) {
-        Job job = jobs.get(e.id());
-        if (job != null) {
-            close(job);
-        }
-    }
-
     private void tick() {
         out.accept(new SetTimer(TICK, 0));
         if (now >= watchAgainAt) {
             watchAgainAt = Long.MAX_VALUE;
             out.accept(new WatchList(true));
         }
+        dispatch(waiting.size());
         for (Job job : new ArrayList<>(jobs.values())) {
-            if (job.held && now + 2 * TICK >= job.deadline) {
-                giveUp(job);
+            if (job.held && now >= job.startBy) {
+                job.alone = true;
+                entry(job).followers.remove(job);
+                route(job);
             }
             for (Attempt a : job.open.values()) {
                 if (!a.overdue && now >= a.due) {
@@ -275,110 +269,149 @@
     /** Sends the next attempt, holds the request, or gives it up. */
     private void route(Job job) {
         job.held = false;
+        waiting.remove(job);
         if (job.closed || job.streaming || !job.open.isEmpty()) {
             return;
         }
-        boolean again = job.attempts > 0;
-        if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || again && retryTokens < 1
-                || now >= job.deadline || !mayRepeat(job)) {
+        boolean direct = settings.fills().direct();
+        Node origin = origin();
+        List<Node> caches = ranked(Role.CACHE, settings.location(), job.key);
+        caches.removeIf(n -> !up(n));
+        Node edge = edge(job, caches);
+        if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
+                || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
-            return;
-        }
-        if (job.type.uncacheable()) {
-            passThrough(job);
+        } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
+            passThrough(job, direct ? origin : edge, origin);
+        } else if (job.type.uncacheable() || caches.isEmpty() && !direct) {
+            giveUp(job);
+        } else if (edge != null) {
+            fetch(job, edge);
         } else {
-            Node edge = edge(job);
-            if (edge == null) {
-                passBy(job);
-            } else {
-                fetch(job, edge);
-            }
+            passBy(job, caches.isEmpty());
         }
     }
 
     /** Uncacheable classes run at the origin: straight there where that is allowed, else through a cache. */
-    private void passThrough(Job job) {
-        Node origin = ranked(Role.ORIGIN, -1, job.key).stream().findFirst().orElse(null);
-        if (origin == null) {
-            giveUp(job);
-        } else if (settings.fills().direct()) {
-            send(job, origin, origin, new Lookup(job.request.id(), origin.member.id(), 0));
-        } else {
-            Node edge = edge(job);
-            if (edge == null) {
-                giveUp(job);
-            } else {
-                send(job, edge, origin, new Fetch(job.request.id(), edge.member.id(), origin.member.id(), 0,
-                        0,
-                        false, false, false, false, 0));
-            }
-        }
+    private void passThrough(Job job, Node target, Node origin) {
+        send(job, target, origin, target == origin ? new Lookup(job.request.id(), origin.member.id(), 0)
+                : get(job, target, origin, 0, false));
     }
 
-    /** Without a cache to ask, a request goes to a parent or the origin where that is allowed. */
-    private void passBy(Job job) {
+    /**
+     * With no cache to ask, or none with room, a request goes to its parent, else the origin, where that is
+     * allowed. It uses the link in, so others than those without any cache wait while the source is full.
+     */
+    private void passBy(Job job, boolean noCache) {
         Node source = settings.fills().direct() ? source(job, null) : null;
-        if (source == null) {
-            giveUp(job);
+        if (source == null || full(source, 1) && !noCache) {
+            hold(job);
         } else if (source.member.role() == Role.ORIGIN) {
-            send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
+            passThrough(job, source, source);
         } else {
-            Node origin = ranked(Role.ORIGIN, -1, job.key).stream().findFirst().orElse(source);
-            send(job, source, origin, new Fetch(job.request.id(), source.member.id(), origin.member.id(), 0,
-                    oldest(job), settings.fills().joins(), false, false, false, 0));
+            Node origin = origin();
+            send(job, source, origin, get(job, source, origin == null ? source : origin, 0, false));
         }
     }
 
+    /**
+     * The ordinary path. When the source has as many fills of ours as it can serve in time, the request first
+     * looks whether the cache, then the parent, holds a copy, and only then waits for its turn to fill.
+     */
     private void fetch(Job job, Node edge) {
-        Entry entry = table.computeIfAbsent(job.key, k -> new Entry());
-        Holder held = holder(entry, job, edge);
-        if (held == null && !settings.fills().joins() && entry.filler != null && entry.fillerAt == edge
-                && job.attempts == 0 && job.deadline - now > HOLD_LEAST) {
-            entry.waiting.add(job);
+        Entry entry = entry(job);
+        boolean held = holds(entry, job, edge);
+        if (!held && !settings.fills().joins() && entry.filler != null && entry.fillerAt == edge && !job.alone
+                && job.attempts == 0 && now < job.startBy) {
+            entry.followers.add(job);
             job.held = true;
             return;
         }
-        Node source = source(job, edge);
-        if (held == null && entry.filler == null) {
-            entry.filler = job;
-            entry.fillerAt = edge;
-            remember(entry, edge, now + FILLING_LIFE, false);
-        }
-        send(job, edge, source == null ? edge : source, new Fetch(job.request.id(), edge.member.id(),
-                source == null ? edge.member.id() : source.member.id(), entry.seen > 1 ? 2 : 1, oldest(job),
-                settings.fills().joins(), false, false, job.type.fresh() > 0, 0));
-    }
-
-    /** The hashed edge cache of the location; the next in its order while that is out, cold or crowded. */
-    private Node edge(Job job) {
-        List<Node> order = ranked(Role.CACHE, settings.location(), job.key);
-        order.removeIf(n -> !up(n) || !coldRoom(n, job));
-        List<Node> fresh = order.stream().filter(n -> !job.failed.contains(n.member.id())).toList();
-        List<Node> choice = fresh.isEmpty() ? order : fresh;
-        for (Node n : choice) {
-            if (n.open < SPILL * n.width) {
+        Node found = source(job, edge);
+        Node source = found == null ? edge : found;
+        boolean full = !held && source != edge && full(source, job.missed ? 1 : missShare);
+        boolean originFull = !held && source.member.role() == Role.PARENT && origin() != null
+                && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job));
+        if ((full || originFull) && !job.missed) {
+            send(job, edge, edge, get(job, edge, edge, rank(entry), false));
+        } else if (full || originFull && job.parentMissed) {
+            hold(job);
+        } else {
+            if (!held && entry.filler == null) {
+                entry.filler = job;
+                entry.fillerAt = edge;
+                remember(entry, edge, -1, now + FILLING_LIFE);
+            }
+            send(job, edge, source, get(job, edge, source, rank(entry), originFull));
+        }
+    }
+
+    /** One-time objects are kept at the lowest rank, so that they don't push out those asked for again. */
+    private static int rank(Entry entry) {
+        return entry.seen > 1 ? 2 : 1;
+    }
+
+    private Fetch get(Job job, Node target, Node source, int keepRank, boolean onlyIfHeld) {
+        boolean renew = job.type.fresh() > 0 && source != target && !onlyIfHeld;
+        return new Fetch(job.request.id(), target.member.id(), source.member.id(), keepRank, oldest(job),
+                settings.fills().joins(), onlyIfHeld, false, renew, 0);
+    }
+
+    /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
+    private Node edge(Job job, List<Node> caches) {
+        List<Node> order = new ArrayList<>(caches);
+        order.removeIf(n -> !coldRoom(n, job));
+        if (order.stream().anyMatch(n -> !job.failed.contains(n.member.id()))) {
+            order.removeIf(n -> job.failed.contains(n.member.id()));
+        }
+        for (Node n : order) {
+            if (n.load < n.limit && (n == order.get(0) || holds(entry(job), job, n))) {
                 return n;
             }
         }
-        return choice.isEmpty() ? null : choice.get(0);
+        return order.stream().filter(n -> n.load < n.limit / 2).findFirst().orElse(null);
     }
 
     /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. */
     private Node source(Job job, Node edge) {
         if (edge != null && settings.fills().siblings() != SiblingSources.NONE) {
-            for (Holder h : table.get(job.key).holders) {
-                if (h.node != edge && alive(h, job) && up(h.node) && !job.failed.contains(h.node.member.id())
-                        && coldRoom(h.node, job)) {
+            for (Holder h : entry(job).holders) {
+                if (h.node != edge && alive(h, job) && usable(h.node, job)) {
                     return h.node;
                 }
             }
         }
-        for (Node n : ranked(Role.PARENT, -1, job.request.object())) {
-            if (up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job)) {
-                return n;
-            }
+        return ranked(Role.PARENT, -1, job.request.object()).stream().filter(n -> usable(n, job)).findFirst()
+                .orElse(origin());
+    }
+
+    private boolean usable(Node n, Job job) {
+        return up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
+    }
+
+    private static boolean full(Node source, double share) {
+        return source.load + share > source.limit;
+    }
+
+    private double originPart(Job job) {
+        return job.parentMissed ? 1 : originShare * (job.missed ? 1 : missShare);
+    }
+
+    /**
+     * A request for which there is no room now waits while it can still be on time, most worth for its size
+     * first; after that it is given up at once.
+     */
+    private void hold(Job job) {
+        job.held = now < job.startBy;
+        if (job.held) {
+            waiting.add(job);
+        } else {
+            giveUp(job);
         }
-        return ranked(Role.ORIGIN, -1, job.key).stream().findFirst().orElse(null);
+    }
+
+    private void dispatch(int most) {
+        waiting.stream().limit(most).toList().forEach(this::route);
     }
 
     private void send(Job job, Node target, Node source, Action action) {
@@ -387,26 +420,36 @@
         a.target = target;
         a.source = source;
         a.sent = now;
-        a.openThen = target.open++;
-        Entry entry = table.get(job.key);
-        a.expectHit = entry != null && holder(entry, job, target) != null;
-        double wait = a.expectHit ? 0 : fillWait;
-        a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work * Math.max(1, target.pace) + wait));
-        if (a.number > 0) {
+        a.look = source == target && target.member.role() == Role.CACHE;
+        a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
+        a.expectHit = a.look || holds(entry(job), job, target);
+        a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
+        if (job.retry) {
             retryTokens--;
+            job.retry = false;
         }
-        if (job.mayHaveRunAt < 0) {
-            job.mayHaveRunAt = now;
-            job.ranAt = target;
-        }
+        job.mayHaveRun = true;
         job.open.put(a.number, a);
-        note(target, job);
+        target.open++;
+        charge(job, a, target, 1);
         if (source != target && !a.expectHit) {
-            note(source, job);
+            charge(job, a, source, job.missed || target.member.role() == Role.PARENT ? 1 : missShare);
+            if (source.member.role() == Role.PARENT && !a.lookAtParent && origin() != null) {
+                charge(job, a, origin(), originPart(job));
+            }
         }
         out.accept(action);
     }
 
+    private void charge(Job job, Attempt a, Node n, double share) {
+        n.load += share;
+        a.charges.merge(n, share, Double::sum);
+        n.sentWork.add(new double[] {now, countedWork(job)});
+        while (n.sentWork.peekFirst()[0] <= now - settings.rules().overloadSpan()) {
+            n.sentWork.removeFirst();
+        }
+    }
+
     // ---- outcomes -------------------------------------------------------------------------------------
 
     private void ended(AttemptEnded e) {
@@ -416,121 +459,134 @@
             return;
         }
         a.target.open--;
+        a.charges.forEach((n, share) -> n.load = Math.max(0, n.load - share));
+        job.mayHaveRun = !e.outcome().provesNotRun || !job.open.isEmpty();
         judge(job, a, e);
-        if (job.open.isEmpty() && e.outcome().provesNotRun && job.mayHaveRunAt == a.sent
-                && job.ranAt == a.target) {
-            job.mayHaveRunAt = -1;
-            job.ranAt = null;
-        }
-        Entry entry = table.get(job.key);
-        if (entry != null && entry.filler == job) {
-            release(entry);
+        if (entry(job).filler == job) {
+            release(entry(job));
         }
         if (e.closed()) {
             close(job);
+        } else if (!job.closed) {
+            route(job);
+        } else if (job.open.isEmpty()) {
+            jobs.remove(e.id());
         }
-        if (job.closed) {
-            if (job.open.isEmpty()) {
-                jobs.remove(e.id());
-            }
-        } else {
-            if (e.outcome() == Outcome.TIMEOUT && now >= job.deadline) {
-                giveUp(job);
-            } else {
-                route(job);
-            }
-        }
+        dispatch(WAITERS);
     }
 
     /** Learns from an outcome: who holds what, who is slow, who has failed. */
     private void judge(Job job, Attempt a, AttemptEnded e) {
-        Entry entry = table.get(job.key);
+        job.retry = true;
         boolean sourceFailed = e.note().ordinal() >= FillNote.SOURCE_REFUSED.ordinal();
-        switch (e.outcome()) {
-            case OK -> {
-                good(a.target);
-                boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.NONE && a.expectHit;
-                if (!hit && a.source != a.target) {
-                    good(a.source);
-                    double wait = e.waited() > 0 ? e.waited() : Math.max(0, e.latency() - job.work);
-                    fillWait += MEAN_GAIN * (wait - fillWait);
-                }
-                if (hit) {
-                    pace(a, job, e.latency());
-                }
-                if (entry != null && !job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
-                    remember(entry, a.target, now + HOLDING_LIFE, true);
-                    tellPeers(job, entry, a.target);
-                }
+        if (e.outcome() == Outcome.OK) {
+            served(job, a, e);
+        } else if (e.outcome() == Outcome.MISS && (a.look || a.lookAtParent)) {
+            good(a.target);
+            job.retry = false;
+            job.missed = true;
+            job.parentMissed = a.lookAtParent;
+            if (a.look) {
+                forget(entry(job), a.target);
+                missShare += MEAN_GAIN * (1 - missShare);
+            } else {
+                originShare += MEAN_GAIN * (1 - originShare);
             }
-            case MISS -> {
-                good(a.target);
-                job.failed.add(a.source.member.id());
-                forget(entry, a.source);
+        } else if (e.outcome() == Outcome.MISS || sourceFailed) {
+            good(a.target);
+            job.failed.add(a.source.member.id());
+            forget(entry(job), a.source);
+            if (e.note() == FillNote.SOURCE_FAILED) {
+                strike(a.source, false);
             }
-            case FULL -> {
-                if (sourceFailed) {
-                    good(a.target);
-                    job.failed.add(a.source.member.id());
-                    forget(entry, a.source);
-                    if (e.note() == FillNote.SOURCE_FAILED) {
-                        strike(a.source, false);
-                    }
-                } else {
-                    a.target.lastAnswer = now;
-                    a.target.width = Math.max(WIDTH_LEAST, a.target.width * 0.95);
-                    job.failed.add(a.target.member.id());
-                }
+            if (e.outcome() != Outcome.MISS) {
+                tooMuch(a, false);
             }
-            case ERROR -> {
-                if (sourceFailed) {
-                    good(a.target);
-                    job.failed.add(a.source.member.id());
-                    forget(entry, a.source);
-                } else {
-                    a.target.lastAnswer = now;
-                    a.target.failShare += FAIL_GAIN * (1 - a.target.failShare);
-                    if (a.target.failShare > FAIL_SHARE) {
-                        down(a.target, false);
-                    }
-                    if (a.number >= 2) {
-                        job.failed.add(a.target.member.id());
-                    }
-                }
+        } else if (e.outcome() == Outcome.FULL) {
+            a.target.lastAnswer = now;
+            paced(a.target, a, true);
+            job.failed.add(a.target.member.id());
+        } else if (e.outcome() == Outcome.ERROR) {
+            a.target.lastAnswer = now;
+            a.target.failShare += FAIL_GAIN * (1 - a.target.failShare);
+            if (a.target.failShare > FAIL_SHARE) {
+                down(a.target, false);
             }
-            case CONNECT_FAILED, RESET -> {
+            if (a.number >= 2) {
                 job.failed.add(a.target.member.id());
-                forget(entry, a.target);
-                strike(a.target, true);
             }
-            case TIMEOUT -> {
-                if (!a.overdue) {
-                    overdue(job, a);
-                }
-                blame(job, a);
-            }
-            default -> {
-                if (e.outcome() == Outcome.CANCELLED) {
-                    blame(job, a);
-                }
+        } else if (e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.RESET) {
+            job.failed.add(a.target.member.id());
+            forget(entry(job), a.target);
+            strike(a.target, true);
+        } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
+            tooMuch(a, a.expectHit);
+            Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
+            job.failed.add(guilty.member.id());
+            forget(entry(job), guilty);
+        }
+    }
+
+    private void served(Job job, Attempt a, AttemptEnded e) {
+        boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.STALE
+                || e.note() == FillNote.NONE && a.expectHit;
+        boolean late = e.latency() > job.type.aim() + job.type.aimStretch() * job.work;
+        good(a.target);
+        if (!a.expectHit && a.source != a.target && !job.missed) {
+            missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
+        }
+        if (hit) {
+            learnWork(job, a, e.latency());
+            paced(a.target, a, late);
+        } else if (a.source != a.target) {
+            good(a.source);
+            lastFill = now;
+            lastFiller = a.source;
+            fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
+            boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
+            if (a.source.member.role() == Role.PARENT && e.note() != FillNote.JOINED) {
+                originShare += MEAN_GAIN * ((byOrigin ? 1 : 0) - originShare);
             }
+            a.charges.keySet().stream().filter(n -> n != a.target
+                    && (byOrigin ? n.member.role() == Role.ORIGIN : n == a.source)).forEach(n -> paced(n, a,
+                    late));
+        }
+        if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
+            remember(entry(job), a.target, now, now + HOLDING_LIFE);
+            tellPeers(job, a.target);
         }
     }
 
-    /** Marks for this request the member that has kept it waiting. */
-    private void blame(Job job, Attempt a) {
-        Node guilty = a.target.lastAnswer < a.sent || a.source == a.target ? a.target : a.source;
-        job.failed.add(guilty.member.id());
-        forget(table.get(job.key), guilty);
+    /** Counts an attempt that came to nothing as late for all who had a part in it. */
+    private void tooMuch(Attempt a, boolean atTarget) {
+        a.charges.keySet().stream().filter(n -> n == a.target == atTarget).forEach(n -> paced(n, a, true));
+    }
+
+    /**
+     * The limit of what a member has of ours at once, guarding against any jam: it falls when an attempt that
+     * was sent after the last fall comes late or not at all, and rises slowly while it is used and all is on
+     * time.
+     */
+    private void paced(Node n, Attempt a, boolean late) {
+        if (!late) {
+            n.limit += n.load >= n.limit / 2 ? 1 / n.limit : 0;
+        } else if (a.sent > n.cutAt) {
+            n.limit = Math.max(LIMIT_LEAST, n.limit * LIMIT_CUT);
+            n.cutAt = now;
+        }
     }
 
     /**
      * Silence, whatever its cause: nothing has come from the target (else from the source) since the attempt
-     * went out, though it should have long ago. The request moves on; two such in a row take the member out.
+     * went out, though it should have long ago, while others were heard. The request moves on; two such in a
+     * row take the member out. A source is not blamed while all sources are silent: then what lies behind
+     * them is.
      */
     private void overdue(Job job, Attempt a) {
-        Node guilty = a.target.lastAnswer < a.sent ? a.target
-                : a.source != a.target && a.source.lastAnswer < a.sent && !a.expectHit ? a.source : null;
+        boolean targetSilent = a.target.lastAnswer < a.sent;
+        Node guilty = targetSilent && (a.expectHit || a.source.lastAnswer >= a.sent) ? a.target
+                : !targetSilent && !a.expectHit && a.source.lastAnswer < a.sent && lastFill >= a.sent
+                && lastFiller != a.source ? a.source : null;
         if (guilty != null) {
             strike(guilty, true);
             cancel(job, a);
@@ -574,32 +630,20 @@
         }
     }
 
-    /** Learns how many transfers of ours a cache takes at full pace, where sizes are told. */
-    private void pace(Attempt a, Job job, long latency) {
+    /** Learns the usual work of a class whose sizes are not told from its hits. */
+    private void learnWork(Job job, Attempt a, long latency) {
         int type = job.request.requestClass();
-        if (job.request.sizeKb() <= 0 || settings.fills().transferKbPerSecond() <= 0) {
-            meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (latency - meanWork[type]);
-            return;
-        }
-        double slow = latency / job.work;
-        a.target.pace += PACE_GAIN * (Math.min(slow, 20) - a.target.pace);
-        double transfers = (a.openThen + a.target.open) / 2.0 + 1;
-        if (!weighted()) {
-            double width = slow > CROWDED ? Math.min(a.target.width, transfers / slow)
-                    : Math.max(a.target.width, transfers);
-            a.target.width = Math.max(WIDTH_LEAST, a.target.width + PACE_GAIN * (width - a.target.width));
+        if (job.request.sizeKb() <= 0) {
+            double slow = weighted ? Math.max(1, a.target.load / a.target.member.weight()) : 1;
+            meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (latency / slow - meanWork[type]);
         }
     }
 
     // ---- final answers --------------------------------------------------------------------------------
 
-    private boolean mayRepeat(Job job) {
-        return job.type.effect() == Effect.SAFE || job.mayHaveRunAt < 0;
-    }
-
     /** Gives the final answer at once: refused where trying again is harmless, else failed. */
     private void giveUp(Job job) {
-        boolean harmless = job.type.effect() == Effect.SAFE || job.mayHaveRunAt < 0
+        boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
                 || job.type.effect() == Effect.KEYED && job.type.group() == RepeatGroup.ALL;
         if (!job.closed) {
             long after = Math.min(settings.limits().longestRetryAfter(),
@@ -613,17 +657,13 @@
     private void close(Job job) {
         job.closed = true;
         job.held = false;
-        for (Attempt a : job.open.values()) {
-            cancel(job, a);
-        }
+        waiting.remove(job);
+        entry(job).followers.remove(job);
+        job.open.values().forEach(a -> cancel(job, a));
         if (job.open.isEmpty()) {
             jobs.remove(job.request.id());
-        }
-        Entry entry = table.get(job.key);
-        if (entry != null) {
-            entry.waiting.remove(job);
-            if (entry.filler == job && job.open.isEmpty()) {
-                release(entry);
+            if (entry(job).filler == job) {
+                release(entry(job));
             }
         }
     }
@@ -637,46 +677,43 @@
 
     private void release(Entry entry) {
         entry.filler = null;
-        List<Job> waiting = new ArrayList<>(entry.waiting);
-        entry.waiting.clear();
-        waiting.forEach(this::route);
+        List<Job> followers = new ArrayList<>(entry.followers);
+        entry.followers.clear();
+        followers.forEach(this::route);
     }
 
     // ---- the sibling table ----------------------------------------------------------------------------
 
-    private void remember(Entry entry, Node node, long until, boolean holds) {
-        Holder old = entry.holders.stream().filter(h -> h.node == node).findFirst().orElse(null);
-        entry.holders.remove(old);
-        entry.holders.add(0, new Holder(node, node.member.started(), holds ? now : -1, until));
+    private Entry entry(Job job) {
+        return table.computeIfAbsent(job.key, k -> new Entry());
+    }
+
+    private void remember(Entry entry, Node node, long since, long until) {
+        forget(entry, node);
+        entry.holders.add(0, new Holder(node, node.member.started(), since, until));
         if (entry.holders.size() > HOLDERS) {
             entry.holders.remove(HOLDERS);
         }
     }
 
-    private void forget(Entry entry, Node node) {
-        if (entry != null) {
-            entry.holders.removeIf(h -> h.node == node);
-        }
+    private static void forget(Entry entry, Node node) {
+        entry.holders.removeIf(h -> h.node == node);
     }
 
-    /** The reference that says that this cache holds a good copy, or null. */
-    private Holder holder(Entry entry, Job job, Node node) {
-        for (Holder h : entry.holders) {
-            if (h.node == node && h.since >= 0 && alive(h, job)) {
-                return h;
-            }
-        }
-        return null;
+    /** Whether a reference says that this cache holds a good copy. */
+    private boolean holds(Entry entry, Job job, Node node) {
+        return entry.holders.stream().anyMatch(h -> h.node == node && h.since >= 0 && alive(h, job));
     }
 
     private boolean alive(Holder h, Job job) {
-        return h.until > now && h.started == h.node.member.started()
-                && (h.since < 0 || h.since > purgedAt(job))
-                && (job.type.fresh() == 0 || h.since < 0 || now - h.since < job.type.fresh());
+        return h.until > now && h.started == h.node.member.started() && (h.since < 0
+                || h.since > purgedAt(job)
+                && (job.type.fresh() == 0 || now - h.since < job.type.fresh()));
     }
 
-    private void tellPeers(Job job, Entry entry, Node node) {
+    private void tellPeers(Job job, Node node) {
         byte[] key = job.key.getBytes(StandardCharsets.UTF_8);
+        Entry entry = entry(job);
         if (!settings.limits().peerNotes() || key.length + Long.BYTES > NOTE_BYTES) {
             return;
         }
@@ -685,9 +722,8 @@
             entry.notes = 0;
         }
         if (entry.notes++ < NOTES_A_MINUTE) {
-            byte[] text = ByteBuffer.allocate(Long.BYTES +
-                    key.length).putLong(node.member.id()).put(key).array();
-            out.accept(new TellPeer(-1, text));
+            ByteBuffer text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key);
+            out.accept(new TellPeer(-1, text.array()));
         }
     }
 
@@ -698,7 +734,7 @@
             String key = StandardCharsets.UTF_8.decode(text).toString();
             if (node != null && node.member.role() == Role.CACHE
                     && node.member.zone() == settings.location()) {
-                remember(table.computeIfAbsent(key, k -> new Entry()), node, now + HOLDING_LIFE, true);
+                remember(table.computeIfAbsent(key, k -> new Entry()), node, now, now + HOLDING_LIFE);
             }
         }
     }
@@ -714,47 +750,41 @@
     private long oldest(Job job) {
         long at = purgedAt(job);
         long fresh = job.type.fresh();
-        if (at == Long.MIN_VALUE) {
-            return fresh;
-        }
-        long since = Math.max(1, now - at);
+        long since = at == Long.MIN_VALUE ? fresh : Math.max(1, now - at);
         return fresh > 0 ? Math.min(fresh, since) : since;
     }
 
     // ---- members --------------------------------------------------------------------------------------
 
-    private boolean weighted() {
-        return settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
-    }
-
     private boolean up(Node n) {
         return n.listed && now >= n.downUntil && (n.downFor == 0 || n.open == 0);
     }
 
+    private Node origin() {
+        return nodes.values().stream().filter(n -> n.listed && n.member.role() == Role.ORIGIN).findFirst()
+                .orElse(null);
+    }
+
     /** Listed members of a role, in the key's rendezvous order. */
     private List<Node> ranked(Role role, int zone, String key) {
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < key.length(); i++) {
             hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
         }
-        TreeMap<Double, Node> ranked = new TreeMap<>();
+        TreeMap<Double, Node> ranked = new TreeMap<>(Comparator.reverseOrder());
         for (Node n : nodes.values()) {
             if (n.listed && n.member.role() == role && (zone < 0 || n.member.zone() == zone)) {
                 double draw = ((mix(hash ^ mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
-                ranked.put(Math.log(draw) / (weighted() && n.member.weight() > 0 ? n.member.weight() : 1), n);
+                ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1), n);
             }
         }
-        return new ArrayList<>(ranked.descendingMap().values());
+        return new ArrayList<>(ranked.values());
     }
 
     private static long mix(long z) {
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
-    }
-
-    private ColdStart coldStart(Node n) {
-        return n.member.role() == Role.PARENT ? settings.rules().parent() : settings.rules().cache();
+        long y = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        y = (y ^ (y >>> 27)) * 0x94d049bb133111ebL;
+        return y ^ (y >>> 31);
     }
 
     /**
@@ -762,19 +792,20 @@
      * this router sends stays under its share of what the member is sure to bear.
      */
     private boolean coldRoom(Node n, Job job) {
-        ColdStart cold = coldStart(n);
+        boolean parent = n.member.role() == Role.PARENT;
+        ColdStart cold = parent ? settings.rules().parent() : settings.rules().cache();
         if (n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom >= cold.warmAfter()) {
             return true;
         }
         double share = cold.share() + (1 - cold.share()) * Math.max(0, now - n.coldFrom) / cold.warmAfter();
-        int routers = Math.max(1, n.member.role() == Role.PARENT || settings.routersByLocation().isEmpty()
-                ? settings.routers() : settings.routersByLocation().get(settings.location()));
-        double width = weighted() ? n.member.weight() : WIDTH_START / 2;
-        double budget = COLD_SAFETY * cold.multiple() * share * width * settings.rules().overloadSpan() /
-                routers;
+        int routers = Math.max(1, parent || settings.routersByLocation().isEmpty() ? settings.routers()
+                : settings.routersByLocation().get(settings.location()));
+        double width = weighted ? n.member.weight() : COLD_WIDTH;
+        double span = settings.rules().overloadSpan();
+        double budget = COLD_SAFETY * cold.multiple() * share * width * span / routers;
         double spent = countedWork(job);
-        for (double[] sent : n.coldWork) {
-            spent += sent[0] > now - settings.rules().overloadSpan() ? sent[1] : 0;
+        for (double[] sent : n.sentWork) {
+            spent += sent[0] > now - span ? sent[1] : 0;
         }
         return spent <= budget;
     }
@@ -782,14 +813,4 @@
     private double countedWork(Job job) {
         return Math.max(job.work, meanWork[job.request.requestClass()]);
     }
-
-    private void note(Node n, Job job) {
-        if (n.member.role() == Role.ORIGIN) {
-            return;
-        }
-        n.coldWork.add(new double[] {now, countedWork(job)});
-        while (n.coldWork.peekFirst()[0] <= now - settings.rules().overloadSpan()) {
-            n.coldWork.removeFirst();
-        }
-    }
 }
