--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -58,6 +58,7 @@
     // ---- state ----------------------------------------------------------------------------------------
     private final Settings settings;
     private final boolean weighted;
+    private final long tightestAim;
     private final Map<Long, Node> nodes = new TreeMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
@@ -159,6 +160,7 @@
     public Logic(Settings settings, long salt) {
         this.settings = settings;
         this.weighted = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
+        this.tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(0);
         this.meanWork = new double[settings.classes().size()];
     }
 
@@ -530,7 +532,7 @@
     private void served(Job job, Attempt a, AttemptEnded e) {
         boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.STALE
                 || e.note() == FillNote.NONE && a.expectHit;
-        boolean late = e.latency() > job.type.aim() + job.type.aimStretch() * job.work;
+        boolean late = e.latency() > (hit ? job.type.aim() : tightestAim) + job.type.aimStretch() * job.work;
         good(a.target);
         if (!a.expectHit && a.source != a.target && !job.missed) {
             missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
