Try the same member again after a quick failure; strike for slow ones

Cause: a parent that quickly fails a share of its fills was left, and its objects missed at the others. Should also hold for caches with passing errors; may hurt where a failure leaves work behind at the member.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -36,7 +36,9 @@
     private static final int NOTE_BYTES = 256;  // longest peer note that is sent
     private static final double RETRY_SHARE = 0.2;  // further attempts earned by a request
     private static final double RETRY_BURST = 40;  // attempts that may be saved up: one cache's work
-    private static final int ATTEMPTS = 5;  // attempts for a request at most, those that only look too
+    private static final int ATTEMPTS = 7;  // attempts for a request at most, those that only look too
+    private static final double QUICK_AIM = 0.2;  // a failure within this share of the tightest aim is quick
+    private static final int QUICK_FAILURES = 2;  // quick failures of a request before it tries elsewhere
     private static final int STRIKES = 2;  // failures in a row that take a member out
     private static final double FAIL_SHARE = 0.75;  // share of failures that takes a member out
     private static final double FAIL_GAIN = 0.15;  // weight of the newest outcome in that share
@@ -122,6 +124,7 @@
         boolean missed;
         boolean parentMissed;
         boolean retry;
+        int quickFailures;
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
     }
@@ -494,14 +497,15 @@
             } else {
                 originShare += MEAN_GAIN * (1 - originShare);
             }
-        } else if (e.outcome() == Outcome.MISS || sourceFailed) {
+        } else if (e.outcome() == Outcome.MISS) {
             good(a.target);
             job.failed.add(a.source.member.id());
             forget(entry(job), a.source);
-            if (e.note() == FillNote.SOURCE_FAILED) {
-                strike(a.source, false);
-            }
-            if (e.outcome() != Outcome.MISS) {
+        } else if (sourceFailed) {
+            good(a.target);
+            forget(entry(job), a.source);
+            failed(job, a, a.source, e.latency());
+            if (e.note() != FillNote.NO_PLACE) {
                 tooMuch(a, false);
             }
         } else if (e.outcome() == Outcome.FULL) {
@@ -510,13 +514,7 @@
             job.failed.add(a.target.member.id());
         } else if (e.outcome() == Outcome.ERROR) {
             a.target.lastAnswer = now;
-            a.target.failShare += FAIL_GAIN * (1 - a.target.failShare);
-            if (a.target.failShare > FAIL_SHARE) {
-                down(a.target, false);
-            }
-            if (a.number >= 2) {
-                job.failed.add(a.target.member.id());
-            }
+            failed(job, a, a.target, e.latency());
         } else if (e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.RESET) {
             job.failed.add(a.target.member.id());
             forget(entry(job), a.target);
@@ -595,6 +593,23 @@
         }
     }
 
+    /**
+     * A failure that came quickly has cost little: the same member, which has the object, is tried again, and
+     * only one that fails most of what it gets is left. A failure that took its time is a strike.
+     */
+    private void failed(Job job, Attempt a, Node n, long latency) {
+        n.failShare += FAIL_GAIN * (1 - n.failShare);
+        if (n.failShare > FAIL_SHARE) {
+            down(n, false);
+        }
+        if (latency > QUICK_AIM * tightestAim) {
+            strike(n, false);
+        }
+        if (latency > QUICK_AIM * tightestAim || ++job.quickFailures > QUICK_FAILURES) {
+            job.failed.add(n.member.id());
+        }
+    }
+
     private void strike(Node n, boolean lost) {
         if (++n.strikes >= STRIKES) {
             down(n, lost);
