--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -357,7 +357,7 @@
     }
 
     private Fetch get(Job job, Node target, Node source, int keepRank, boolean onlyIfHeld) {
-        boolean renew = false && job.type.fresh() > 0 && source != target && !onlyIfHeld;
+        boolean renew = job.type.fresh() > 0 && source != target && !onlyIfHeld;
         return new Fetch(job.request.id(), target.member.id(), source.member.id(), keepRank, oldest(job),
                 settings.fills().joins(), onlyIfHeld, false, renew, 0);
     }
