--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -139,6 +139,7 @@
         boolean overdue;
         boolean cancelled;
         boolean expectHit;
+        boolean unknown;
         boolean look;
         boolean lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
@@ -427,7 +428,8 @@
         a.sent = now;
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
-        a.expectHit = a.look || holds(entry(job), job, target);
+        a.unknown = !job.missed && target.member.role() == Role.CACHE && !holds(entry(job), job, target);
+        a.expectHit = a.look || !job.missed && !a.unknown;
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         if (job.retry) {
             retryTokens--;
@@ -483,6 +485,10 @@
     /** Learns from an outcome: who holds what, who is slow, who has failed. */
     private void judge(Job job, Attempt a, AttemptEnded e) {
         job.retry = true;
+        if (a.unknown && (e.outcome() == Outcome.OK || e.outcome() == Outcome.MISS)) {
+            boolean hit = e.outcome() == Outcome.OK && (e.note() == FillNote.HIT || e.note() == FillNote.STALE);
+            missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
+        }
         boolean sourceFailed = e.note().ordinal() >= FillNote.SOURCE_REFUSED.ordinal();
         if (e.outcome() == Outcome.OK) {
             served(job, a, e);
@@ -493,7 +499,6 @@
             job.parentMissed = a.lookAtParent;
             if (a.look) {
                 forget(entry(job), a.target);
-                missShare += MEAN_GAIN * (1 - missShare);
             } else {
                 originShare += MEAN_GAIN * (1 - originShare);
             }
@@ -532,9 +537,6 @@
                 || e.note() == FillNote.NONE && a.expectHit;
         boolean late = e.latency() > (hit ? job.type.aim() : tightestAim) + job.type.aimStretch() * job.work;
         good(a.target);
-        if (!a.expectHit && a.source != a.target && !job.missed) {
-            missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
-        }
         if (hit) {
             learnWork(job, a, e.latency());
             paced(a.target, a, late);
