Let limits fall only when a fifth has come late lately

Cause: single late answers kept the parents' limits at the floor long after a slow origin had recovered.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -51,6 +51,8 @@
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
     private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
+    private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
+    private static final double LATE_BORNE = 0.2;  // share that may be late before the limit falls
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
     private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
     private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
@@ -95,6 +97,7 @@
         int open;
         double load;
         double limit;
+        double lateShare;
         long cutAt;
         int strikes;
         double failShare;
@@ -570,9 +573,10 @@
      * time.
      */
     private void paced(Node n, Attempt a, boolean late) {
+        n.lateShare += LATE_GAIN * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
             n.limit += n.load >= n.limit / 2 ? 1 / n.limit : 0;
-        } else if (a.sent > n.cutAt) {
+        } else if (a.sent > n.cutAt && n.lateShare > LATE_BORNE) {
             n.limit = Math.max(LIMIT_LEAST, n.limit * LIMIT_CUT);
             n.cutAt = now;
         }
