--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -79,7 +79,6 @@
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
-    private double missShare = 0.5;  // share of attempts of unknown fate that miss, lately
     private double originShare = 0.5;  // share of fills from parents that went on to the origin, lately
     private double retryTokens = RETRY_BURST;
     private long arrivals;
@@ -142,7 +141,6 @@
         boolean overdue;
         boolean cancelled;
         boolean expectHit;
-        boolean unknown;
         boolean look;
         boolean lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
@@ -338,7 +336,7 @@
         }
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
-        boolean full = !held && source != edge && full(source, job.missed ? 1 : missShare);
+        boolean full = !held && source != edge && full(source, 1);
         boolean originFull = !held && source.member.role() == Role.PARENT && origin() != null
                 && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job));
         if ((full || originFull) && !job.missed) {
@@ -403,7 +401,7 @@
     }
 
     private double originPart(Job job) {
-        return job.parentMissed ? 1 : originShare * (job.missed ? 1 : missShare);
+        return job.parentMissed ? 1 : originShare;
     }
 
     /**
@@ -431,8 +429,7 @@
         a.sent = now;
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
-        a.unknown = !job.missed && target.member.role() == Role.CACHE && !holds(entry(job), job, target);
-        a.expectHit = a.look || !job.missed && !a.unknown;
+        a.expectHit = a.look || holds(entry(job), job, target);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         if (job.retry) {
             retryTokens--;
@@ -443,7 +440,7 @@
         target.open++;
         charge(job, a, target, 1);
         if (source != target && !a.expectHit) {
-            charge(job, a, source, job.missed || target.member.role() == Role.PARENT ? 1 : missShare);
+            charge(job, a, source, 1);
             if (source.member.role() == Role.PARENT && !a.lookAtParent && origin() != null) {
                 charge(job, a, origin(), originPart(job));
             }
@@ -488,10 +485,6 @@
     /** Learns from an outcome: who holds what, who is slow, who has failed. */
     private void judge(Job job, Attempt a, AttemptEnded e) {
         job.retry = true;
-        if (a.unknown && (e.outcome() == Outcome.OK || e.outcome() == Outcome.MISS)) {
-            boolean hit = e.outcome() == Outcome.OK && (e.note() == FillNote.HIT || e.note() == FillNote.STALE);
-            missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
-        }
         boolean sourceFailed = e.note().ordinal() >= FillNote.SOURCE_REFUSED.ordinal();
         if (e.outcome() == Outcome.OK) {
             served(job, a, e);
