--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -53,6 +53,7 @@
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
     private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
     private static final double LATE_BORNE = 0.2;  // share that may be late before the limit falls
+    private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
     private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
     private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
@@ -79,6 +80,7 @@
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
+    private double meanPriority;
     private double originShare = 0.5;  // share of fills from parents that went on to the origin, lately
     private double retryTokens = RETRY_BURST;
     private long arrivals;
@@ -237,6 +239,7 @@
             meanWork[r.requestClass()] = mean == 0 ? job.work : mean + MEAN_GAIN * (job.work - mean);
         }
         job.priority = job.type.worth() / job.work;
+        meanPriority += (meanPriority == 0 ? 1 : MEAN_GAIN) * (job.priority - meanPriority);
         job.deadline = now + r.timeLeft();
         job.startBy = Math.min(job.deadline - 2 * TICK,
                 now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
@@ -311,7 +314,7 @@
      */
     private void passBy(Job job, boolean noCache) {
         Node source = settings.fills().direct() ? source(job, null) : null;
-        if (source == null || full(source, 1) && !noCache) {
+        if (source == null || full(source, 1, job) && !noCache) {
             hold(job);
         } else if (source.member.role() == Role.ORIGIN) {
             passThrough(job, source, source);
@@ -336,9 +339,9 @@
         }
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
-        boolean full = !held && source != edge && full(source, 1);
+        boolean full = !held && source != edge && full(source, 1, job);
         boolean originFull = !held && source.member.role() == Role.PARENT && origin() != null
-                && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job));
+                && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job), job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, rank(entry), false));
         } else if (full || originFull && job.parentMissed) {
@@ -372,11 +375,11 @@
             order.removeIf(n -> job.failed.contains(n.member.id()));
         }
         for (Node n : order) {
-            if (n.load < n.limit && (n == order.get(0) || holds(entry(job), job, n))) {
+            if (!full(n, 1, job) && (n == order.get(0) || holds(entry(job), job, n))) {
                 return n;
             }
         }
-        return order.stream().filter(n -> n.load < n.limit / 2).findFirst().orElse(null);
+        return order.stream().filter(n -> !full(n, n.limit / 2, job)).findFirst().orElse(null);
     }
 
     /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. */
@@ -396,8 +399,13 @@
         return up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
     }
 
-    private static boolean full(Node source, double share) {
-        return source.load + share > source.limit;
+    /**
+     * Whether a member has as much of ours as it can serve in time. The more work a request is for its worth,
+     * the sooner it finds a member full: a few large ones fill a link that would serve many small ones.
+     */
+    private boolean full(Node n, double share, Job job) {
+        double small = job.priority / (job.priority + meanPriority);
+        return n.load + share > n.limit * (1 - LARGE_LESS * (1 - small));
     }
 
     private double originPart(Job job) {
