Let limits rise while they turn requests away; forget lateness at a restart

Cause: limits rose only at half load, which the reserve for small requests kept them from, so caches stayed at a floor with nothing late.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * All decisions of one router. The interface, with its settings, events and actions, is in RouterApi.java.
@@ -99,6 +100,7 @@
         double load;
         double limit;
         double lateShare;
+        long pressedAt = Long.MIN_VALUE / 2;
         long cutAt;
         int strikes;
         double failShare;
@@ -216,6 +218,7 @@
             if (n.member == null || n.member.started() != m.started()) {
                 n.strikes = 0;
                 n.failShare = 0;
+                n.lateShare = 0;
                 n.downUntil = 0;
                 n.downFor = 0;
                 n.limit = weighted ? Math.max(LIMIT_LEAST, LIMIT_WEIGHT * m.weight()) : LIMIT_START;
@@ -255,7 +258,7 @@
             watchAgainAt = Long.MAX_VALUE;
             out.accept(new WatchList(true));
         }
-        dispatch(waiting.size());
+        List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
             if (job.held && now >= job.startBy) {
                 job.alone = true;
@@ -305,7 +308,7 @@
     /** Uncacheable classes run at the origin: straight there where that is allowed, else through a cache. */
     private void passThrough(Job job, Node target, Node origin) {
         send(job, target, origin, target == origin ? new Lookup(job.request.id(), origin.member.id(), 0)
-                : get(job, target, origin, 0, false));
+                : get(job, target, origin, false));
     }
 
     /**
@@ -320,7 +323,7 @@
             passThrough(job, source, source);
         } else {
             Node origin = origin();
-            send(job, source, origin, get(job, source, origin == null ? source : origin, 0, false));
+            send(job, source, origin, get(job, source, origin == null ? source : origin, false));
         }
     }
 
@@ -343,7 +346,7 @@
         boolean originFull = !held && source.member.role() == Role.PARENT && origin() != null
                 && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job), job);
         if ((full || originFull) && !job.missed) {
-            send(job, edge, edge, get(job, edge, edge, rank(entry), false));
+            send(job, edge, edge, get(job, edge, edge, false));
         } else if (full || originFull && job.parentMissed) {
             hold(job);
         } else {
@@ -352,19 +355,19 @@
                 entry.fillerAt = edge;
                 remember(entry, edge, -1, now + FILLING_LIFE);
             }
-            send(job, edge, source, get(job, edge, source, rank(entry), originFull));
+            send(job, edge, source, get(job, edge, source, originFull));
         }
     }
 
-    /** One-time objects are kept at the lowest rank, so that they don't push out those asked for again. */
-    private static int rank(Entry entry) {
-        return entry.seen > 1 ? 2 : 1;
-    }
-
-    private Fetch get(Job job, Node target, Node source, int keepRank, boolean onlyIfHeld) {
-        boolean renew = job.type.fresh() > 0 && source != target && !onlyIfHeld;
-        return new Fetch(job.request.id(), target.member.id(), source.member.id(), keepRank, oldest(job),
-                settings.fills().joins(), onlyIfHeld, false, renew, 0);
+    /**
+     * An attempt that may fill; one-time objects are kept at the lowest rank, below those asked for again.
+     */
+    private Fetch get(Job job, Node target, Node source, boolean onlyIfHeld) {
+        boolean kept = target.member.role() == Role.CACHE && !job.type.uncacheable();
+        return new Fetch(job.request.id(), target.member.id(), source.member.id(),
+                kept ? Math.min(2, entry(job).seen) : 0, oldest(job), settings.fills().joins(), onlyIfHeld,
+                false,
+                job.type.fresh() > 0 && source != target && !onlyIfHeld, 0);
     }
 
     /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
@@ -384,28 +387,27 @@
 
     /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. */
     private Node source(Job job, Node edge) {
+        Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         if (edge != null && settings.fills().siblings() != SiblingSources.NONE) {
             for (Holder h : entry(job).holders) {
-                if (h.node != edge && alive(h, job) && usable(h.node, job)) {
+                if (h.node != edge && alive(h, job) && usable.test(h.node)) {
                     return h.node;
                 }
             }
         }
-        return ranked(Role.PARENT, -1, job.request.object()).stream().filter(n -> usable(n, job)).findFirst()
+        return ranked(Role.PARENT, -1, job.request.object()).stream().filter(usable).findFirst()
                 .orElse(origin());
     }
 
-    private boolean usable(Node n, Job job) {
-        return up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
-    }
-
     /**
      * Whether a member has as much of ours as it can serve in time. The more work a request is for its worth,
      * the sooner it finds a member full: a few large ones fill a link that would serve many small ones.
      */
     private boolean full(Node n, double share, Job job) {
         double small = job.priority / (job.priority + meanPriority);
-        return n.load + share > n.limit * (1 - LARGE_LESS * (1 - small));
+        boolean full = n.load + share > n.limit * (1 - LARGE_LESS * (1 - small));
+        n.pressedAt = full ? now : n.pressedAt;
+        return full;
     }
 
     private double originPart(Job job) {
@@ -425,10 +427,6 @@
         }
     }
 
-    private void dispatch(int most) {
-        waiting.stream().limit(most).toList().forEach(this::route);
-    }
-
     private void send(Job job, Node target, Node source, Action action) {
         Attempt a = new Attempt();
         a.number = job.attempts++;
@@ -487,13 +485,12 @@
         } else if (job.open.isEmpty()) {
             jobs.remove(e.id());
         }
-        dispatch(WAITERS);
+        waiting.stream().limit(WAITERS).toList().forEach(this::route);
     }
 
     /** Learns from an outcome: who holds what, who is slow, who has failed. */
     private void judge(Job job, Attempt a, AttemptEnded e) {
         job.retry = true;
-        boolean sourceFailed = e.note().ordinal() >= FillNote.SOURCE_REFUSED.ordinal();
         if (e.outcome() == Outcome.OK) {
             served(job, a, e);
         } else if (e.outcome() == Outcome.MISS && (a.look || a.lookAtParent)) {
@@ -510,7 +507,7 @@
             good(a.target);
             job.failed.add(a.source.member.id());
             forget(entry(job), a.source);
-        } else if (sourceFailed) {
+        } else if (e.note().ordinal() >= FillNote.SOURCE_REFUSED.ordinal()) {
             good(a.target);
             forget(entry(job), a.source);
             failed(job, a, a.source, e.latency());
@@ -576,7 +573,7 @@
     private void paced(Node n, Attempt a, boolean late) {
         n.lateShare += LATE_GAIN * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
-            n.limit += n.load >= n.limit / 2 ? 1 / n.limit : 0;
+            n.limit += now - n.pressedAt < SECOND ? 1 / n.limit : 0;
         } else if (a.sent > n.cutAt && n.lateShare > LATE_BORNE) {
             n.limit = Math.max(LIMIT_LEAST, n.limit * LIMIT_CUT);
             n.cutAt = now;
