--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -18,10 +18,9 @@
 /**
  * All decisions of one router. The interface, with its settings, events and actions, is in RouterApi.java.
  *
- * <p>The ordinary path, after Coral: a request goes to its object's hashed edge cache of the location. In
- * case that misses, it names as fill source a sibling cache seen holding or filling the object, else the
- * object's hashed parent, else the origin. Everything else here is a departure that acts when something is
- * wrong.
+ * <p>The ordinary path, after Coral: a request goes to its object's hashed edge cache of the location. On a
+ * miss there it names as fill source a sibling seen holding or filling the object, else the object's hashed
+ * parent, else the origin. Everything else here is a departure that acts when something is wrong.
  */
 public final class Logic implements RouterApi {
 
@@ -86,7 +85,6 @@
     private double retryTokens = RETRY_BURST;
     private long arrivals;
     private long lastFill;
-    private Node lastFiller;
     private boolean ticking;
     private long watchAgainAt = Long.MAX_VALUE;
     private long now;
@@ -95,42 +93,28 @@
     /** A member of the list and what its outcomes have shown. */
     private static final class Node {
         Member member;
-        boolean listed;
-        int open;
-        double load;
-        double limit;
-        double lateShare;
-        long pressedAt = Long.MIN_VALUE / 2;
-        long cutAt;
-        int strikes;
-        double failShare;
-        long lastAnswer;
-        long downUntil;
-        long downFor;
-        long coldFrom;
-        final ArrayDeque<double[]> sentWork = new ArrayDeque<>();
+        boolean listed;  // ready by the list
+        int open;  // attempts that are out
+        double load, limit, lateShare;  // what it has of ours, may have, and the share that came late
+        long cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
+        int strikes;  // failures in a row
+        double failShare;  // share of failures, lately
+        long lastAnswer, downUntil, downFor, coldFrom;
+        final ArrayDeque<double[]> sentWork = new ArrayDeque<>();  // time and work, over one span of the rule
     }
 
     /** A request that is owed an answer, or whose attempts are still out. */
     private static final class Job {
         RequestArrived request;
         RequestClass type;
-        String key;
-        long number;
-        double work;
-        double priority;
-        long startBy;
-        long deadline;
-        int attempts;
-        boolean mayHaveRun;
-        boolean closed;
-        boolean streaming;
-        boolean held;
-        boolean alone;
-        boolean missed;
-        boolean parentMissed;
-        boolean retry;
-        int quickFailures;
+        String key;  // object and part
+        double work, priority;  // time to send it at full pace, worth for that
+        long number, startBy, deadline;  // startBy: after this it can't be on time
+        int attempts, quickFailures;
+        boolean mayHaveRun, closed, streaming;
+        boolean held, alone;  // waits here; has waited for another's fill long enough
+        boolean missed, parentMissed;  // a look has found no copy in the cache, in the parent
+        boolean retry;  // the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
     }
@@ -138,15 +122,10 @@
     /** An attempt that is out, and the shares of it that count on the limits of members. */
     private static final class Attempt {
         int number;
-        Node target;
-        Node source;
-        long sent;
-        long due;
-        boolean overdue;
-        boolean cancelled;
-        boolean expectHit;
-        boolean look;
-        boolean lookAtParent;
+        Node target, source;
+        long sent, lateFrom, due;  // due: silence counts from here
+        boolean overdue, cancelled, judged;  // judged: has counted as late
+        boolean expectHit, look, lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
@@ -266,20 +245,27 @@
                 route(job);
             }
             for (Attempt a : job.open.values()) {
+                if (!a.judged && now >= a.lateFrom) {
+                    tooMuch(a, false);
+                    a.judged = true;
+                }
                 if (!a.overdue && now >= a.due) {
                     a.overdue = true;
                     overdue(job, a);
                 }
             }
         }
-        long forget = now - PURGE_LIVES * settings.rules().purgeDone();
-        purgedObjects.values().removeIf(at -> at < forget);
-        purgedGroups.values().removeIf(at -> at < forget);
+        Predicate<Long> settled = at -> at < now - PURGE_LIVES * settings.rules().purgeDone();
+        purgedObjects.values().removeIf(settled);
+        purgedGroups.values().removeIf(settled);
     }
 
     // ---- the path of a request ------------------------------------------------------------------------
 
-    /** Sends the next attempt, holds the request, or gives it up. */
+    /**
+     * Sends the next attempt, holds the request, or gives it up. Uncacheable classes run at the origin:
+     * straight there where that is allowed, else through a cache.
+     */
     private void route(Job job) {
         job.held = false;
         waiting.remove(job);
@@ -295,7 +281,9 @@
                 || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
         } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
-            passThrough(job, direct ? origin : edge, origin);
+            send(job, direct ? origin : edge, origin, direct ? new Lookup(job.request.id(),
+                    origin.member.id(), 0)
+                    : get(job, edge, origin, false));
         } else if (job.type.uncacheable() || caches.isEmpty() && !direct) {
             giveUp(job);
         } else if (edge != null) {
@@ -305,12 +293,6 @@
         }
     }
 
-    /** Uncacheable classes run at the origin: straight there where that is allowed, else through a cache. */
-    private void passThrough(Job job, Node target, Node origin) {
-        send(job, target, origin, target == origin ? new Lookup(job.request.id(), origin.member.id(), 0)
-                : get(job, target, origin, false));
-    }
-
     /**
      * With no cache to ask, or none with room, a request goes to its parent, else the origin, where that is
      * allowed. It uses the link in, so others than those without any cache wait while the source is full.
@@ -320,7 +302,7 @@
         if (source == null || full(source, 1, job) && !noCache) {
             hold(job);
         } else if (source.member.role() == Role.ORIGIN) {
-            passThrough(job, source, source);
+            send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
         } else {
             Node origin = origin();
             send(job, source, origin, get(job, source, origin == null ? source : origin, false));
@@ -436,6 +418,8 @@
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
         a.expectHit = a.look || holds(entry(job), job, target);
+        a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim) + (long) (job.type.aimStretch() *
+                job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         if (job.retry) {
             retryTokens--;
@@ -512,7 +496,7 @@
             forget(entry(job), a.source);
             failed(job, a, a.source, e.latency());
             if (e.note() != FillNote.NO_PLACE) {
-                tooMuch(a, false);
+                tooMuch(a, e.note() != FillNote.ORIGIN_FAILED);
             }
         } else if (e.outcome() == Outcome.FULL) {
             a.target.lastAnswer = now;
@@ -526,7 +510,7 @@
             forget(entry(job), a.target);
             strike(a.target, true);
         } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
-            tooMuch(a, a.expectHit);
+            tooMuch(a, false);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
             job.failed.add(guilty.member.id());
             forget(entry(job), guilty);
@@ -536,23 +520,25 @@
     private void served(Job job, Attempt a, AttemptEnded e) {
         boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.STALE
                 || e.note() == FillNote.NONE && a.expectHit;
-        boolean late = e.latency() > (hit ? job.type.aim() : tightestAim) + job.type.aimStretch() * job.work;
+        boolean late = now > a.lateFrom;
         good(a.target);
         if (hit) {
-            learnWork(job, a, e.latency());
+            int type = job.request.requestClass();
+            if (job.request.sizeKb() <= 0) {
+                double slow = weighted ? Math.max(1, a.target.load / a.target.member.weight()) : 1;
+                meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (e.latency() / slow -
+                        meanWork[type]);
+            }
             paced(a.target, a, late);
         } else if (a.source != a.target) {
             good(a.source);
             lastFill = now;
-            lastFiller = a.source;
             fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
             boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
             if (a.source.member.role() == Role.PARENT && e.note() != FillNote.JOINED) {
                 originShare += MEAN_GAIN * ((byOrigin ? 1 : 0) - originShare);
             }
-            a.charges.keySet().stream().filter(n -> n != a.target
-                    && (byOrigin ? n.member.role() == Role.ORIGIN : n == a.source)).forEach(n -> paced(n, a,
-                    late));
+            paced(byOrigin && origin() != null ? origin() : a.source, a, late);
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
             remember(entry(job), a.target, now, now + HOLDING_LIFE);
@@ -560,9 +546,14 @@
         }
     }
 
-    /** Counts an attempt that came to nothing as late for all who had a part in it. */
-    private void tooMuch(Attempt a, boolean atTarget) {
-        a.charges.keySet().stream().filter(n -> n == a.target == atTarget).forEach(n -> paced(n, a, true));
+    /**
+     * Counts an attempt that came to nothing as late: for the cache that should have held the copy, for the
+     * source that failed, or, where a parent may still wait for it, for the origin.
+     */
+    private void tooMuch(Attempt a, boolean sourceFailed) {
+        boolean atOrigin = !sourceFailed && settings.fills().notes() == Notes.ALL
+                && a.charges.keySet().stream().anyMatch(n -> n.member.role() == Role.ORIGIN);
+        paced(a.expectHit ? a.target : atOrigin && origin() != null ? origin() : a.source, a, true);
     }
 
     /**
@@ -571,6 +562,9 @@
      * time.
      */
     private void paced(Node n, Attempt a, boolean late) {
+        if (late && a.judged) {
+            return;
+        }
         n.lateShare += LATE_GAIN * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
             n.limit += now - n.pressedAt < SECOND ? 1 / n.limit : 0;
@@ -590,7 +584,7 @@
         boolean targetSilent = a.target.lastAnswer < a.sent;
         Node guilty = targetSilent && (a.expectHit || a.source.lastAnswer >= a.sent) ? a.target
                 : !targetSilent && !a.expectHit && a.source.lastAnswer < a.sent && lastFill >= a.sent
-                && lastFiller != a.source ? a.source : null;
+                ? a.source : null;
         if (guilty != null) {
             strike(guilty, true);
             cancel(job, a);
@@ -651,15 +645,6 @@
         }
     }
 
-    /** Learns the usual work of a class whose sizes are not told from its hits. */
-    private void learnWork(Job job, Attempt a, long latency) {
-        int type = job.request.requestClass();
-        if (job.request.sizeKb() <= 0) {
-            double slow = weighted ? Math.max(1, a.target.load / a.target.member.weight()) : 1;
-            meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (latency / slow - meanWork[type]);
-        }
-    }
-
     // ---- final answers --------------------------------------------------------------------------------
 
     /** Gives the final answer at once: refused where trying again is harmless, else failed. */
@@ -667,10 +652,10 @@
         boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
                 || job.type.effect() == Effect.KEYED && job.type.group() == RepeatGroup.ALL;
         if (!job.closed) {
-            long after = Math.min(settings.limits().longestRetryAfter(),
-                    (long) (RETRY_AFTER_AIM * job.type.aim()));
-            out.accept(harmless ? new Refuse(job.request.id(), settings.limits().retryAfter() ? after : 0)
-                    : new Fail(job.request.id()));
+            long after = (long) Math.min(settings.limits().longestRetryAfter(),
+                    RETRY_AFTER_AIM * job.type.aim());
+            out.accept(!harmless ? new Fail(job.request.id())
+                    : new Refuse(job.request.id(), settings.limits().retryAfter() ? after : 0));
         }
         close(job);
     }
