--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -113,7 +113,7 @@
         int attempts, quickFailures;
         boolean mayHaveRun, closed, streaming;
         boolean held, alone;  // waits here; has waited for another's fill long enough
-        boolean missed, parentMissed;  // a look has found no copy in the cache, in the parent
+        boolean missed, parentMissed;  // a look has found no copy here, at the parent
         boolean retry;  // the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
@@ -324,8 +324,8 @@
         }
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
-        boolean full = !held && source != edge && full(source, 1, job);
-        boolean originFull = !held && source.member.role() == Role.PARENT && origin() != null
+        boolean full = source != edge && full(source, 1, job);
+        boolean originFull = source.member.role() == Role.PARENT && origin() != null
                 && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job), job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
@@ -551,9 +551,9 @@
      * source that failed, or, where a parent may still wait for it, for the origin.
      */
     private void tooMuch(Attempt a, boolean sourceFailed) {
-        boolean atOrigin = !sourceFailed && settings.fills().notes() == Notes.ALL
-                && a.charges.keySet().stream().anyMatch(n -> n.member.role() == Role.ORIGIN);
-        paced(a.expectHit ? a.target : atOrigin && origin() != null ? origin() : a.source, a, true);
+        boolean behindParent = !sourceFailed && settings.fills().notes() == Notes.ALL
+                && a.source.member.role() == Role.PARENT && origin() != null;
+        paced(a.expectHit ? a.target : behindParent ? origin() : a.source, a, true);
     }
 
     /**
