--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -54,6 +54,7 @@
     private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
     private static final double LATE_BORNE = 0.2;  // share that may be late before the limit falls
     private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
+    private static final double ORIGIN_PART = 0.5;  // a fill from a parent counts so much on the origin
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
     private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
     private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
@@ -81,7 +82,6 @@
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority;
-    private double originShare = 0.5;  // share of fills from parents that went on to the origin, lately
     private double retryTokens = RETRY_BURST;
     private long arrivals;
     private long lastFill;
@@ -112,7 +112,7 @@
         long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
         boolean mayHaveRun, closed, streaming;
-        boolean held, alone;  // waits here; has waited for another's fill long enough
+        boolean held;  // waits here for room
         boolean missed, parentMissed;  // a look has found no copy here, at the parent
         boolean retry;  // the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
@@ -130,16 +130,13 @@
     }
 
     /**
-     * What is remembered of an object (or part): who holds it, how often it was asked for, who is filling.
+     * What is remembered of an object (or part): who holds it, how often it was asked for.
      */
     private static final class Entry {
         final List<Holder> holders = new ArrayList<>();
         int seen;
         long noteMinute;
         int notes;
-        Job filler;
-        Node fillerAt;
-        final List<Job> followers = new ArrayList<>();
     }
 
     private record Holder(Node node, long started, long since, long until) {
@@ -227,7 +224,8 @@
                 now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
         jobs.put(r.id(), job);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        entry(job).seen++;
+        Entry before = table.get(r.object() + '#' + (r.part() - 1));
+        entry(job).seen = Math.max(entry(job).seen + 1, before == null ? 0 : before.seen);
         route(job);
     }
 
@@ -240,8 +238,6 @@
         List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
             if (job.held && now >= job.startBy) {
-                job.alone = true;
-                entry(job).followers.remove(job);
                 route(job);
             }
             for (Attempt a : job.open.values()) {
@@ -314,28 +310,19 @@
      * looks whether the cache, then the parent, holds a copy, and only then waits for its turn to fill.
      */
     private void fetch(Job job, Node edge) {
-        Entry entry = entry(job);
-        boolean held = holds(entry, job, edge);
-        if (!held && !settings.fills().joins() && entry.filler != null && entry.fillerAt == edge && !job.alone
-                && job.attempts == 0 && now < job.startBy) {
-            entry.followers.add(job);
-            job.held = true;
-            return;
-        }
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
         boolean originFull = source.member.role() == Role.PARENT && origin() != null
-                && settings.fills().notes() == Notes.ALL && full(origin(), originPart(job), job);
+                && settings.fills().notes() == Notes.ALL && full(origin(),
+                job.parentMissed ? 1 : ORIGIN_PART, job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
         } else if (full || originFull && job.parentMissed) {
             hold(job);
         } else {
-            if (!held && entry.filler == null) {
-                entry.filler = job;
-                entry.fillerAt = edge;
-                remember(entry, edge, -1, now + FILLING_LIFE);
+            if (!holds(entry(job), job, edge)) {
+                remember(entry(job), edge, -1, now + FILLING_LIFE);
             }
             send(job, edge, source, get(job, edge, source, originFull));
         }
@@ -392,10 +379,6 @@
         return full;
     }
 
-    private double originPart(Job job) {
-        return job.parentMissed ? 1 : originShare;
-    }
-
     /**
      * A request for which there is no room now waits while it can still be on time, most worth for its size
      * first; after that it is given up at once.
@@ -432,7 +415,7 @@
         if (source != target && !a.expectHit) {
             charge(job, a, source, 1);
             if (source.member.role() == Role.PARENT && !a.lookAtParent && origin() != null) {
-                charge(job, a, origin(), originPart(job));
+                charge(job, a, origin(), job.parentMissed ? 1 : ORIGIN_PART);
             }
         }
         out.accept(action);
@@ -459,9 +442,6 @@
         a.charges.forEach((n, share) -> n.load = Math.max(0, n.load - share));
         job.mayHaveRun = !e.outcome().provesNotRun || !job.open.isEmpty();
         judge(job, a, e);
-        if (entry(job).filler == job) {
-            release(entry(job));
-        }
         if (e.closed()) {
             close(job);
         } else if (!job.closed) {
@@ -484,8 +464,6 @@
             job.parentMissed = a.lookAtParent;
             if (a.look) {
                 forget(entry(job), a.target);
-            } else {
-                originShare += MEAN_GAIN * (1 - originShare);
             }
         } else if (e.outcome() == Outcome.MISS) {
             good(a.target);
@@ -535,9 +513,6 @@
             lastFill = now;
             fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
             boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
-            if (a.source.member.role() == Role.PARENT && e.note() != FillNote.JOINED) {
-                originShare += MEAN_GAIN * ((byOrigin ? 1 : 0) - originShare);
-            }
             paced(byOrigin && origin() != null ? origin() : a.source, a, late);
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
@@ -625,14 +600,6 @@
             n.coldFrom = Math.max(n.coldFrom, n.downUntil);
         }
         out.accept(new Log("member " + n.member.id() + " is out for " + n.downFor / MILLI + " ms"));
-        for (Job job : new ArrayList<>(jobs.values())) {
-            for (Attempt a : job.open.values()) {
-                if (a.target == n && lost || a.source == n && !a.expectHit
-                        && now - a.sent > PATIENCE + job.work) {
-                    cancel(job, a);
-                }
-            }
-        }
     }
 
     private void good(Node n) {
@@ -664,13 +631,9 @@
         job.closed = true;
         job.held = false;
         waiting.remove(job);
-        entry(job).followers.remove(job);
         job.open.values().forEach(a -> cancel(job, a));
         if (job.open.isEmpty()) {
             jobs.remove(job.request.id());
-            if (entry(job).filler == job) {
-                release(entry(job));
-            }
         }
     }
 
@@ -681,13 +644,6 @@
         }
     }
 
-    private void release(Entry entry) {
-        entry.filler = null;
-        List<Job> followers = new ArrayList<>(entry.followers);
-        entry.followers.clear();
-        followers.forEach(this::route);
-    }
-
     // ---- the sibling table ----------------------------------------------------------------------------
 
     private Entry entry(Job job) {
