Keep parts at the lowest rank, whole objects by how often they were seen

Should hold for any class asked for in turn; may hurt where parts are asked for again and again by many.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -224,8 +224,7 @@
                 now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
         jobs.put(r.id(), job);
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-        Entry before = table.get(r.object() + '#' + (r.part() - 1));
-        entry(job).seen = Math.max(entry(job).seen + 1, before == null ? 0 : before.seen);
+        entry(job).seen++;
         route(job);
     }
 
@@ -329,12 +328,14 @@
     }
 
     /**
-     * An attempt that may fill; one-time objects are kept at the lowest rank, below those asked for again.
+     * An attempt that may fill. One-time objects are kept at the lowest rank, below those asked for again; so
+     * are all parts, since each is asked for in its turn and then no more.
      */
     private Fetch get(Job job, Node target, Node source, boolean onlyIfHeld) {
         boolean kept = target.member.role() == Role.CACHE && !job.type.uncacheable();
         return new Fetch(job.request.id(), target.member.id(), source.member.id(),
-                kept ? Math.min(2, entry(job).seen) : 0, oldest(job), settings.fills().joins(), onlyIfHeld,
+                !kept ? 0 : job.type.parts() ? 1 : Math.min(2, entry(job).seen), oldest(job),
+                settings.fills().joins(), onlyIfHeld,
                 false,
                 job.type.fresh() > 0 && source != target && !onlyIfHeld, 0);
     }
