Before a refusal, ask for a copy within the grace of its class

Cause, from the second ponte incident: with the origin dead for 15 s, fresh-bound copies ran out in caches and parents alike. Holds against any loss of the sources; costs one more attempt a refusal.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -112,7 +112,7 @@
         long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
         boolean mayHaveRun, closed, streaming;
-        boolean held;  // waits here for room
+        boolean held, stale;  // waits here for room; an old copy will do now
         boolean missed, parentMissed;  // a look has found no copy here, at the parent
         boolean retry;  // the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
@@ -269,8 +269,7 @@
         }
         boolean direct = settings.fills().direct();
         Node origin = origin();
-        List<Node> caches = ranked(Role.CACHE, settings.location(), job.key);
-        caches.removeIf(n -> !up(n));
+        List<Node> caches = caches(job);
         Node edge = edge(job, caches);
         if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
                 || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
@@ -340,6 +339,12 @@
                 job.type.fresh() > 0 && source != target && !onlyIfHeld, 0);
     }
 
+    private List<Node> caches(Job job) {
+        List<Node> caches = ranked(Role.CACHE, settings.location(), job.key);
+        caches.removeIf(n -> !up(n));
+        return caches;
+    }
+
     /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
     private Node edge(Job job, List<Node> caches) {
         List<Node> order = new ArrayList<>(caches);
@@ -615,8 +620,20 @@
 
     // ---- final answers --------------------------------------------------------------------------------
 
-    /** Gives the final answer at once: refused where trying again is harmless, else failed. */
+    /**
+     * Gives the final answer at once: refused where trying again is harmless, else failed. Before that, a
+     * copy past its freshness will do, within the grace of its class, if the cache or the parent holds one.
+     */
     private void giveUp(Job job) {
+        Node edge = job.stale || job.type.grace() == 0 || job.attempts >= settings.limits().attempts()
+                || now >= job.deadline || job.closed ? null : edge(job, caches(job));
+        if (edge != null) {
+            job.stale = true;
+            Node parent = source(job, edge);
+            send(job, edge, parent == null ? edge : parent, get(job, edge, parent == null ? edge : parent,
+                    true));
+            return;
+        }
         boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
                 || job.type.effect() == Effect.KEYED && job.type.group() == RepeatGroup.ALL;
         if (!job.closed) {
@@ -712,7 +729,7 @@
     /** The oldest copy that will do: never one from before a purge told of; 0 would mean any age. */
     private long oldest(Job job) {
         long at = purgedAt(job);
-        long fresh = job.type.fresh();
+        long fresh = job.type.fresh() + (job.stale ? job.type.grace() : 0);
         long since = at == Long.MIN_VALUE ? fresh : Math.max(1, now - at);
         return fresh > 0 ? Math.min(fresh, since) : since;
     }
