Size cold budgets by what warm members take, count requests by their class's mean

Cause, from the second catalogue incident: a whole location came back cold and its caches stood idle, because one large request exceeded a budget sized by a guess.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -56,7 +56,8 @@
     private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
     private static final double ORIGIN_PART = 0.5;  // a fill from a parent counts so much on the origin
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
-    private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
+    private static final double COLD_SAFETY = 0.6;  // share of a cold member's budget that is used
+    private static final double FLOW_SPAN = 5 * SECOND;  // over which the work sent to a member is averaged
     private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
@@ -100,6 +101,8 @@
         int strikes;  // failures in a row
         double failShare;  // share of failures, lately
         long lastAnswer, downUntil, downFor, coldFrom;
+        double flow;  // work sent lately, in transfers, as of flowAt
+        long flowAt;
         final ArrayDeque<double[]> sentWork = new ArrayDeque<>();  // time and work, over one span of the rule
     }
 
@@ -430,7 +433,10 @@
     private void charge(Job job, Attempt a, Node n, double share) {
         n.load += share;
         a.charges.merge(n, share, Double::sum);
-        n.sentWork.add(new double[] {now, countedWork(job)});
+        double work = countedWork(n, job);
+        n.sentWork.add(new double[] {now, work});
+        n.flow = n.flow * Math.exp((n.flowAt - now) / FLOW_SPAN) + work / FLOW_SPAN;
+        n.flowAt = now;
         while (n.sentWork.peekFirst()[0] <= now - settings.rules().overloadSpan()) {
             n.sentWork.removeFirst();
         }
@@ -780,17 +786,25 @@
         double share = cold.share() + (1 - cold.share()) * Math.max(0, now - n.coldFrom) / cold.warmAfter();
         int routers = Math.max(1, parent || settings.routersByLocation().isEmpty() ? settings.routers()
                 : settings.routersByLocation().get(settings.location()));
-        double width = weighted ? n.member.weight() : COLD_WIDTH;
+        double width = weighted ? n.member.weight() / routers : Math.max(COLD_WIDTH / routers, warmFlow(n));
         double span = settings.rules().overloadSpan();
-        double budget = COLD_SAFETY * cold.multiple() * share * width * span / routers;
-        double spent = countedWork(job);
+        double budget = COLD_SAFETY * cold.multiple() * share * width * span;
+        double spent = countedWork(n, job);
         for (double[] sent : n.sentWork) {
             spent += sent[0] > now - span ? sent[1] : 0;
         }
         return spent <= budget;
     }
 
-    private double countedWork(Job job) {
-        return Math.max(job.work, meanWork[job.request.requestClass()]);
+    /** How the rule counts a request: at a cache by the mean of its class, at a parent by its own work. */
+    private double countedWork(Node n, Job job) {
+        double mean = meanWork[job.request.requestClass()];
+        return n.member.role() == Role.CACHE && mean > 0 ? mean : job.work;
+    }
+
+    /** What warm members like this one take from this router, in transfers, lately. */
+    private double warmFlow(Node like) {
+        return nodes.values().stream().filter(n -> n.member.role() == like.member.role() && n.flow > 0)
+                .mapToDouble(n -> n.flow).average().orElse(0);
     }
 }
