Keep passing by within limits; learn unsized work only where nothing comes late

Cause, from wadi's second incident: with a location lost its routers sent all they had straight to the parents, unbounded, and the work learned from late hits grew until no cold budget had room for a single request.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -286,17 +286,17 @@
         } else if (edge != null) {
             fetch(job, edge);
         } else {
-            passBy(job, caches.isEmpty());
+            passBy(job);
         }
     }
 
     /**
      * With no cache to ask, or none with room, a request goes to its parent, else the origin, where that is
-     * allowed. It uses the link in, so others than those without any cache wait while the source is full.
+     * allowed and the source has room: nothing is kept of it, and it takes the same link in as the fills.
      */
-    private void passBy(Job job, boolean noCache) {
+    private void passBy(Job job) {
         Node source = settings.fills().direct() ? source(job, null) : null;
-        if (source == null || full(source, 1, job) && !noCache) {
+        if (source == null || full(source, 1, job)) {
             hold(job);
         } else if (source.member.role() == Role.ORIGIN) {
             send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
@@ -514,7 +514,7 @@
         good(a.target);
         if (hit) {
             int type = job.request.requestClass();
-            if (job.request.sizeKb() <= 0) {
+            if (job.request.sizeKb() <= 0 && a.target.lateShare < LATE_BORNE / 2) {
                 double slow = weighted ? Math.max(1, a.target.load / a.target.member.weight()) : 1;
                 meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (e.latency() / slow -
                         meanWork[type]);
