--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -301,8 +301,8 @@
         } else if (source.member.role() == Role.ORIGIN) {
             send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
         } else {
-            Node origin = origin();
-            send(job, source, origin, get(job, source, origin == null ? source : origin, false));
+            Node behind = origin() == null ? source : origin();
+            send(job, source, behind, get(job, source, behind, false));
         }
     }
 
@@ -421,10 +421,10 @@
         job.open.put(a.number, a);
         target.open++;
         charge(job, a, target, 1);
-        if (source != target && !a.expectHit) {
-            charge(job, a, source, 1);
+        if (source != target) {
+            charge(job, a, source, a.expectHit ? 0 : 1);
             if (source.member.role() == Role.PARENT && !a.lookAtParent && origin() != null) {
-                charge(job, a, origin(), job.parentMissed ? 1 : ORIGIN_PART);
+                charge(job, a, origin(), a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
             }
         }
         out.accept(action);
@@ -631,7 +631,8 @@
      * copy past its freshness will do, within the grace of its class, if the cache or the parent holds one.
      */
     private void giveUp(Job job) {
-        Node edge = job.stale || job.type.grace() == 0 || job.attempts >= settings.limits().attempts()
+        Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
+                && job.type.effect() != Effect.SAFE || job.attempts >= settings.limits().attempts()
                 || now >= job.deadline || job.closed ? null : edge(job, caches(job));
         if (edge != null) {
             job.stale = true;
--- a/src/test/java/pumicemoor/RouterHarness.java
+++ b/src/test/java/pumicemoor/RouterHarness.java
@@ -55,6 +55,8 @@
     long fresh;
     int routersHere = 1;
     Notes notes = Notes.ALL;
+    Weights weights = Weights.NONE;
+    long grace;
 
     long now = 1_000 * SECOND;
     final List<Member> members = new ArrayList<>();
@@ -65,7 +67,7 @@
         List<RequestClass> classes = List.of(
                 new RequestClass("page", 500 * MILLI, 2, 5 * SECOND, 1, 0.2, effect, group, 5 * SECOND,
                 false, false,
-                        false, fresh, 0, 0.5),
+                        false, fresh, grace, 0.5),
                 new RequestClass("write", 700 * MILLI, 0, 3 * SECOND, 3, 0, Effect.UNSAFE, RepeatGroup.ALL,
                 0, false,
                         true, false, 0, 0, 0));
@@ -76,7 +78,7 @@
                         new ColdStart(0.1, 20 * SECOND, 2), SECOND, SECOND, 6 * SECOND, 10 * SECOND),
                 new Prices(0.01, 0.1, 0.01, 0, 0.03, 0.1, 0.05),
                 new Fills(direct, joins, SiblingSources.LOCATION, notes, 10_000, 0, 0, List.of(0.0, 0.0)),
-                new LoadReports(ReportBy.NONE, List.of()), false, Weights.NONE, false);
+                new LoadReports(ReportBy.NONE, List.of()), false, weights, false);
     }
 
     /** A router with the members added so far on its remembered list. */
