--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -437,7 +437,7 @@
         n.sentWork.add(new double[] {now, work});
         n.flow = n.flow * Math.exp((n.flowAt - now) / FLOW_SPAN) + work / FLOW_SPAN;
         n.flowAt = now;
-        while (n.sentWork.peekFirst()[0] <= now - settings.rules().overloadSpan()) {
+        while (!n.sentWork.isEmpty() && n.sentWork.peekFirst()[0] <= now - settings.rules().overloadSpan()) {
             n.sentWork.removeFirst();
         }
     }
--- a/src/main/java/pumicemoor/wire/Drill.java
+++ b/src/main/java/pumicemoor/wire/Drill.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import pumicemoor.Logic;
 import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.AnswerStarted;
@@ -26,6 +27,7 @@
 import pumicemoor.RouterApi.Purged;
 import pumicemoor.RouterApi.RequestArrived;
 import pumicemoor.RouterApi.RequestGone;
+import pumicemoor.RouterApi.Settings;
 import pumicemoor.RouterApi.TimerDue;
 
 /** Hosts the instances of one simulator process: reads batches of events, answers each with one reply. */
@@ -38,6 +40,7 @@
     private final BufferedReader in;
     private final OutputStream out;
     private final ActionWriter writer;
+    private final BiFunction<Settings, Long, RouterApi> routers;
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final Map<Long, List<Message>> lists = new HashMap<>();
     private long clock;
@@ -49,6 +52,11 @@
     }
 
     public Drill(InputStream in, OutputStream out) throws IOException {
+        this(in, out, Logic::new);
+    }
+
+    Drill(InputStream in, OutputStream out, BiFunction<Settings, Long, RouterApi> routers) throws IOException {
+        this.routers = routers;
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = out;
         this.writer = new ActionWriter(out);
@@ -118,7 +126,7 @@
         Vocabulary words = new Vocabulary(message.object("info"));
         long salt = message.integer("salt");
         try {
-            instances.put(number, new Instance(number, words, new Logic(words.settings(), salt)));
+            instances.put(number, new Instance(number, words, routers.apply(words.settings(), salt)));
         } catch (RuntimeException e) {
             writer.fault(number, describe(e));
         }
--- /dev/null
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -0,0 +1,255 @@
+package pumicemoor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pumicemoor.RouterHarness.MILLI;
+import static pumicemoor.RouterHarness.SECOND;
+import static pumicemoor.RouterHarness.fetch;
+import static pumicemoor.RouterHarness.only;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import pumicemoor.RouterApi.Action;
+import pumicemoor.RouterApi.AttemptEnded;
+import pumicemoor.RouterApi.Cancel;
+import pumicemoor.RouterApi.Fetch;
+import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.Lookup;
+import pumicemoor.RouterApi.Outcome;
+import pumicemoor.RouterApi.PeerNote;
+import pumicemoor.RouterApi.Refuse;
+import pumicemoor.RouterApi.State;
+import pumicemoor.RouterApi.TellPeer;
+
+/** What the router does besides the ordinary path, each when its condition holds and not otherwise. */
+class DeparturesTest {
+
+    /**
+     * Asks for objects of the one parent of this fleet until fills are held up; returns all that was sent.
+     */
+    private static List<Fetch> crowd(RouterHarness r, int requests) {
+        List<Fetch> sent = new ArrayList<>();
+        for (int i = 0; i < requests; i++) {
+            sent.addAll(only(Fetch.class, r.ask("crowd" + i)));
+        }
+        return sent;
+    }
+
+    @Test
+    void withTheSourceFullARequestLooksBeforeItWaits() {
+        RouterHarness r = new RouterHarness().fleet(5, 1).start();
+        List<Fetch> sent = crowd(r, 14);
+        Fetch look = sent.get(sent.size() - 1);
+        assertEquals(101, sent.get(0).source());
+        assertEquals(look.member(), look.source(), "asks the cache alone");
+        assertEquals(0, only(Fetch.class, r.end(look, 0, Outcome.MISS, FillNote.NONE)).stream()
+                .filter(f -> f.id().equals(look.id())).count(), "waits for room at the source");
+    }
+
+    @Test
+    void waitingRequestIsSentWhenRoomComes() {
+        RouterHarness r = new RouterHarness().fleet(5, 1).start();
+        List<Fetch> sent = crowd(r, 14);
+        Fetch look = sent.get(sent.size() - 1);
+        r.end(look, 0, Outcome.MISS, FillNote.NONE);
+        List<Action> next = new ArrayList<>();
+        for (Fetch f : sent.subList(0, 8)) {
+            next.addAll(r.end(f, 0, Outcome.OK, FillNote.FILLED));
+        }
+        assertTrue(only(Fetch.class, next).stream().anyMatch(f -> f.id().equals(look.id())));
+    }
+
+    @Test
+    void largeRequestFindsAMemberFullSoonerThanASmallOne() {
+        RouterHarness r = new RouterHarness().fleet(1, 1).start();
+        for (int i = 0; i < 8; i++) {
+            r.ask("o" + i, RouterHarness.PAGE, 1_000);
+        }
+        assertTrue(only(Fetch.class, r.ask("large", RouterHarness.PAGE, 40_000)).isEmpty());
+        assertFalse(only(Fetch.class, r.ask("small", RouterHarness.PAGE, 10)).isEmpty());
+    }
+
+    @Test
+    void lateAnswersLowerWhatAMemberMayHave() {
+        int before = crowd(new RouterHarness().fleet(1, 1).start(), 40).size();
+        RouterHarness r = new RouterHarness().fleet(1, 1).start();
+        for (int round = 0; round < 8; round++) {
+            List<Fetch> sent = only(Fetch.class, r.ask("late" + round));
+            r.now += 2 * SECOND;
+            sent.forEach(f -> r.end(f, 0, Outcome.OK, FillNote.HIT));
+        }
+        assertTrue(crowd(r, 40).size() < before);
+    }
+
+    @Test
+    void quickFailureIsTriedAgainAtTheSameCache() {
+        RouterHarness r = new RouterHarness().fleet(3, 2).start();
+        Fetch sent = fetch(r.ask("a"));
+        Fetch again = fetch(r.handle(new AttemptEnded(sent.id(), 0, sent.member(), Outcome.ERROR, 2 * MILLI,
+                false, FillNote.NONE, 0, Map.of())));
+        assertEquals(sent.member(), again.member());
+    }
+
+    @Test
+    void brokenConnectionMovesTheRequestToAnotherCache() {
+        RouterHarness r = new RouterHarness().fleet(3, 2).start();
+        Fetch sent = fetch(r.ask("a"));
+        Fetch next = fetch(r.end(sent, 0, Outcome.RESET, FillNote.NONE));
+        assertNotEquals(sent.member(), next.member());
+    }
+
+    @Test
+    void cacheThatRefusesConnectionsTwiceIsLeftForAWhileAndTriedAgain() {
+        RouterHarness r = new RouterHarness().fleet(2, 2).start();
+        long gone = 0;
+        for (int i = 0; i < 2; i++) {
+            Fetch sent = fetch(r.ask("a"));
+            gone = sent.member();
+            r.end(sent, 0, Outcome.CONNECT_FAILED, FillNote.NONE);
+        }
+        assertNotEquals(gone, fetch(r.ask("a")).member());
+        r.now += 15 * SECOND;
+        assertEquals(gone, fetch(r.ask("a")).member());
+    }
+
+    @Test
+    void silentCacheIsLeftWhileOthersAnswer() {
+        RouterHarness r = new RouterHarness().fleet(2, 1).start();
+        Fetch first = r.serve("a", FillNote.FILLED);
+        r.now += MILLI;
+        List<Action> later = new ArrayList<>(r.ask("a"));
+        later.addAll(r.ask("a"));
+        for (int i = 0; i < 8; i++) {
+            later.addAll(r.pass(200 * MILLI));
+        }
+        assertTrue(only(Cancel.class, later).size() >= 2);
+        assertNotEquals(first.member(), fetch(r.ask("a")).member());
+    }
+
+    @Test
+    void sourcesAreNotBlamedWhileAllOfThemAreSilent() {
+        RouterHarness r = new RouterHarness().fleet(3, 2).start();
+        Fetch sent = fetch(r.ask("a"));
+        r.serve("other", FillNote.HIT);
+        List<Action> later = r.pass(3 * SECOND);
+        assertEquals(0, only(Cancel.class, later).size(), "waits for " + sent);
+    }
+
+    @Test
+    void retriesKeepToOneBudget() {
+        RouterHarness r = new RouterHarness().fleet(4, 2).start();
+        int sent = 0;
+        int requests = 400;
+        for (int i = 0; i < requests; i++) {
+            List<Fetch> next = only(Fetch.class, r.ask("o" + i));
+            for (int attempt = 0; !next.isEmpty(); attempt++) {
+                sent++;
+                Fetch f = next.get(0);
+                next = only(Fetch.class, r.end(f, attempt, Outcome.MISS, FillNote.SOURCE_LACKS));
+            }
+        }
+        assertTrue(sent <= requests * 1.2 + 41, sent + " attempts");
+    }
+
+    @Test
+    void withNoCacheARequestGoesStraightToItsParentWhereThatIsAllowed() {
+        RouterHarness r = new RouterHarness();
+        r.direct = true;
+        r.fleet(0, 2).start();
+        Fetch sent = fetch(r.ask("a"));
+        assertTrue(sent.member() > 100);
+        assertEquals(900, sent.source());
+        assertEquals(0, sent.keepRank());
+    }
+
+    @Test
+    void withNoCacheAndNoWayPastARequestIsRefusedWithAdvice() {
+        RouterHarness r = new RouterHarness().fleet(0, 2).start();
+        Refuse refused = only(Refuse.class, r.ask("a")).get(0);
+        assertEquals(250 * MILLI, refused.retryAfter());
+        RouterHarness silent = new RouterHarness();
+        silent.retryAfter = false;
+        silent.fleet(0, 2).start();
+        assertEquals(0, only(Refuse.class, silent.ask("a")).get(0).retryAfter());
+    }
+
+    @Test
+    void originIsTheSourceWhenNoParentIsListed() {
+        RouterHarness r = new RouterHarness().fleet(2, 0).start();
+        assertEquals(900, fetch(r.ask("a")).source());
+    }
+
+    @Test
+    void beforeARefusalACopyPastItsFreshnessWillDo() {
+        RouterHarness r = new RouterHarness();
+        r.fresh = 2 * SECOND;
+        r.grace = 3 * SECOND;
+        r.fleet(2, 1).start();
+        Fetch sent = fetch(r.ask("a"));
+        r.now += 600 * MILLI;
+        int attempt = 0;
+        List<Action> next = r.end(sent, attempt, Outcome.FULL, FillNote.SOURCE_FAILED);
+        while (!only(Fetch.class, next).isEmpty() && fetch(next).oldest() == 2 * SECOND) {
+            next = r.end(fetch(next), ++attempt, Outcome.FULL, FillNote.SOURCE_FAILED);
+        }
+        Fetch stale = fetch(next);
+        assertEquals(5 * SECOND, stale.oldest());
+        assertTrue(stale.onlyIfHeld());
+        assertEquals(1, only(Refuse.class, r.end(stale, ++attempt, Outcome.MISS, FillNote.NONE)).size());
+    }
+
+    @Test
+    void objectsAskedForAgainAreKeptAboveOneTimeObjects() {
+        RouterHarness r = new RouterHarness().fleet(3, 2).start();
+        assertEquals(1, r.serve("a", FillNote.FILLED).keepRank());
+        assertEquals(2, r.serve("a", FillNote.HIT).keepRank());
+    }
+
+    @Test
+    void peersHearOfNewHoldersOnlyWhereAllowedAndTwelveTimesAMinute() {
+        RouterHarness r = new RouterHarness();
+        r.peerNotes = true;
+        r.fleet(3, 2).start();
+        int notes = 0;
+        for (int i = 0; i < 20; i++) {
+            Fetch f = fetch(r.ask("a"));
+            notes += only(TellPeer.class, r.end(f, 0, Outcome.OK, FillNote.FILLED)).size();
+        }
+        assertEquals(12, notes);
+        RouterHarness quiet = new RouterHarness().fleet(3, 2).start();
+        Fetch f = fetch(quiet.ask("a"));
+        assertEquals(0, only(TellPeer.class, quiet.end(f, 0, Outcome.OK, FillNote.FILLED)).size());
+    }
+
+    @Test
+    void peersNoteNamesASibling() {
+        RouterHarness teller = new RouterHarness();
+        teller.peerNotes = true;
+        teller.fleet(3, 2).start();
+        long home = fetch(teller.ask("a")).member();
+        teller.change(home, State.DRAINING, 0);
+        Fetch f = fetch(teller.ask("a"));
+        TellPeer note = only(TellPeer.class, teller.end(f, 0, Outcome.OK, FillNote.FILLED)).get(0);
+        RouterHarness hearer = new RouterHarness();
+        hearer.peerNotes = true;
+        hearer.fleet(3, 2).start();
+        hearer.handle(new PeerNote(1, note.text()));
+        assertEquals(f.member(), fetch(hearer.ask("a")).source());
+    }
+
+    @Test
+    void uncacheableRequestsPassThroughUntouched() {
+        RouterHarness r = new RouterHarness().fleet(3, 2).start();
+        Fetch through = fetch(r.ask("w", RouterHarness.WRITE, 0));
+        assertEquals(900, through.source());
+        assertEquals(0, through.keepRank());
+        RouterHarness direct = new RouterHarness();
+        direct.direct = true;
+        direct.fleet(3, 2).start();
+        assertEquals(900, only(Lookup.class, direct.ask("w", RouterHarness.WRITE, 0)).get(0).member());
+    }
+}
