Share limits, lateness and retries among a location's routers; index members by location

Cause: each router let a member have 12 attempts of its own, whatever the number of routers; with ten or more before the same caches no limit was ever reached, and 40 saved-up retries each were thousands for the fleet. Limits now stand for all routers of the location: own load, averaged over a while, times their number. One outcome counts as more evidence, the retry burst is divided. Members are ranked within the location only, and those that left the list are dropped. A restart clears a member's record by a new one. May hurt where the routers of a location don't get alike shares of its traffic.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * All decisions of one router. The interface, with its settings, events and actions, is in RouterApi.java.
@@ -35,7 +36,7 @@
     private static final int NOTES_A_MINUTE = 12;  // peer notes an object; the design's figure
     private static final int NOTE_BYTES = 256;  // longest peer note that is sent
     private static final double RETRY_SHARE = 0.2;  // further attempts earned by a request
-    private static final double RETRY_BURST = 40;  // attempts that may be saved up: one cache's work
+    private static final double RETRY_BURST = 40;  // that a location's routers may save up: one cache's work
     private static final int ATTEMPTS = 7;  // attempts for a request at most, those that only look too
     private static final double QUICK_AIM = 0.2;  // a failure within this share of the tightest aim is quick
     private static final int QUICK_FAILURES = 2;  // quick failures of a request before it tries elsewhere
@@ -47,7 +48,9 @@
     private static final long PATIENCE = 250 * MILLI;  // least time before silence counts
     private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
     private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
-    private static final double LIMIT_START = 12;  // attempts a member may have of ours at once, first guess
+    private static final double CREW_SPAN = 100 * MILLI;  // a fellow router; its load is ours over so long
+    private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
+    private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
     private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
@@ -58,7 +61,7 @@
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
     private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
     private static final double COLD_BURST = 0.5;  // of a span's budget that may be saved up; 0.5 * 1.5 < 1
-    private static final double FLOW_SPAN = 5 * SECOND;  // over which the work served by a member is averaged
+    private static final double FLOW_SPAN = 5 * SECOND;  // over which the work served is averaged
     private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
@@ -67,8 +70,11 @@
     private final Settings settings;
     private final boolean weighted;
     private final long tightestAim;
+    private final int crew;  // routers of this location; they act alike, so ours times crew stands for all
     private final Random random;
     private final Map<Long, Node> nodes = new TreeMap<>();
+    private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
+    private Node origin;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -85,7 +91,7 @@
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority;
-    private double retryTokens = RETRY_BURST;
+    private double retryTokens;
     private long arrivals;
     private long lastFill;
     private boolean ticking;
@@ -97,10 +103,10 @@
     private static final class Node {
         Member member;
         boolean listed;  // ready by the list
-        int open;  // attempts that are out
-        double load, limit, lateShare;  // what it has of ours, may have, and the share that came late
-        long cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
-        int strikes;  // failures in a row
+        double load, limit, lateShare;  // what it has of ours, may have of all, and the share that came late
+        double meanLoad;  // what it has of ours, over a while, as of loadAt
+        long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
+        int open, strikes;  // attempts that are out, failures in a row
         double failShare;  // share of failures, lately
         long lastAnswer, downUntil, downFor, coldFrom;
         double flow, credit;  // work served lately, in transfers, as of flowAt; budget left while cold
@@ -116,9 +122,8 @@
         long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
         boolean mayHaveRun, closed, streaming;
-        boolean held, stale;  // waits here for room; an old copy will do now
         boolean missed, parentMissed;  // a look has found no copy here, at the parent
-        boolean retry;  // the next attempt is a further one, on the budget
+        boolean stale, retry;  // an old copy will do now; the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
     }
@@ -133,9 +138,7 @@
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
-    /**
-     * What is remembered of an object (or part): who holds it, how often it was asked for.
-     */
+    /** What is remembered of an object (or part): who holds it, how often it was asked for. */
     private static final class Entry {
         final List<Holder> holders = new ArrayList<>();
         int seen;
@@ -149,6 +152,9 @@
     public Logic(Settings settings, long salt) {
         this.settings = settings;
         this.random = new Random(salt);
+        this.crew = settings.routersByLocation().isEmpty() ? settings.routers()
+                : Math.max(1, settings.routersByLocation().get(settings.location()));
+        this.retryTokens = Math.max(1, RETRY_BURST / crew);
         this.weighted = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
         this.tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(0);
         this.meanWork = new double[settings.classes().size()];
@@ -195,19 +201,27 @@
             nodes.values().forEach(n -> n.listed = false);
         }
         for (Member m : e.members()) {
-            Node n = nodes.computeIfAbsent(m.id(), id -> new Node());
-            if (n.member == null || n.member.started() != m.started()) {
-                n.strikes = 0;
-                n.failShare = 0;
-                n.lateShare = 0;
-                n.downUntil = 0;
-                n.downFor = 0;
+            Node n = nodes.get(m.id());
+            if (n == null || n.member.started() != m.started()) {
+                if (n != null) {
+                    n.listed = false;  // what was known of the process before its restart is void
+                }
+                n = new Node();
                 n.limit = weighted ? Math.max(LIMIT_LEAST, LIMIT_WEIGHT * m.weight()) : LIMIT_START;
+                nodes.put(m.id(), n);
             }
             n.member = m;
             n.listed = m.state() == State.READY;
             n.coldFrom = Math.max(n.coldFrom, m.started());
         }
+        nodes.values().removeIf(n -> !n.listed && n.member.state() != State.DRAINING);
+        caches = listed(Role.CACHE).filter(n -> n.member.zone() == settings.location()).toList();
+        parents = listed(Role.PARENT).toList();
+        origin = listed(Role.ORIGIN).findFirst().orElse(null);
+    }
+
+    private Stream<Node> listed(Role role) {
+        return nodes.values().stream().filter(n -> n.listed && n.member.role() == role);
     }
 
     private void arrived(RequestArrived r) {
@@ -228,7 +242,7 @@
         job.startBy = Math.min(job.deadline - 2 * TICK,
                 now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
         jobs.put(r.id(), job);
-        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        retryTokens = Math.min(Math.max(1, RETRY_BURST / crew), retryTokens + RETRY_SHARE);
         entry(job).seen++;
         route(job);
     }
@@ -241,9 +255,6 @@
         }
         List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
-            if (job.held && now >= job.startBy) {
-                route(job);
-            }
             for (Attempt a : job.open.values()) {
                 if (!a.judged && now >= a.lateFrom) {
                     tooMuch(a, false);
@@ -267,23 +278,19 @@
      * straight there where that is allowed, else through a cache.
      */
     private void route(Job job) {
-        job.held = false;
         waiting.remove(job);
         if (job.closed || job.streaming || !job.open.isEmpty()) {
             return;
         }
         boolean direct = settings.fills().direct();
-        Node origin = origin();
-        List<Node> caches = caches(job);
-        Node edge = edge(job, caches);
+        Node edge = edge(job);
         if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
                 || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
         } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
-            send(job, direct ? origin : edge, origin, direct ? new Lookup(job.request.id(),
-                    origin.member.id(), 0)
-                    : get(job, edge, origin, false));
-        } else if (job.type.uncacheable() || caches.isEmpty() && !direct) {
+            send(job, direct ? origin : edge, origin, direct
+                    ? new Lookup(job.request.id(), origin.member.id(), 0) : get(job, edge, origin, false));
+        } else if (job.type.uncacheable() || edge == null && !direct && caches.stream().noneMatch(this::up)) {
             giveUp(job);
         } else if (edge != null) {
             fetch(job, edge);
@@ -303,21 +310,21 @@
         } else if (source.member.role() == Role.ORIGIN) {
             send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
         } else {
-            Node behind = origin() == null ? source : origin();
+            Node behind = origin == null ? source : origin;
             send(job, source, behind, get(job, source, behind, false));
         }
     }
 
     /**
-     * The ordinary path. When the source has as many fills of ours as it can serve in time, the request first
-     * looks whether the cache, then the parent, holds a copy, and only then waits for its turn to fill.
+     * The ordinary path. While the source is full, the request first looks whether the cache, then the
+     * parent, holds a copy, and only then waits for its turn to fill.
      */
     private void fetch(Job job, Node edge) {
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
-        boolean originFull = source.member.role() == Role.PARENT && origin() != null
-                && settings.fills().notes() == Notes.ALL && full(origin(),
+        boolean originFull = source.member.role() == Role.PARENT && origin != null
+                && settings.fills().notes() == Notes.ALL && full(origin,
                 job.parentMissed ? 1 : ORIGIN_PART, job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
@@ -331,29 +338,19 @@
         }
     }
 
-    /**
-     * An attempt that may fill. One-time objects are kept at the lowest rank, below those asked for again; so
-     * are all parts, since each is asked for in its turn and then no more.
-     */
+    /** An attempt that may fill. One-time objects, and parts, rank below objects asked for again. */
     private Fetch get(Job job, Node target, Node source, boolean onlyIfHeld) {
         boolean kept = target.member.role() == Role.CACHE && !job.type.uncacheable();
         return new Fetch(job.request.id(), target.member.id(), source.member.id(),
                 !kept ? 0 : job.type.parts() ? 1 : Math.min(2, entry(job).seen), oldest(job),
-                settings.fills().joins(), onlyIfHeld,
-                false,
+                settings.fills().joins(), onlyIfHeld, false,
                 job.type.fresh() > 0 && source != target && !onlyIfHeld, 0);
     }
 
-    private List<Node> caches(Job job) {
-        List<Node> caches = ranked(Role.CACHE, settings.location(), job.key);
-        caches.removeIf(n -> !up(n));
-        return caches;
-    }
-
     /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
-    private Node edge(Job job, List<Node> caches) {
-        List<Node> order = new ArrayList<>(caches);
-        order.removeIf(n -> !coldRoom(n, job));
+    private Node edge(Job job) {
+        List<Node> order = ranked(caches, job.key);
+        order.removeIf(n -> !up(n) || !coldRoom(n, job));
         if (order.stream().anyMatch(n -> !job.failed.contains(n.member.id()))) {
             order.removeIf(n -> job.failed.contains(n.member.id()));
         }
@@ -375,8 +372,7 @@
                 }
             }
         }
-        return ranked(Role.PARENT, -1, job.request.object()).stream().filter(usable).findFirst()
-                .orElse(origin());
+        return ranked(parents, job.request.object()).stream().filter(usable).findFirst().orElse(origin);
     }
 
     /**
@@ -385,18 +381,14 @@
      */
     private boolean full(Node n, double share, Job job) {
         double small = job.priority / (job.priority + meanPriority);
-        boolean full = n.load + share > n.limit * (1 - LARGE_LESS * (1 - small));
+        boolean full = crewLoad(n) + share > n.limit * (1 - LARGE_LESS * (1 - small));
         n.pressedAt = full ? now : n.pressedAt;
         return full;
     }
 
-    /**
-     * A request for which there is no room now waits while it can still be on time, most worth for its size
-     * first; after that it is given up at once.
-     */
+    /** Without room a request waits while it can be on time, most worth for its size first. */
     private void hold(Job job) {
-        job.held = now < job.startBy;
-        if (job.held) {
+        if (now < job.startBy) {
             waiting.add(job);
         } else {
             giveUp(job);
@@ -412,8 +404,8 @@
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
         a.expectHit = a.look || holds(entry(job), job, target);
-        a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim) + (long) (job.type.aimStretch() *
-                job.work);
+        a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
+                + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         if (job.retry) {
             retryTokens--;
@@ -425,14 +417,26 @@
         charge(job, a, target, 1);
         if (source != target) {
             charge(job, a, source, a.expectHit ? 0 : 1);
-            if (source.member.role() == Role.PARENT && !a.lookAtParent && origin() != null) {
-                charge(job, a, origin(), a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
+            if (source.member.role() == Role.PARENT && !a.lookAtParent && origin != null) {
+                charge(job, a, origin, a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
             }
         }
         out.accept(action);
     }
 
+    /**
+     * What the routers of this location have at a member, as far as ours shows it: at once where it is alone,
+     * else over a while, since one request of ours doesn't mean that each of the others has one too.
+     */
+    private double crewLoad(Node n) {
+        n.meanLoad += (n.load - n.meanLoad) * (crew == 1 ? 1
+                : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
+        n.loadAt = now;
+        return crew * n.meanLoad;
+    }
+
     private void charge(Job job, Attempt a, Node n, double share) {
+        crewLoad(n);
         n.load += share;
         a.charges.merge(n, share, Double::sum);
         n.credit -= countedWork(n, job);
@@ -453,7 +457,10 @@
             return;
         }
         a.target.open--;
-        a.charges.forEach((n, share) -> n.load = Math.max(0, n.load - share));
+        a.charges.forEach((n, share) -> {
+            crewLoad(n);
+            n.load = Math.max(0, n.load - share);
+        });
         job.mayHaveRun = !e.outcome().provesNotRun || !job.open.isEmpty();
         judge(job, a, e);
         if (e.closed()) {
@@ -518,9 +525,9 @@
         if (hit) {
             int type = job.request.requestClass();
             if (job.request.sizeKb() <= 0 && a.target.lateShare < LATE_BORNE / 2) {
-                double slow = weighted ? Math.max(1, a.target.load / a.target.member.weight()) : 1;
-                meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (e.latency() / slow -
-                        meanWork[type]);
+                double slow = weighted ? Math.max(1, crewLoad(a.target) / a.target.member.weight()) : 1;
+                double gain = meanWork[type] == 0 ? 1 : MEAN_GAIN;
+                meanWork[type] += gain * (e.latency() / slow - meanWork[type]);
             }
             paced(a.target, a, late);
         } else if (a.source != a.target) {
@@ -529,7 +536,7 @@
             lastFill = now;
             fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
             boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
-            paced(byOrigin && origin() != null ? origin() : a.source, a, late);
+            paced(byOrigin && origin != null ? origin : a.source, a, late);
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
             remember(entry(job), a.target, now, now + HOLDING_LIFE);
@@ -537,14 +544,11 @@
         }
     }
 
-    /**
-     * Counts an attempt that came to nothing as late: for the cache that should have held the copy, for the
-     * source that failed, or, where a parent may still wait for it, for the origin.
-     */
+    /** Counts an attempt as late: for the cache that should have held the copy, its source, or the origin. */
     private void tooMuch(Attempt a, boolean sourceFailed) {
         boolean behindParent = !sourceFailed && settings.fills().notes() == Notes.ALL
-                && a.source.member.role() == Role.PARENT && origin() != null;
-        paced(a.expectHit ? a.target : behindParent ? origin() : a.source, a, true);
+                && a.source.member.role() == Role.PARENT && origin != null;
+        paced(a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
     }
 
     /**
@@ -556,9 +560,9 @@
         if (late && a.judged) {
             return;
         }
-        n.lateShare += LATE_GAIN * ((late ? 1 : 0) - n.lateShare);
+        n.lateShare += Math.min(CREW_GAIN, LATE_GAIN * Math.sqrt(crew)) * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
-            n.limit += now - n.pressedAt < SECOND ? 1 / n.limit : 0;
+            n.limit += now - n.pressedAt < SECOND ? crew / n.limit : 0;
         } else if (a.sent > n.cutAt && n.lateShare > LATE_BORNE) {
             n.limit = Math.max(LIMIT_LEAST, n.limit * LIMIT_CUT);
             n.cutAt = now;
@@ -637,7 +641,7 @@
     private void giveUp(Job job) {
         Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
                 && job.type.effect() != Effect.SAFE || job.attempts >= settings.limits().attempts()
-                || now >= job.deadline || job.closed ? null : edge(job, caches(job));
+                || now >= job.deadline || job.closed ? null : edge(job);
         if (edge != null) {
             job.stale = true;
             Node parent = source(job, edge);
@@ -658,7 +662,6 @@
 
     private void close(Job job) {
         job.closed = true;
-        job.held = false;
         waiting.remove(job);
         job.open.values().forEach(a -> cancel(job, a));
         if (job.open.isEmpty()) {
@@ -698,8 +701,7 @@
 
     private boolean alive(Holder h, Job job) {
         return h.until > now && h.started == h.node.member.started() && (h.since < 0
-                || h.since > purgedAt(job)
-                && (job.type.fresh() == 0 || now - h.since < job.type.fresh()));
+                || h.since > purgedAt(job) && (job.type.fresh() == 0 || now - h.since < job.type.fresh()));
     }
 
     private void tellPeers(Job job, Node node) {
@@ -723,8 +725,7 @@
             ByteBuffer text = ByteBuffer.wrap(e.text());
             Node node = nodes.get(text.getLong());
             String key = StandardCharsets.UTF_8.decode(text).toString();
-            if (node != null && node.member.role() == Role.CACHE
-                    && node.member.zone() == settings.location()) {
+            if (caches.contains(node)) {
                 remember(table.computeIfAbsent(key, k -> new Entry()), node, now, now + HOLDING_LIFE);
             }
         }
@@ -751,23 +752,16 @@
         return n.listed && now >= n.downUntil && (n.downFor == 0 || n.open == 0);
     }
 
-    private Node origin() {
-        return nodes.values().stream().filter(n -> n.listed && n.member.role() == Role.ORIGIN).findFirst()
-                .orElse(null);
-    }
-
-    /** Listed members of a role, in the key's rendezvous order. */
-    private List<Node> ranked(Role role, int zone, String key) {
-        long hash = 0xcbf29ce484222325L;
+    /** These members in the key's rendezvous order. */
+    private List<Node> ranked(List<Node> members, String key) {
+        long hash = 0xcbf29ce484222325L;  // FNV-1a
         for (int i = 0; i < key.length(); i++) {
             hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
         }
         TreeMap<Double, Node> ranked = new TreeMap<>(Comparator.reverseOrder());
-        for (Node n : nodes.values()) {
-            if (n.listed && n.member.role() == role && (zone < 0 || n.member.zone() == zone)) {
-                double draw = ((mix(hash ^ mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
-                ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1), n);
-            }
+        for (Node n : members) {
+            double draw = ((mix(hash ^ mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
+            ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1), n);
         }
         return new ArrayList<>(ranked.values());
     }
@@ -780,19 +774,18 @@
 
     /**
      * Whether a member that has just started can take this request too. Each router earns its share of what
-     * the member is sure to bear as time passes, and spends it by the work sent. A share far under one request
-     * is saved up until it allows one; it starts at a random place, so that routers don't all send at once.
+     * the member is sure to bear as time passes, and spends it by the work sent. A share far under a request
+     * is saved up until it allows one, from a random start, so that routers don't all send at once.
      */
     private boolean coldRoom(Node n, Job job) {
-        boolean parent = n.member.role() == Role.PARENT;
-        ColdStart cold = parent ? settings.rules().parent() : settings.rules().cache();
-        if (n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom >= cold.warmAfter()) {
+        if (warm(n)) {
             return true;
         }
-        int routers = Math.max(1, parent || settings.routersByLocation().isEmpty() ? settings.routers()
-                : settings.routersByLocation().get(settings.location()));
+        boolean parent = n.member.role() == Role.PARENT;
+        ColdStart cold = parent ? settings.rules().parent() : settings.rules().cache();
+        int routers = parent ? Math.max(1, settings.routers()) : crew;
         double width = weighted ? n.member.weight() / routers
-                : Math.max(COLD_WIDTH / routers, usualFlow(n.member.role()));
+                : Math.max(COLD_WIDTH / routers, usualFlow(parent ? parents : caches));
         double span = settings.rules().overloadSpan();
         double work = countedWork(n, job);
         if (n.creditAt < n.coldFrom) {
@@ -812,11 +805,15 @@
         return n.member.role() == Role.CACHE && mean > 0 ? mean : job.work;
     }
 
-    /** What a warm member of this role serves this router, in transfers, lately. */
-    private double usualFlow(Role role) {
-        ColdStart cold = role == Role.PARENT ? settings.rules().parent() : settings.rules().cache();
-        return nodes.values().stream().filter(n -> n.listed && n.member.role() == role && n.flow > 0
-                && (n.coldFrom == 0 || now - n.coldFrom >= cold.warmAfter()))
+    private boolean warm(Node n) {
+        Rules rules = settings.rules();
+        return n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom
+                >= (n.member.role() == Role.PARENT ? rules.parent() : rules.cache()).warmAfter();
+    }
+
+    /** What a warm member of this kind serves this router, in transfers, lately. */
+    private double usualFlow(List<Node> members) {
+        return members.stream().filter(n -> n.flow > 0 && warm(n))
                 .mapToDouble(n -> n.flow * Math.exp((n.flowAt - now) / FLOW_SPAN)).average().orElse(0);
     }
 }
