Start unsized work at the aim, and learn it as long as limits stand

Cause: where sizes are not told, a router that restarts took work for half the aim; larger objects then seemed late, and work was only learned while almost nothing did. Now it starts at the aim and is learned until limits fall. Holds for any restart or new class; may hurt where work is far under the aim, until ten hits are seen.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -231,7 +231,7 @@
         job.key = r.object() + '#' + r.part();
         job.number = arrivals++;
         double mean = meanWork[r.requestClass()];
-        job.work = mean > 0 ? mean : job.type.aim() / 2.0;
+        job.work = mean > 0 ? mean : job.type.aim();  // guesses too small make all seem late
         if (r.sizeKb() > 0 && settings.fills().transferKbPerSecond() > 0) {
             job.work = r.sizeKb() / settings.fills().transferKbPerSecond() * SECOND;
             meanWork[r.requestClass()] = mean == 0 ? job.work : mean + MEAN_GAIN * (job.work - mean);
@@ -524,7 +524,7 @@
         flowed(a.target, job);
         if (hit) {
             int type = job.request.requestClass();
-            if (job.request.sizeKb() <= 0 && a.target.lateShare < LATE_BORNE / 2) {
+            if (job.request.sizeKb() <= 0 && a.target.lateShare < LATE_BORNE) {
                 double slow = weighted ? Math.max(1, crewLoad(a.target) / a.target.member.weight()) : 1;
                 double gain = meanWork[type] == 0 ? 1 : MEAN_GAIN;
                 meanWork[type] += gain * (e.latency() / slow - meanWork[type]);
