--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -90,7 +90,7 @@
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
-    private double meanPriority, missShare = 0.5;  // of attempts that the table can't tell, lately
+    private double meanPriority;
     private double retryTokens;
     private long arrivals;
     private long lastFill;
@@ -135,7 +135,6 @@
         long sent, lateFrom, due;  // due: silence counts from here
         boolean overdue, cancelled, judged;  // judged: has counted as late
         boolean expectHit, look, lookAtParent;
-        double expectMiss;  // how likely it is to be filled
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
@@ -258,7 +257,7 @@
         for (Job job : new ArrayList<>(jobs.values())) {
             for (Attempt a : job.open.values()) {
                 if (!a.judged && now >= a.lateFrom) {
-                    tooMuch(a, FillNote.NONE);
+                    tooMuch(a, false);
                     a.judged = true;
                 }
                 if (!a.overdue && now >= a.due) {
@@ -405,7 +404,6 @@
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
         a.expectHit = a.look || holds(entry(job), job, target);
-        a.expectMiss = a.expectHit ? 0 : job.missed || target.member.role() != Role.CACHE ? 1 : missShare;
         a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
                 + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
@@ -486,7 +484,6 @@
             job.missed = true;
             job.parentMissed = a.lookAtParent;
             if (a.look) {
-                missShare += MEAN_GAIN * (1 - missShare);
                 forget(entry(job), a.target);
             }
         } else if (e.outcome() == Outcome.MISS) {
@@ -498,7 +495,7 @@
             forget(entry(job), a.source);
             failed(job, a, a.source, e.latency());
             if (e.note() != FillNote.NO_PLACE) {
-                tooMuch(a, e.note());
+                tooMuch(a, e.note() != FillNote.ORIGIN_FAILED);
             }
         } else if (e.outcome() == Outcome.FULL) {
             a.target.lastAnswer = now;
@@ -512,7 +509,7 @@
             forget(entry(job), a.target);
             strike(a.target, true);
         } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
-            tooMuch(a, FillNote.NONE);
+            tooMuch(a, false);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
             job.failed.add(guilty.member.id());
             forget(entry(job), guilty);
@@ -523,9 +520,6 @@
         boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.STALE
                 || e.note() == FillNote.NONE && a.expectHit;
         boolean late = now > a.lateFrom;
-        if (a.look || !a.expectHit && a.expectMiss < 1) {
-            missShare += MEAN_GAIN * ((hit ? 0 : 1) - missShare);
-        }
         good(a.target);
         flowed(a.target, job);
         if (hit) {
@@ -550,12 +544,11 @@
         }
     }
 
-    /** Counts an attempt as late, by what is told or likely: for its cache, its source, or the origin behind. */
-    private void tooMuch(Attempt a, FillNote note) {
-        boolean atCache = note == FillNote.NONE && random.nextDouble() >= a.expectMiss;
-        boolean behindParent = (note == FillNote.NONE || note == FillNote.ORIGIN_FAILED) && origin != null
-                && settings.fills().notes() == Notes.ALL && a.source.member.role() == Role.PARENT;
-        paced(atCache ? a.target : behindParent ? origin : a.source, a, true);
+    /** Counts an attempt as late: for the cache that should have held the copy, its source, or the origin. */
+    private void tooMuch(Attempt a, boolean sourceFailed) {
+        boolean behindParent = !sourceFailed && settings.fills().notes() == Notes.ALL
+                && a.source.member.role() == Role.PARENT && origin != null;
+        paced(a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
     }
 
     /**
