--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -48,7 +48,7 @@
     private static final long PATIENCE = 250 * MILLI;  // least time before silence counts
     private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
     private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
-    private static final double CREW_SPAN = 300 * MILLI;  // a fellow router; its load is ours over so long
+    private static final double CREW_SPAN = 700 * MILLI;  // a fellow router; its load is ours over so long
     private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
     private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
