--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -53,7 +53,7 @@
     private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
     private static final double LIMIT_PARENT = 4;  // that guess for a parent, times, over all locations
-    private static final double LIMIT_LEAST = 2;  // of a router alone, never fewer, so that recovery shows
+    private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
     private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
     private static final double LATE_BORNE = 0.2;  // share that may be late before the limit falls
@@ -212,7 +212,7 @@
                 if (weighted && m.role() == Role.PARENT) {  // all locations share it
                     n.limit *= LIMIT_PARENT * crew / Math.max(1, settings.routers());
                 }
-                n.limit = Math.max(LIMIT_LEAST / crew, n.limit);
+                n.limit = Math.max(LIMIT_LEAST, n.limit);
                 nodes.put(m.id(), n);
             }
             n.member = m;
@@ -386,7 +386,7 @@
      */
     private boolean full(Node n, double share, Job job) {
         double small = job.priority / (job.priority + meanPriority);
-        boolean full = crewLoad(n) + Math.min(share, n.limit / 2) > n.limit * (1 - LARGE_LESS * (1 - small));
+        boolean full = crewLoad(n) + share > n.limit * (1 - LARGE_LESS * (1 - small));
         n.pressedAt = full ? now : n.pressedAt;
         return full;
     }
@@ -567,9 +567,9 @@
         }
         n.lateShare += Math.min(CREW_GAIN, LATE_GAIN * Math.sqrt(crew)) * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
-            n.limit += now - n.pressedAt < SECOND ? Math.min(crew / n.limit, n.limit / 4) : 0;
+            n.limit += now - n.pressedAt < SECOND ? crew / n.limit : 0;
         } else if (a.sent > n.cutAt && n.lateShare > LATE_BORNE) {
-            n.limit = Math.max(LIMIT_LEAST / crew, n.limit * LIMIT_CUT);
+            n.limit = Math.max(LIMIT_LEAST, n.limit * LIMIT_CUT);
             n.cutAt = now;
         }
     }
