Give a cold member no credit before it is known, and less where its size is not told

Credit now starts when the member is known, at a random debt; a member of untold size counts as half the mean; less may be saved up, and more of the sure budget is used. Holds for any late or simultaneous start; where sizes are equal, warming is slower than it could be.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -60,10 +60,11 @@
     private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
     private static final double ORIGIN_PART = 0.5;  // a fill from a parent counts so much on the origin
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
-    private static final double COLD_SAFETY = 0.5;  // share of a cold member's budget that is used
-    private static final double COLD_BURST = 0.5;  // of a span's budget that may be saved up; 0.5 * 1.5 < 1
+    private static final double COLD_SAFETY = 0.65;  // share of a cold member's budget that is used
+    private static final double COLD_BURST = 0.25;  // of the budget of a span that may be saved up
     private static final double FLOW_SPAN = 5 * SECOND;  // over which the work served is averaged
-    private static final double COLD_WIDTH = 3;  // transfers a cold member of unknown size is taken for
+    private static final double COLD_WIDTH = 3;  // transfers that a member of unknown size is taken for
+    private static final double COLD_SMALLER = 0.5;  // such a member against the mean of the warm ones
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
 
@@ -78,8 +79,6 @@
     private Node origin;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
             return size() > OBJECTS;
@@ -790,11 +789,11 @@
         ColdStart cold = parent ? settings.rules().parent() : settings.rules().cache();
         int routers = parent ? Math.max(1, settings.routers()) : crew;
         double width = weighted ? n.member.weight() / routers
-                : Math.max(COLD_WIDTH / routers, usualFlow(parent ? parents : caches));
+                : Math.max(COLD_WIDTH / routers, COLD_SMALLER * usualFlow(parent ? parents : caches));
         double span = settings.rules().overloadSpan();
         double work = countedWork(n, job);
         if (n.creditAt < n.coldFrom) {
-            n.creditAt = Math.max(n.coldFrom, now - (long) span);
+            n.creditAt = now;
             n.credit = -random.nextDouble() * work;
         }
         double share = cold.share() + (1 - cold.share()) * (n.creditAt - n.coldFrom) / cold.warmAfter();
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -252,4 +252,19 @@
         direct.fleet(3, 2).start();
         assertEquals(900, only(Lookup.class, direct.ask("w", RouterHarness.WRITE, 0)).get(0).member());
     }
+
+    /** Work is not told: a fresh router must not take transfers of usual length for a jam. */
+    @Test
+    void aFreshRouterThatIsNotToldSizesKeepsItsLimitsWhileTransfersTakeTheirUsualTime() {
+        RouterHarness r = new RouterHarness().fleet(1, 1).start();
+        for (int i = 0; i < 12; i++) {
+            Fetch fetch = fetch(r.ask("o" + i, RouterHarness.PAGE, 0));
+            r.pass(1_200 * MILLI);
+            r.handle(new AttemptEnded(fetch.id(), 0, fetch.member(), Outcome.OK, 1_200 * MILLI,
+                    true, FillNote.HIT, 0, Map.of()));
+        }
+        for (int i = 0; i < 6; i++) {
+            assertEquals(1, only(Fetch.class, r.ask("o" + i, RouterHarness.PAGE, 0)).size());
+        }
+    }
 }
--- a/src/test/java/pumicemoor/FleetTest.java
+++ b/src/test/java/pumicemoor/FleetTest.java
@@ -51,6 +51,9 @@
     private long order;
     private int asked;
     private int sentToCold;
+    private int open;
+    private int mostOpen;
+    private double coldWidth = WIDTH;
     private double worst;
     private double shareLate;
 
@@ -111,6 +114,9 @@
             bookCold();
         }
         int attempt = 0;
+        open++;
+        mostOpen = Math.max(mostOpen, now > 1_015 * SECOND ? open : 0);
+        later(fails ? 2 * SECOND : WORK, () -> open--);
         later(fails ? 2 * SECOND : WORK, () -> handle(router, new AttemptEnded(f.id(), attempt, f.member(),
                 fails ? Outcome.TIMEOUT : Outcome.OK, fails ? 2 * SECOND : WORK, true,
                 fails ? FillNote.NONE : FillNote.HIT, 0, Map.of())));
@@ -124,7 +130,7 @@
             toCold.removeFirst();
         }
         double share = cold.share() + (1 - cold.share()) * (now - coldFrom) / cold.warmAfter();
-        double budget = cold.multiple() * share * WIDTH * rules.overloadSpan();
+        double budget = cold.multiple() * share * coldWidth * rules.overloadSpan();
         worst = Math.max(worst, toCold.size() * WORK / budget);
     }
 
@@ -144,6 +150,14 @@
         assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
     }
 
+    /** Sizes are not told here: the one that starts may be far smaller than those that show what is usual. */
+    @Test
+    void aColdCacheSmallerThanTheWarmOnesIsNotPushedOver() {
+        coldWidth = 3.4;
+        play(11, 0.9, 0, List.of(COLD));
+        assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
+    }
+
     /** With no warm cache left to learn from, the returned ones are still filled, each within its budget. */
     @Test
     void aLocationThatReturnsWholeIsNeitherPushedOverNorLeftIdle() {
@@ -151,4 +165,12 @@
         assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
         assertTrue(sentToCold > 40, "only " + sentToCold + " requests in ten seconds");
     }
+
+    /** What a member may have of a location doesn't grow with the number of routers that send to it. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 20})
+    void theRoutersOfALocationTogetherKeepToTheLimitsOfItsCaches(int crew) {
+        play(crew, 3, 1, List.of());
+        assertTrue(mostOpen <= 90, mostOpen + " attempts were out at four caches that answer nothing in time");
+    }
 }
