--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -52,7 +52,7 @@
     private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
     private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
-    private static final double LIMIT_PARENT = 4;  // that guess for a parent, times, over all locations
+    private static final double LIMIT_PARENT = 2;  // that guess for a parent, times, over all locations
     private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
     private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
