--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -385,8 +385,7 @@
      */
     private boolean full(Node n, double share, Job job) {
         double small = job.priority / (job.priority + meanPriority);
-        double closed = LARGE_LESS * (1 - small) * Math.min(1, n.lateShare / LATE_BORNE);
-        boolean full = crewLoad(n) + share > n.limit * (1 - closed);
+        boolean full = crewLoad(n) + share > n.limit * (1 - LARGE_LESS * (1 - small));
         n.pressedAt = full ? now : n.pressedAt;
         return full;
     }
