--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -49,11 +49,10 @@
     private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
     private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
     private static final double CREW_SPAN = 700 * MILLI;  // a fellow router; its load is ours over so long
-    private static final long REPORT_LIFE = 2 * SECOND;  // a load report stands for so long
     private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
     private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
-    private static final double LIMIT_WEIGHT = 4;  // that guess over the weight, where weights are told
-    private static final double LIMIT_PARENT = 1;  // that guess for a parent, times, over all locations
+    private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
+    private static final double LIMIT_PARENT = 2;  // that guess for a parent, times, over all locations
     private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
     private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
     private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
@@ -106,8 +105,7 @@
         boolean listed;  // ready by the list
         double load, limit, lateShare;  // what it has of ours, may have of all, and the share that came late
         double meanLoad;  // what it has of ours, over a while, as of loadAt
-        double reported;  // requests that it held by its last report
-        long reportedAt = Long.MIN_VALUE / 2, loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
+        long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
         int open, strikes;  // attempts that are out, failures in a row
         double failShare;  // share of failures, lately
         long lastAnswer, downUntil, downFor, coldFrom;
@@ -431,14 +429,14 @@
     }
 
     /**
-     * What the routers of this location have at a member: what the member last reported, else as far as ours
-     * shows it, at once where it is alone, else over a while, since ours doesn't mean one of each other.
+     * What the routers of this location have at a member, as far as ours shows it: at once where it is alone,
+     * else over a while, since one request of ours doesn't mean that each of the others has one too.
      */
     private double crewLoad(Node n) {
         n.meanLoad += (n.load - n.meanLoad) * (crew == 1 ? 1
                 : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
         n.loadAt = now;
-        return now - n.reportedAt < REPORT_LIFE && crew > 1 ? n.reported : crew * n.meanLoad;
+        return crew * n.meanLoad;
     }
 
     private void charge(Job job, Attempt a, Node n, double share) {
@@ -463,10 +461,6 @@
             return;
         }
         a.target.open--;
-        if (a.target.member.role() == Role.CACHE && e.load().containsKey(IN_FLIGHT)) {
-            a.target.reported = e.load().get(IN_FLIGHT);
-            a.target.reportedAt = now;
-        }
         a.charges.forEach((n, share) -> {
             crewLoad(n);
             n.load = Math.max(0, n.load - share);
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -77,9 +77,6 @@
     /** How load reports come. */
     enum ReportBy { NONE, PROBE, ANSWER }
 
-    /** The name of a reported value: requests that the member holds. */
-    String IN_FLIGHT = "inflight";
-
     /** Load reports and what their two free fields mean. */
     record LoadReports(ReportBy by, List<String> fields) {
     }
--- a/src/main/java/pumicemoor/wire/Drill.java
+++ b/src/main/java/pumicemoor/wire/Drill.java
@@ -173,10 +173,10 @@
                     m.integer("lag-us"));
             case "Verdict" -> new AttemptEnded(m.text("id"), (int) m.integer("trial"), m.integer("server"),
                     words.outcome(m.integer("rc")), m.integer("lag-us"), m.flag("settled"), note(m),
-                    m.integer("waited-us", 0), load(m));
+                    m.integer("waited-us", 0), m.objectOrEmpty("load").numbersByName());
             case "Lapsed" -> new RequestGone(m.text("id"));
             case "Checked" -> new ProbeEnded(m.integer("server"), words.outcome(m.integer("rc")),
-                    m.integer("lag-us"), load(m));
+                    m.integer("lag-us"), m.objectOrEmpty("load").numbersByName());
             case "TickDue" -> new TimerDue(m.integer("cookie"));
             case "Invalidated" -> new Purged(m.text("asset", null), (int) m.integer("set-no", -1),
                     m.integer("how-old-us", 0));
@@ -208,15 +208,6 @@
         return note >= 0 && note < FILL_NOTES.length ? FILL_NOTES[(int) note] : FillNote.NONE;
     }
 
-    private static Map<String, Double> load(Message m) throws WireException {
-        Map<String, Double> load = m.objectOrEmpty("load").numbersByName();
-        Double held = load.remove("busy_reqs");
-        if (held != null) {
-            load.put(RouterApi.IN_FLIGHT, held);
-        }
-        return load;
-    }
-
     private static byte[] bytes(String text) throws WireException {
         try {
             return Base64.getDecoder().decode(text);
