Send fills past a parent that alone is late and full; blame whom the note names

Every late fill counted on the origin behind it, at the moment it came due, so fills were held up everywhere while the other parents were idle. Now lateness of unknown place counts on parent or origin, whichever has more of it, and again on the member that the note of a late answer names; what a late and full parent can't take goes to the next in the object's order that is neither. Holds for any single slow parent; may hurt when the origin is slow, by fetching an object twice.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -131,9 +131,9 @@
     /** An attempt that is out, and the shares of it that count on the limits of members. */
     private static final class Attempt {
         int number;
-        Node target, source;
+        Node target, source, blamed;  // blamed: for being late, so far
         long sent, lateFrom, due;  // due: silence counts from here
-        boolean overdue, cancelled, judged;  // judged: has counted as late
+        boolean overdue, cancelled;
         boolean expectHit, look, lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
@@ -260,9 +260,8 @@
         List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
             for (Attempt a : job.open.values()) {
-                if (!a.judged && now >= a.lateFrom) {
-                    tooMuch(a, false);
-                    a.judged = true;
+                if (a.blamed == null && now >= a.lateFrom) {
+                    tooMuch(a, null);
                 }
                 if (!a.overdue && now >= a.due) {
                     a.overdue = true;
@@ -277,10 +276,7 @@
 
     // ---- the path of a request ------------------------------------------------------------------------
 
-    /**
-     * Sends the next attempt, holds the request, or gives it up. Uncacheable classes run at the origin:
-     * straight there where that is allowed, else through a cache.
-     */
+    /** Sends the next attempt, holds the request, or gives it up. Uncacheable classes run at the origin. */
     private void route(Job job) {
         waiting.remove(job);
         if (job.closed || job.streaming || !job.open.isEmpty()) {
@@ -366,7 +362,10 @@
         return order.stream().filter(n -> !full(n, n.limit / 2, job)).findFirst().orElse(null);
     }
 
-    /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. */
+    /**
+     * The fill source: a remembered sibling, else the object's hashed parent, else the origin. Past a parent
+     * that is late and full goes what another, neither late nor full, can take: one may be slow by itself.
+     */
     private Node source(Job job, Node edge) {
         Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         if (edge != null && settings.fills().siblings() != SiblingSources.NONE) {
@@ -376,7 +375,10 @@
                 }
             }
         }
-        return ranked(parents, job.request.object()).stream().filter(usable).findFirst().orElse(origin);
+        List<Node> order = ranked(parents, job.request.object()).stream().filter(usable).toList();
+        Node home = order.isEmpty() ? origin : order.get(0);
+        return order.isEmpty() || home.lateShare <= LATE_BORNE || !full(home, 1, job) ? home : order.stream()
+                .filter(n -> n.lateShare <= LATE_BORNE / 2 && !full(n, 1, job)).findFirst().orElse(home);
     }
 
     /**
@@ -499,7 +501,7 @@
             forget(entry(job), a.source);
             failed(job, a, a.source, e.latency());
             if (e.note() != FillNote.NO_PLACE) {
-                tooMuch(a, e.note() != FillNote.ORIGIN_FAILED);
+                tooMuch(a, e.note() == FillNote.ORIGIN_FAILED ? null : a.source);
             }
         } else if (e.outcome() == Outcome.FULL) {
             a.target.lastAnswer = now;
@@ -513,7 +515,7 @@
             forget(entry(job), a.target);
             strike(a.target, true);
         } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
-            tooMuch(a, false);
+            tooMuch(a, null);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
             job.failed.add(guilty.member.id());
             forget(entry(job), guilty);
@@ -548,22 +550,24 @@
         }
     }
 
-    /** Counts an attempt as late: for the cache that should have held the copy, its source, or the origin. */
-    private void tooMuch(Attempt a, boolean sourceFailed) {
-        boolean behindParent = !sourceFailed && settings.fills().notes() == Notes.ALL
-                && a.source.member.role() == Role.PARENT && origin != null;
-        paced(a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
+    /** Counts an attempt late: for whom a note names, else once for the likely cache, source or origin. */
+    private void tooMuch(Attempt a, Node known) {
+        boolean behindParent = settings.fills().notes() == Notes.ALL && origin != null
+                && a.source.member.role() == Role.PARENT && origin.lateShare >= a.source.lateShare;
+        if (known == a.source || a.blamed == null) {
+            paced(known != null ? known : a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
+        }
     }
 
     /**
-     * The limit of what a member has of ours at once, guarding against any jam: it falls when an attempt that
-     * was sent after the last fall comes late or not at all, and rises slowly while it is used and all is on
-     * time.
+     * The limit of what a member has of ours, against any jam: it falls when an attempt sent after the last
+     * fall comes late or not at all, and rises slowly while it is used and all is on time.
      */
     private void paced(Node n, Attempt a, boolean late) {
-        if (late && a.judged) {
+        if (late && a.blamed == n) {
             return;
         }
+        a.blamed = late ? n : a.blamed;
         n.lateShare += Math.min(CREW_GAIN, LATE_GAIN * Math.sqrt(crew)) * ((late ? 1 : 0) - n.lateShare);
         if (!late) {
             n.limit += now - n.pressedAt < SECOND ? crew / n.limit : 0;
@@ -575,9 +579,8 @@
 
     /**
      * Silence, whatever its cause: nothing has come from the target (else from the source) since the attempt
-     * went out, though it should have long ago, while others were heard. The request moves on; two such in a
-     * row take the member out. A source is not blamed while all sources are silent: then what lies behind
-     * them is.
+     * went out, though it should have, while others were heard. The request moves on; two such in a row take
+     * the member out. While all sources are silent, none is blamed: then what lies behind them is.
      */
     private void overdue(Job job, Attempt a) {
         boolean targetSilent = a.target.lastAnswer < a.sent;
@@ -638,10 +641,7 @@
 
     // ---- final answers --------------------------------------------------------------------------------
 
-    /**
-     * Gives the final answer at once: refused where trying again is harmless, else failed. Before that, a
-     * copy past its freshness will do, within the grace of its class, if the cache or the parent holds one.
-     */
+    /** Answers at once: refused where harmless, else failed; before that a copy within grace will do. */
     private void giveUp(Job job) {
         Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
                 && job.type.effect() != Effect.SAFE || job.attempts >= settings.limits().attempts()
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -267,4 +267,24 @@
             assertEquals(1, only(Fetch.class, r.ask("o" + i, RouterHarness.PAGE, 0)).size());
         }
     }
+
+    /** One parent slow by itself: it is blamed, not the origin behind it, and what it can't take goes past it. */
+    @Test
+    void fillsGoPastAParentThatAloneIsLateAndFull() {
+        RouterHarness r = new RouterHarness().fleet(1, 2).start();
+        long slow = 101;
+        for (int i = 0; i < 40; i++) {
+            Fetch fetch = fetch(r.ask("o" + i));
+            r.pass(fetch.source() == slow ? 4 * SECOND : 100 * MILLI);
+            r.end(fetch, 0, Outcome.OK, fetch.source() == slow ? FillNote.FILLED : FillNote.FILLED_BY_ORIGIN);
+        }
+        int wentPast = 0;
+        for (int i = 0; i < 30; i++) {
+            long home = fetch(new RouterHarness().fleet(1, 2).start().ask("p" + i)).source();
+            for (Fetch fetch : only(Fetch.class, r.ask("p" + i))) {
+                wentPast += home == slow && fetch.source() == 102 ? 1 : 0;
+            }
+        }
+        assertTrue(wentPast > 0);
+    }
 }
