Count direct outcomes for the origin, and spare it for them whatever the notes

Direct outcomes now show its state, on time as well as late, and while a fifth is late fills keep to its limit. Holds for any crowded or slow origin that is asked directly; may hurt where only direct requests are slow.

The test fails without the change.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -299,10 +299,7 @@
         }
     }
 
-    /**
-     * With no cache to ask, or none with room, a request goes to its parent, else the origin, where that is
-     * allowed and the source has room: nothing is kept of it, and it takes the same link in as the fills.
-     */
+    /** With no cache that has room, past the caches, where allowed, to a parent or the origin with room. */
     private void passBy(Job job) {
         Node source = settings.fills().direct() ? source(job, null) : null;
         if (source == null || full(source, 1, job)) {
@@ -324,8 +321,8 @@
         Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
         boolean originFull = source.member.role() == Role.PARENT && origin != null
-                && settings.fills().notes() == Notes.ALL && full(origin,
-                job.parentMissed ? 1 : ORIGIN_PART, job);
+                && (settings.fills().notes() == Notes.ALL || origin.lateShare > LATE_BORNE)
+                && full(origin, job.parentMissed ? 1 : ORIGIN_PART, job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
         } else if (full || originFull && job.parentMissed) {
@@ -543,6 +540,8 @@
             fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
             boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
             paced(byOrigin && origin != null ? origin : a.source, a, late);
+        } else if (a.target == origin) {  // may be all that shows its state, where notes are few
+            paced(origin, a, late);
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
             remember(entry(job), a.target, now, now + HOLDING_LIFE);
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -287,4 +287,23 @@
         }
         assertTrue(wentPast > 0);
     }
+
+    /** Notes don't tell of the origin here; that it turns direct requests away does, and fills spare it. */
+    @Test
+    void fillsSpareAnOriginThatTurnsDirectRequestsAway() {
+        RouterHarness r = new RouterHarness().fleet(1, 1);
+        r.direct = true;
+        r.notes = RouterApi.Notes.HIT_ONLY;
+        r.start();
+        for (int i = 0; i < 30; i++) {
+            r.now += 10 * MILLI;
+            RouterApi.Lookup write = RouterHarness.lookup(r.ask("w" + i, RouterHarness.WRITE, 100));
+            r.end(write.id(), 0, write.member(), Outcome.FULL, FillNote.NONE);
+        }
+        long looks = 0;
+        for (int i = 0; i < 6; i++) {
+            looks += only(Fetch.class, r.ask("o" + i)).stream().filter(f -> f.source() == f.member()).count();
+        }
+        assertTrue(looks > 0);
+    }
 }
