--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -60,11 +60,11 @@
     private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
     private static final double ORIGIN_PART = 0.5;  // a fill from a parent counts so much on the origin
     private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
-    private static final double COLD_SAFETY = 0.8;  // share of a cold member's budget that is used
+    private static final double COLD_SAFETY = 0.65;  // share of a cold member's budget that is used
     private static final double COLD_BURST = 0.25;  // of the budget of a span that may be saved up
     private static final double FLOW_SPAN = 5 * SECOND;  // over which the work served is averaged
     private static final double COLD_WIDTH = 3;  // transfers that a member of unknown size is taken for
-    private static final double COLD_SMALLER = 0.4;  // such a member against the mean of the warm ones
+    private static final double COLD_SMALLER = 0.5;  // such a member against the mean of the warm ones
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
 
