--- a/src/test/java/pumicemoor/FleetTest.java
+++ b/src/test/java/pumicemoor/FleetTest.java
@@ -36,6 +36,7 @@
     private static final double WIDTH = 6;  // transfers that a cache's link fits
     private static final long WORK = 200 * MILLI;
     private static final int COLD = 1;
+    private static final int COLD_PARENT = 101;
 
     private record Later(long at, long order, Runnable what) {
     }
@@ -54,6 +55,7 @@
     private int open;
     private int mostOpen;
     private double coldWidth = WIDTH;
+    private long cold = COLD;
     private double worst;
     private double shareLate;
 
@@ -82,9 +84,9 @@
         later(10 * SECOND, () -> {
             coldFrom = now;
             for (int id : restarted) {
-                Member old = setup.members.get(id - 1);
+                Member old = setup.members.stream().filter(m -> m.id() == id).findFirst().orElseThrow();
                 Member young = new Member(id, old.role(), old.zone(), 0, 1, now, State.READY);
-                setup.members.set(id - 1, young);
+                setup.members.set(setup.members.indexOf(old), young);
                 routers.forEach(r -> handle(r, new MembersListed(ListKind.CHANGES, 2, List.of(young))));
             }
         });
@@ -108,8 +110,8 @@
     }
 
     private void sent(Logic router, Fetch f) {
-        boolean fails = (f.member() != COLD || now < coldFrom) && random.nextDouble() < shareLate;
-        if (f.member() == COLD && now >= coldFrom) {
+        boolean fails = (f.member() != cold || now < coldFrom) && random.nextDouble() < shareLate;
+        if ((f.member() == cold || f.source() == cold) && now >= coldFrom) {
             sentToCold++;
             bookCold();
         }
@@ -119,18 +121,18 @@
         later(fails ? 2 * SECOND : WORK, () -> open--);
         later(fails ? 2 * SECOND : WORK, () -> handle(router, new AttemptEnded(f.id(), attempt, f.member(),
                 fails ? Outcome.TIMEOUT : Outcome.OK, fails ? 2 * SECOND : WORK, true,
-                fails ? FillNote.NONE : FillNote.HIT, 0, Map.of())));
+                fails ? FillNote.NONE : cold == COLD ? FillNote.HIT : FillNote.FILLED, 0, Map.of())));
     }
 
     private void bookCold() {
         Rules rules = setup.settings().rules();
-        ColdStart cold = rules.cache();
+        ColdStart start = cold == COLD ? rules.cache() : rules.parent();
         toCold.add(now);
         while (toCold.peekFirst() <= now - rules.overloadSpan()) {
             toCold.removeFirst();
         }
-        double share = cold.share() + (1 - cold.share()) * (now - coldFrom) / cold.warmAfter();
-        double budget = cold.multiple() * share * coldWidth * rules.overloadSpan();
+        double share = start.share() + (1 - start.share()) * (now - coldFrom) / start.warmAfter();
+        double budget = start.multiple() * share * coldWidth * rules.overloadSpan();
         worst = Math.max(worst, toCold.size() * WORK / budget);
     }
 
@@ -173,4 +175,15 @@
         play(crew, 3, 1, List.of());
         assertTrue(mostOpen <= 90, mostOpen + " attempts were out at four caches that answer nothing in time");
     }
+
+    /** A parent is everyone's: its budget is divided by very many, and fills are what it is asked for. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 40, 240})
+    void fillsOfHundredsOfRoutersWarmAParentWithoutPushingItOver(int crew) {
+        cold = COLD_PARENT;
+        coldWidth = 20;
+        play(crew, 0.8, 0, List.of(COLD_PARENT));
+        assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
+        assertTrue(sentToCold > 20, "only " + sentToCold + " fills in ten seconds");
+    }
 }
