--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -510,7 +510,6 @@
         } else if (e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.RESET) {
             job.failed.add(a.target.member.id());
             forget(entry(job), a.target);
-            a.target.coldFrom = Math.max(a.target.coldFrom, now);  // may be back cold before the list tells
             strike(a.target, true);
         } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
             tooMuch(a, null);
