--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -5,31 +5,126 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pumicemoor.net.NodeServer;
+import pumicemoor.node.NodeConfig;
 import pumicemoor.wire.Drill;
 import pumicemoor.wire.WireException;
 
-/** The command line. */
+/**
+ * The command line: it owns the way in and the exit codes, and must never hold anything that serving or
+ * deciding needs.
+ */
 public final class Main {
 
-    private static final String USAGE = "usage: java -jar pumicemoor.jar drill\n"
-            + "  drill   decide for the simulator: events on standard input, actions on standard output";
+    private static final String USAGE = """
+            usage: java -jar pumicemoor.jar COMMAND
+              serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
+              drill          decide for the simulator: events on standard input, actions on standard output
+              check-config   read a configuration and say whether it can be used: check-config [FILE]
+              version        print the version""";
+
+    /** A subcommand; it exits 0 when done, 1 on bad input. */
+    interface Command {
+        void run() throws IOException, WireException, InterruptedException;
+    }
+
+    @Argument(handler = SubCommandHandler.class, metaVar = "COMMAND", required = true)
+    @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "drill", impl = Replay.class),
+            @SubCommand(name = "check-config", impl = CheckConfig.class),
+            @SubCommand(name = "version", impl = Version.class)})
+    private Command command;
 
     private Main() {
     }
 
-    /** Runs the subcommand; exits 0 at the end of input, 1 on bad input, 2 on bad usage. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
+    /** Runs the subcommand; exits 0 at its end, 1 on bad input, 2 on bad usage. */
+    public static void main(String[] args) throws InterruptedException {
+        Main main = new Main();
+        try {
+            new CmdLineParser(main).parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println("pumicemoor: " + e.getMessage().lines().findFirst().orElse(""));
             System.err.println(USAGE);
             System.exit(2);
         }
-        try (FileInputStream in = new FileInputStream(FileDescriptor.in);
-                BufferedOutputStream out =
-                        new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-            new Drill(in, out).run();
+        try {
+            main.command.run();
         } catch (WireException | IOException e) {
             System.err.println("pumicemoor: " + e.getMessage());
             System.exit(1);
         }
     }
+
+    private static NodeConfig config(String file) throws IOException, WireException {
+        if (file == null) {
+            throw new WireException("no configuration: RELAY_CONFIG is not set");
+        }
+        return NodeConfig.parse(Files.readString(Path.of(file)));
+    }
+
+    /** Routes requests until the process is asked to end. */
+    public static final class Serve implements Command {
+        private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+        private static final long LONGEST_END = 10_000;
+
+        @Override
+        public void run() throws IOException, WireException, InterruptedException {
+            NodeServer server = new NodeServer(config(System.getenv("RELAY_CONFIG")));
+            server.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    server.terminate();
+                    server.awaitEnd(LONGEST_END);
+                    LOG.info("counters: {}", server.counters());
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }));
+        }
+    }
+
+    /** Decides for the simulator. */
+    public static final class Replay implements Command {
+        @Override
+        public void run() throws IOException, WireException {
+            try (FileInputStream in = new FileInputStream(FileDescriptor.in);
+                    BufferedOutputStream out =
+                            new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
+                new Drill(in, out).run();
+            }
+        }
+    }
+
+    /** Reads a configuration and says what it found. */
+    public static final class CheckConfig implements Command {
+        @Argument(metaVar = "FILE", usage = "the configuration; RELAY_CONFIG names it otherwise")
+        private String file = System.getenv("RELAY_CONFIG");
+
+        @Override
+        public void run() throws IOException, WireException {
+            NodeConfig config = config(file);
+            System.out.println("usable: router '" + config.name() + "' on " + config.listen() + ", "
+                    + config.words().settings().classes().size() + " classes, " + config.known().size()
+                    + " events known");
+        }
+    }
+
+    /** Prints the version. */
+    public static final class Version implements Command {
+        @Override
+        public void run() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("pumicemoor " + (version == null ? "(not packaged)" : version));
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/pumicemoor/net/CacheLine.java
@@ -0,0 +1,103 @@
+package pumicemoor.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.StringJoiner;
+import pumicemoor.node.Effect;
+import pumicemoor.node.Input.Word;
+
+/**
+ * The words of the lines between this router and cache servers. It owns no state, and must never put on a
+ * line what a client sent without its form having been checked.
+ */
+final class CacheLine {
+
+    private static final Map<String, Word> WORDS = words();
+
+    private CacheLine() {
+    }
+
+    private static Map<String, Word> words() {
+        Map<String, Word> words = new LinkedHashMap<>();
+        for (Word word : Word.values()) {
+            words.put(word.name().toLowerCase(Locale.ROOT), word);
+        }
+        return words;
+    }
+
+    /** The line of a request, up to its body. */
+    static ByteBuf ask(ByteBufAllocator allocator, Effect.Ask ask) {
+        StringBuilder line = new StringBuilder(192);
+        line.append("ASK ").append(ask.id()).append(" cls=").append(ask.requestClass()).append(",item=")
+                .append(ask.object()).append(",chunk=").append(ask.part()).append(",limit=")
+                .append(ask.limitMillis());
+        if (ask.source() != null) {
+            line.append(",miss=").append(ask.source());
+        }
+        if (ask.keepRank() > 0) {
+            line.append(",prio=").append(ask.keepRank());
+        }
+        if (ask.withinMillis() > 0) {
+            line.append(",within=").append(ask.withinMillis());
+        }
+        StringJoiner how = new StringJoiner("+", ",f=", "").setEmptyValue("");
+        if (ask.join()) {
+            how.add("collapse");
+        }
+        if (ask.onlyIfHeld()) {
+            how.add("only-if-cached");
+        }
+        if (ask.passParent()) {
+            how.add("no-store-up");
+        }
+        if (ask.renew()) {
+            how.add("refresh");
+        }
+        line.append(how);
+        if (ask.tag() != null) {
+            line.append(",mine=").append(ask.tag());
+        }
+        line.append(' ').append(ask.body().size()).append("\r\n");
+        return text(allocator, line);
+    }
+
+    /** What stands behind a body. */
+    static ByteBuf end(ByteBufAllocator allocator) {
+        return text(allocator, "\r\n");
+    }
+
+    static ByteBuf quit(ByteBufAllocator allocator, String id) {
+        return text(allocator, "QUIT " + id + "\r\n");
+    }
+
+    private static ByteBuf text(ByteBufAllocator allocator, CharSequence text) {
+        ByteBuf buffer = allocator.ioBuffer(text.length());
+        buffer.writeCharSequence(text, StandardCharsets.US_ASCII);
+        return buffer;
+    }
+
+    /** The word that ends an attempt; null for one that is not known. */
+    static Word word(String text) {
+        return WORDS.get(text);
+    }
+
+    /** A load report such as 'inflight:7;util:0.61'; what is no pair of name and number is skipped. */
+    static Map<String, Double> load(String text) {
+        Map<String, Double> load = new LinkedHashMap<>();
+        for (String pair : text == null ? new String[0] : text.split(";")) {
+            int at = pair.indexOf(':');
+            try {
+                if (at > 0) {
+                    load.put(pair.substring(0, at), Double.valueOf(pair.substring(at + 1)));
+                }
+            } catch (NumberFormatException e) {
+                // skipped
+            }
+        }
+        return load;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -0,0 +1,286 @@
+package pumicemoor.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pumicemoor.node.Counters;
+import pumicemoor.node.Counters.Name;
+import pumicemoor.node.Effect;
+import pumicemoor.node.Input;
+import pumicemoor.node.Input.Word;
+import pumicemoor.node.ResourceLimits;
+
+/**
+ * The connections to cache servers, parents and the origin, pooled by instance. It owns which attempt is
+ * where: queued, being written or out. An attempt leaves the queue only when the connection takes it, so
+ * that it can be taken back until then, and no id stands twice on one connection. It must never send an
+ * attempt a second time or to anyone but the member it was meant for.
+ */
+final class CacheLines {
+
+    private static final Logger LOG = LoggerFactory.getLogger(CacheLines.class);
+    private static final int SPENT_IDS = 4_096;  // given up on a connection before it is used no more
+
+    private final Bootstrap bootstrap;
+    private final ResourceLimits limits;
+    private final Counters counters;
+    private final NodeServer server;
+    private final Map<String, List<Line>> lines = new HashMap<>();
+    private final Map<Long, Line> lineOfAttempt = new HashMap<>();
+
+    CacheLines(Bootstrap bootstrap, ResourceLimits limits, Counters counters, NodeServer server) {
+        this.limits = limits;
+        this.counters = counters;
+        this.server = server;
+        this.bootstrap = bootstrap.clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.connectTimeout() / 1_000))
+                .option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    void ask(Effect.Ask ask) {
+        List<Line> pool = lines.computeIfAbsent(ask.instance(), i -> new ArrayList<>());
+        Line line = pool.stream().filter(l -> l.takes(ask)).findFirst().orElse(null);
+        if (line == null && pool.size() < limits.linesPerMember()) {
+            line = new Line(ask.instance(), ask.address());
+            pool.add(line);
+            line.open();
+        }
+        if (line == null) {
+            ask.body().release();
+            server.submit(new Input.Unreached(ask.attempt()));
+            return;
+        }
+        lineOfAttempt.put(ask.attempt(), line);
+        line.queue.add(ask);
+        line.pump();
+    }
+
+    void quit(Effect.Quit quit) {
+        Line line = lineOfAttempt.remove(quit.attempt());
+        if (line != null) {
+            line.quit(quit.attempt(), quit.tellCache());
+        }
+    }
+
+    void closeIdle(String instance) {
+        List.copyOf(lines.getOrDefault(instance, List.of())).stream().filter(Line::empty).forEach(Line::close);
+    }
+
+    void retire(String instance) {
+        lines.getOrDefault(instance, List.of()).forEach(l -> l.retired = true);
+        closeIdle(instance);
+    }
+
+    void drop(String instance, long openedBefore) {
+        List.copyOf(lines.getOrDefault(instance, List.of())).stream().filter(l -> l.openedAt < openedBefore)
+                .forEach(Line::close);
+    }
+
+    /** Closes what has carried nothing for a while, before the other side does. */
+    void sweep(long now) {
+        for (List<Line> pool : List.copyOf(lines.values())) {
+            List.copyOf(pool).stream().filter(l -> l.empty() && (l.retired || now - l.usedAt > limits.lineIdle()))
+                    .forEach(Line::close);
+        }
+    }
+
+    void closeAll() {
+        lines.values().stream().flatMap(p -> List.copyOf(p).stream()).toList().forEach(Line::close);
+    }
+
+    /** One connection. */
+    private final class Line extends SimpleChannelInboundHandler<AnswerDecoder.Answer> {
+        private final String instance;
+        private final String address;
+        private final long openedAt = server.clock();
+        private final Deque<Effect.Ask> queue = new ArrayDeque<>();
+        private final Map<String, Long> out = new LinkedHashMap<>();
+        private final Set<String> spent = new LinkedHashSet<>();  // given up; an answer may still cross
+        private Effect.Ask writing;
+        private Channel channel;
+        private boolean connected, pumping, retired, ended;
+        private long usedAt = openedAt;
+
+        Line(String instance, String address) {
+            this.instance = instance;
+            this.address = address;
+        }
+
+        void open() {
+            counters.add(Name.LINES_OPENED);
+            int colon = address.lastIndexOf(':');
+            Bootstrap opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new AnswerDecoder(limits.lineBytes(), limits.answerBytes()), Line.this);
+                }
+            });
+            ChannelFuture connecting = opening.connect(new InetSocketAddress(address.substring(0, colon),
+                    Integer.parseInt(address.substring(colon + 1))));
+            channel = connecting.channel();
+            connecting.addListener(done -> {
+                connected = done.isSuccess();
+                if (connected) {
+                    pump();
+                } else {
+                    ended();
+                }
+            });
+        }
+
+        boolean empty() {
+            return out.isEmpty() && queue.isEmpty() && writing == null;
+        }
+
+        boolean takes(Effect.Ask ask) {
+            return !retired && !ended && out.size() + queue.size() < limits.attemptsPerLine()
+                    && !out.containsKey(ask.id()) && !spent.contains(ask.id())
+                    && queue.stream().noneMatch(q -> q.id().equals(ask.id()));
+        }
+
+        /** Writes one request after the other, each only when the one before has left whole. */
+        void pump() {
+            if (pumping) {
+                return;
+            }
+            pumping = true;
+            while (connected && !ended && writing == null && !queue.isEmpty()) {
+                Effect.Ask ask = queue.poll();
+                writing = ask;
+                out.put(ask.id(), ask.attempt());
+                ByteBuf body = NettyBytes.buffer(ask.body());
+                channel.write(CacheLine.ask(channel.alloc(), ask), channel.voidPromise());
+                if (body != null) {
+                    channel.write(body, channel.voidPromise());
+                }
+                channel.writeAndFlush(CacheLine.end(channel.alloc())).addListener(done -> {
+                    if (done.isSuccess()) {
+                        writing = null;
+                        usedAt = server.clock();
+                        server.submit(new Input.Written(ask.attempt()));
+                        pump();
+                    }
+                });
+            }
+            pumping = false;
+        }
+
+        void quit(long attempt, boolean tellCache) {
+            if (queue.removeIf(q -> {
+                boolean found = q.attempt() == attempt;
+                if (found) {
+                    q.body().release();
+                }
+                return found;
+            })) {
+                return;
+            }
+            if (writing != null && writing.attempt() == attempt) {
+                close();  // half a request is on it
+                return;
+            }
+            String id = out.entrySet().stream().filter(e -> e.getValue() == attempt).map(Map.Entry::getKey)
+                    .findFirst().orElse(null);
+            if (id != null && tellCache) {
+                out.remove(id);
+                spent.add(id);
+                retired |= spent.size() > SPENT_IDS;
+                if (channel.isActive()) {
+                    channel.writeAndFlush(CacheLine.quit(channel.alloc(), id), channel.voidPromise());
+                }
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, AnswerDecoder.Answer answer) {
+            usedAt = server.clock();
+            Long attempt = out.remove(answer.id());
+            Word word = CacheLine.word(answer.word());
+            if (attempt == null || word == null) {
+                if (attempt != null || !spent.remove(answer.id())) {
+                    counters.add(Name.BAD_INPUT);
+                    LOG.warn("member {} sent the answer '{}' to nothing asked", instance, answer.word());
+                }
+                answer.body().release();
+                if (attempt != null) {
+                    lineOfAttempt.remove(attempt);
+                    server.submit(new Input.Broken(attempt));
+                }
+                return;
+            }
+            lineOfAttempt.remove(attempt);
+            counters.add(Name.BYTES_IN, answer.body().readableBytes());
+            server.submit(new Input.Answered(attempt, word, answer.fields().get("tell"),
+                    CacheLine.load(answer.fields().get("meter")), NettyBytes.of(answer.body())));
+            if (retired && empty()) {
+                close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ended();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof DecoderException) {
+                counters.add(Name.BAD_INPUT);
+                LOG.warn("a connection to member {} was closed: {}", instance, cause.getMessage());
+            }
+            close();
+        }
+
+        void close() {
+            channel.close();
+            ended();
+        }
+
+        /** Everything on it ends here: what was not written whole never ran, of the rest nothing is known. */
+        private void ended() {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            List<Line> pool = lines.get(instance);
+            pool.remove(this);
+            if (pool.isEmpty()) {
+                lines.remove(instance);
+            }
+            List<Input> ends = new ArrayList<>();
+            out.values().forEach(a -> ends.add(writing != null && writing.attempt() == a
+                    ? new Input.Unreached(a) : new Input.Broken(a)));
+            queue.forEach(q -> {
+                q.body().release();
+                ends.add(new Input.Unreached(q.attempt()));
+            });
+            out.keySet().clear();
+            queue.clear();
+            writing = null;
+            for (Input end : ends) {
+                lineOfAttempt.remove(end instanceof Input.Broken b ? b.attempt()
+                        : ((Input.Unreached) end).attempt());
+                server.submit(end);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -0,0 +1,119 @@
+package pumicemoor.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.regex.Pattern;
+import pumicemoor.node.Bytes;
+import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Input;
+
+/**
+ * The form of the frames between clients and this router: reads those of clients, writes the router's. It
+ * owns no state and must never judge a request beyond whether its form can be read.
+ */
+final class ClientFrame {
+
+    static final int LENGTH_BYTES = 4;
+    static final int READY_ASKED = 1;
+    static final int READY = 2;
+    static final int DRAIN = 3;
+    static final int REQUEST = 7;
+    static final int ANSWER = 8;
+    static final int WITHDRAWN = 9;
+
+    private static final int HEADER = 1 + 4;
+    private static final Pattern WORD = Pattern.compile("[0-9A-Za-z._~-]{1,64}");
+
+    private ClientFrame() {
+    }
+
+    /** The request that follows type and stream; the body stays a slice of the frame. */
+    static Input.Request request(long connection, int stream, ByteBuf frame, int longestBody) {
+        Map<String, String> fields = fields(frame);
+        if (frame.readableBytes() > longestBody) {
+            throw new CorruptedFrameException("a body of " + frame.readableBytes() + " bytes is too long");
+        }
+        String tag = fields.get("ver");
+        return new Input.Request(connection, stream, word(fields, "call"), word(fields, "op"),
+                word(fields, "row"), (int) number(fields, "piece", 0, 0, Integer.MAX_VALUE),
+                (int) number(fields, "lot", -1, 0, 255), tag != null && WORD.matcher(tag).matches() ? tag : null,
+                number(fields, "ttl", -1, 0, Integer.MAX_VALUE), "1".equals(fields.get("rep")),
+                frame.isReadable() ? NettyBytes.of(frame.readRetainedSlice(frame.readableBytes())) : Bytes.NONE);
+    }
+
+    private static Map<String, String> fields(ByteBuf frame) {
+        try {
+            Map<String, String> fields = new LinkedHashMap<>();
+            for (int left = frame.readUnsignedByte(); left > 0; left--) {
+                String name = frame.readString(frame.readUnsignedByte(), StandardCharsets.UTF_8);
+                fields.put(name, frame.readString(frame.readUnsignedShort(), StandardCharsets.UTF_8));
+            }
+            return fields;
+        } catch (IndexOutOfBoundsException e) {
+            throw new CorruptedFrameException("the fields end early");
+        }
+    }
+
+    private static String word(Map<String, String> fields, String name) {
+        String value = fields.get(name);
+        if (value == null || !WORD.matcher(value).matches()) {
+            throw new CorruptedFrameException("field '" + name + "' cannot be used");
+        }
+        return value;
+    }
+
+    private static long number(Map<String, String> fields, String name, long absent, long least, long most) {
+        String value = fields.get(name);
+        if (value == null && name.equals("ttl")) {
+            throw new CorruptedFrameException("field 'ttl' is missing");
+        }
+        try {
+            long number = value == null ? absent : Long.parseLong(value);
+            if (value == null || number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        throw new CorruptedFrameException("field '" + name + "' is not a number that can be used");
+    }
+
+    /** All of an answer's frame but the body, which follows it unaltered. */
+    static ByteBuf answerHead(ByteBufAllocator allocator, int stream, Code code, boolean unchanged,
+            long pushbackMillis, int bodySize) {
+        ByteBuf head = allocator.ioBuffer(64);
+        head.writeInt(0);
+        head.writeByte(ANSWER).writeInt(stream);
+        head.writeByte(code == Code.SERVED ? 1 : code == Code.REFUSED ? 0 : 9);
+        head.writeByte((unchanged ? 1 : 0) + (pushbackMillis > 0 ? 1 : 0));
+        if (unchanged) {
+            field(head, "unchanged", "1");
+        }
+        if (pushbackMillis > 0) {
+            field(head, "pushback", Long.toString(pushbackMillis));
+        }
+        return head.setInt(0, head.readableBytes() - LENGTH_BYTES + bodySize);
+    }
+
+    private static void field(ByteBuf out, String name, String value) {
+        out.writeByte(name.length());
+        out.writeCharSequence(name, StandardCharsets.US_ASCII);
+        out.writeShort(value.length());
+        out.writeCharSequence(value, StandardCharsets.US_ASCII);
+    }
+
+    /** The answer to whether the router is ready. */
+    static ByteBuf ready(ByteBufAllocator allocator, int stream, boolean ready) {
+        return allocator.ioBuffer(16).writeInt(HEADER + 2).writeByte(READY).writeInt(stream)
+                .writeByte(ready ? 1 : 0).writeByte(0);
+    }
+
+    /** Bring no new request on this connection. */
+    static ByteBuf drain(ByteBufAllocator allocator) {
+        return allocator.ioBuffer(16).writeInt(HEADER).writeByte(DRAIN).writeInt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -0,0 +1,212 @@
+package pumicemoor.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pumicemoor.Logic;
+import pumicemoor.node.Counters;
+import pumicemoor.node.Effect;
+import pumicemoor.node.Input;
+import pumicemoor.node.NodeConfig;
+import pumicemoor.node.Reducer;
+import pumicemoor.node.ResourceLimits;
+
+/**
+ * The router on sockets: one event loop that hands every input to the reducer, one after the other, and
+ * carries out its effects. It owns the listening socket, the clock and the loop's one timer, and must never
+ * decide anything about a request.
+ */
+public final class NodeServer {
+
+    private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
+
+    private final NodeConfig config;
+    private final ResourceLimits limits;
+    private final Counters counters = new Counters();
+    private final Reducer reducer;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final CacheLines lines;
+    private final CoordinatorStream coordinator;
+    private final Map<Long, ClientConnection> clients = new HashMap<>();
+    private final Queue<Input> inbox = new ArrayDeque<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Channel listener;
+    private long lastClient;
+    private boolean working;
+    private boolean draining;
+    private long wakeAt = Long.MAX_VALUE;
+
+    public NodeServer(NodeConfig config) {
+        this.config = config;
+        this.limits = ResourceLimits.of(config.words().settings(), config.figures());
+        this.reducer = new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits,
+                counters);
+        Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
+        this.lines = new CacheLines(connections, limits, counters, this);
+        this.coordinator = config.coordinator().isEmpty() ? null
+                : new CoordinatorStream(connections, config.coordinator(), limits, reducer::lastUpdate, this);
+    }
+
+    /** Listens and follows the coordinator; returns when both have begun. */
+    public void start() throws InterruptedException {
+        loop.submit(() -> {
+            reducer.known(clock(), config, effects::add);
+            work();
+            loop.scheduleAtFixedRate(() -> lines.sweep(clock()), 1, 1, TimeUnit.SECONDS);
+            if (coordinator != null) {
+                coordinator.open();
+            }
+        }).sync();
+        int colon = config.listen().lastIndexOf(':');
+        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(
+                                new LengthFieldBasedFrameDecoder(limits.frameBytes() + ClientFrame.LENGTH_BYTES, 0,
+                                        ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES),
+                                new ClientConnection(++lastClient, limits, counters, NodeServer.this));
+                    }
+                }).bind(new InetSocketAddress(config.listen().substring(0, colon),
+                        Integer.parseInt(config.listen().substring(colon + 1)))).sync().channel();
+        LOG.info("{} listens on {}", config.name(), config.listen());
+    }
+
+    /** Ends the router in good order: no new requests, all that are open answered, then out. */
+    public void terminate() {
+        loop.execute(() -> submit(new Input.Terminate()));
+    }
+
+    /** Waits for the end; true once it has come within that time. */
+    public boolean awaitEnd(long millis) throws InterruptedException {
+        return ended.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Unix time in microseconds. */
+    long clock() {
+        Instant now = Instant.now();
+        return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
+    }
+
+    boolean ready() {
+        return reducer.ready();
+    }
+
+    void opened(long number, ClientConnection client) {
+        clients.put(number, client);
+        if (draining) {
+            client.drain();
+        }
+    }
+
+    void closed(long number) {
+        clients.remove(number);
+    }
+
+    /** Takes an input on the loop's thread; one that comes while another is worked on waits its turn. */
+    void submit(Input input) {
+        inbox.add(input);
+        work();
+    }
+
+    private void work() {
+        if (working) {
+            return;
+        }
+        working = true;
+        try {
+            carryOut();
+            for (Input input = inbox.poll(); input != null; input = inbox.poll()) {
+                reducer.accept(clock(), input, effects::add);
+                carryOut();
+            }
+        } finally {
+            working = false;
+        }
+        long due = reducer.nextDue();
+        if (due < wakeAt) {
+            wakeAt = due;
+            loop.schedule(this::wake, Math.max(0, due - clock()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void wake() {
+        wakeAt = Long.MAX_VALUE;
+        submit(new Input.Due());
+    }
+
+    private void carryOut() {
+        for (int i = 0; i < effects.size(); i++) {
+            carryOut(effects.get(i));
+        }
+        effects.clear();
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.Ask ask) {
+            lines.ask(ask);
+        } else if (effect instanceof Effect.Quit quit) {
+            lines.quit(quit);
+        } else if (effect instanceof Effect.Answer answer) {
+            ClientConnection client = clients.get(answer.connection());
+            if (client == null) {
+                answer.body().release();
+            } else {
+                client.answer(answer);
+            }
+        } else if (effect instanceof Effect.CloseIdle close) {
+            lines.closeIdle(close.instance());
+        } else if (effect instanceof Effect.Drop drop) {
+            lines.drop(drop.instance(), drop.openedBefore());
+        } else if (effect instanceof Effect.Retire retire) {
+            lines.retire(retire.instance());
+        } else if (effect instanceof Effect.Drain) {
+            draining = true;
+            clients.values().forEach(ClientConnection::drain);
+        } else if (effect instanceof Effect.Exit) {
+            end();
+        }
+    }
+
+    private void end() {
+        listener.close();
+        if (coordinator != null) {
+            coordinator.close();
+        }
+        lines.closeAll();
+        clients.values().stream().toList().forEach(ClientConnection::close);
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -0,0 +1,47 @@
+package pumicemoor.node;
+
+/**
+ * Everything that the reducer may ask of the network. An effect is an order, complete in itself; it must
+ * never need a look into the reducer to be carried out, nor leave anything to be decided. Bodies pass into
+ * the hands of the one who carries it out.
+ */
+public sealed interface Effect {
+
+    /** The codes of a final answer. */
+    enum Code { SERVED, REFUSED, FAILED }
+
+    /** Write this request to a member; source null names none, within 0 leaves the class's bound. */
+    record Ask(long attempt, String instance, String address, String id, String requestClass, String object,
+            int part, long limitMillis, String source, int keepRank, long withinMillis, boolean join,
+            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, Bytes body) implements Effect {
+    }
+
+    /** Give an attempt up: take it back where it was not written whole, else tell the cache if that is told. */
+    record Quit(long attempt, boolean tellCache) implements Effect {
+    }
+
+    /** The one final answer of a request; pushback 0 gives no advice. */
+    record Answer(long connection, int stream, Code code, boolean unchanged, long pushbackMillis, Bytes body)
+            implements Effect {
+    }
+
+    /** Close the connections to a member that carry nothing. */
+    record CloseIdle(String instance) implements Effect {
+    }
+
+    /** Connections to a member opened before this time (Unix microseconds) lead nowhere: drop them. */
+    record Drop(String instance, long openedBefore) implements Effect {
+    }
+
+    /** A member is gone: use its connections for nothing new, close them when they carry nothing. */
+    record Retire(String instance) implements Effect {
+    }
+
+    /** Tell every client, also those still to come, to bring no new request. */
+    record Drain() implements Effect {
+    }
+
+    /** All is done: end the process. */
+    record Exit() implements Effect {
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -0,0 +1,56 @@
+package pumicemoor.node;
+
+import java.util.Map;
+
+/**
+ * Everything that can happen to a router, as the reducer sees it. These are plain facts with no reading of
+ * what they mean; they must never hold a connection or anything else of the network, only numbers for it.
+ * Bodies pass into the hands of the reducer with their input.
+ */
+public sealed interface Input {
+
+    /** A client's request; the part defaults to 0, the group to -1, the tag to null where absent. */
+    record Request(long connection, int stream, String call, String requestClass, String object, int part,
+            int group, String tag, long ttlMillis, boolean repeat, Bytes body) implements Input {
+    }
+
+    /** The client no longer waits for this stream. */
+    record Withdrawn(long connection, int stream) implements Input {
+    }
+
+    /** A client's connection has ended, and with it all that was open there. */
+    record ClientClosed(long connection) implements Input {
+    }
+
+    /** The words with which a cache ends an attempt. */
+    enum Word { DATA, UNCHANGED, ABSENT, FULL, FAILED, MOOT }
+
+    /** A cache's whole answer; note null and load empty where they are absent. */
+    record Answered(long attempt, Word word, String note, Map<String, Double> load, Bytes body)
+            implements Input {
+    }
+
+    /** The last byte of an attempt was written. */
+    record Written(long attempt) implements Input {
+    }
+
+    /** An attempt that was never written whole, so that it never ran. */
+    record Unreached(long attempt) implements Input {
+    }
+
+    /** The connection of an attempt ended after it was written whole. */
+    record Broken(long attempt) implements Input {
+    }
+
+    /** One event of the coordinator, as its JSON text. */
+    record Update(String json) implements Input {
+    }
+
+    /** The time that the reducer asked to be called at has come. */
+    record Due() implements Input {
+    }
+
+    /** The process was asked to end. */
+    record Terminate() implements Input {
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -0,0 +1,500 @@
+package pumicemoor.node;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pumicemoor.RouterApi;
+import pumicemoor.RouterApi.Action;
+import pumicemoor.RouterApi.AttemptEnded;
+import pumicemoor.RouterApi.Cancel;
+import pumicemoor.RouterApi.CloseIdle;
+import pumicemoor.RouterApi.Event;
+import pumicemoor.RouterApi.Fail;
+import pumicemoor.RouterApi.Fetch;
+import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.ListKind;
+import pumicemoor.RouterApi.Log;
+import pumicemoor.RouterApi.Lookup;
+import pumicemoor.RouterApi.Member;
+import pumicemoor.RouterApi.MembersListed;
+import pumicemoor.RouterApi.Outcome;
+import pumicemoor.RouterApi.Purged;
+import pumicemoor.RouterApi.Refuse;
+import pumicemoor.RouterApi.RequestArrived;
+import pumicemoor.RouterApi.RequestGone;
+import pumicemoor.RouterApi.SetTimer;
+import pumicemoor.RouterApi.Settings;
+import pumicemoor.RouterApi.State;
+import pumicemoor.RouterApi.TimerDue;
+import pumicemoor.node.Counters.Name;
+import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Input.Word;
+import pumicemoor.wire.Message;
+import pumicemoor.wire.Vocabulary;
+import pumicemoor.wire.WireException;
+
+/**
+ * The one place where the state of a router changes. It owns the open requests, their attempts, the
+ * addresses of the members and all timers; it takes one input and the time, drives the decision module and
+ * hands out effects. It sees to what a module may take for granted: each request gets one final answer by
+ * its deadline, each attempt one end, and none is sent for a request that is over. It must never steer a
+ * request itself, and never touch a connection, a clock or a thread, so that tests can play whole days.
+ */
+public final class Reducer {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Reducer.class);
+    private static final long MILLI = 1_000;
+    private static final Map<String, FillNote> NOTES = Map.ofEntries(Map.entry("mem", FillNote.HIT),
+            Map.entry("parent", FillNote.FILLED), Map.entry("origin", FillNote.FILLED_BY_ORIGIN),
+            Map.entry("shared", FillNote.JOINED), Map.entry("old", FillNote.STALE),
+            Map.entry("denied", FillNote.SOURCE_REFUSED), Map.entry("unreached", FillNote.SOURCE_FAILED),
+            Map.entry("absent", FillNote.SOURCE_LACKS), Map.entry("crowded", FillNote.NO_PLACE),
+            Map.entry("behind", FillNote.ORIGIN_FAILED));
+    private static final Map<Word, Outcome> OUTCOMES = Map.of(Word.DATA, Outcome.OK, Word.UNCHANGED, Outcome.OK,
+            Word.ABSENT, Outcome.MISS, Word.FULL, Outcome.FULL, Word.FAILED, Outcome.ERROR, Word.MOOT,
+            Outcome.MOOT);
+    private static final Map<String, State> STATES =
+            Map.of("active", State.READY, "leaving", State.DRAINING, "left", State.GONE);
+
+    private final RouterApi router;
+    private final Settings settings;
+    private final Vocabulary words;
+    private final ResourceLimits limits;
+    private final Counters counters;
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<Stream, Request> unanswered = new LinkedHashMap<>();
+    private final Map<Long, Attempt> attempts = new HashMap<>();
+    private final Map<Long, Endpoint> endpoints = new HashMap<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Queue<Event> events = new ArrayDeque<>();
+    private Consumer<Effect> out;
+    private long now;
+    private long numbers;  // of requests, attempts and timers, each its own
+    private long lastUpdate;
+    private long terminatedAt = -1;
+    private boolean exited;
+
+    /** What a client's connection and a stream on it name together. */
+    private record Stream(long connection, int stream) {
+    }
+
+    /** Where a member listens, and the start of the process that does. */
+    private record Endpoint(String instance, String address, long started) {
+    }
+
+    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, EXIT_IF_QUIET, EXIT }
+
+    private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    /** A request that is owed an answer, or whose attempts are still out. */
+    private static final class Request {
+        Input.Request asked;
+        String id;
+        Stream stream;
+        long deadline;
+        boolean over;
+        int sent;
+        final Map<Integer, Attempt> out = new LinkedHashMap<>();
+    }
+
+    private static final class Attempt {
+        Request request;
+        long key, member, sentAt;
+        int number;
+        boolean written;
+    }
+
+    public Reducer(RouterApi router, Vocabulary words, ResourceLimits limits, Counters counters) {
+        this.router = router;
+        this.settings = words.settings();
+        this.words = words;
+        this.limits = limits;
+        this.counters = counters;
+    }
+
+    /** When the next Due input is wanted; Long.MAX_VALUE for never. */
+    public long nextDue() {
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at();
+    }
+
+    /** The number of the last event of the coordinator that was taken. */
+    public long lastUpdate() {
+        return lastUpdate;
+    }
+
+    public int openRequests() {
+        return unanswered.size();
+    }
+
+    /** Takes one input; the effects, in their order, go to the sink. */
+    public void accept(long time, Input input, Consumer<Effect> effects) {
+        now = Math.max(now, time);
+        out = effects;
+        if (input instanceof Input.Request r) {
+            arrived(r);
+        } else if (input instanceof Input.Answered a) {
+            answered(a);
+        } else if (input instanceof Input.Written w) {
+            if (attempts.get(w.attempt()) != null) {
+                attempts.get(w.attempt()).written = true;
+            }
+        } else if (input instanceof Input.Due) {
+            due();
+        } else if (input instanceof Input.Withdrawn w) {
+            withdrawn(unanswered.get(new Stream(w.connection(), w.stream())));
+        } else if (input instanceof Input.ClientClosed c) {
+            unanswered.values().stream().filter(r -> r.stream.connection() == c.connection()).toList()
+                    .forEach(this::withdrawn);
+        } else if (input instanceof Input.Unreached u) {
+            end(attempts.get(u.attempt()), Outcome.CONNECT_FAILED);
+        } else if (input instanceof Input.Broken b) {
+            end(attempts.get(b.attempt()), Outcome.RESET);
+        } else if (input instanceof Input.Update u) {
+            updated(u.json());
+        } else if (input instanceof Input.Terminate) {
+            terminate();
+        }
+        drive();
+        if (terminatedAt >= 0 && !exited && unanswered.isEmpty()
+                && now >= terminatedAt + limits.quietAfterTerm()) {
+            exited = true;
+            out.accept(new Effect.Exit());
+        }
+    }
+
+    /** Tells the module what has happened, until nothing more follows from it. */
+    private void drive() {
+        for (Event event = events.poll(); event != null; event = events.poll()) {
+            try {
+                router.handle(now, event, this::act);
+            } catch (RuntimeException e) {
+                counters.add(Name.FAULTS);
+                LOG.error("the decisions failed at {}", event, e);
+            }
+        }
+    }
+
+    // ---- requests -------------------------------------------------------------------------------------
+
+    private void arrived(Input.Request asked) {
+        counters.add(Name.REQUESTS);
+        Stream stream = new Stream(asked.connection(), asked.stream());
+        Request request = new Request();
+        request.asked = asked;
+        request.stream = stream;
+        request.id = Long.toString(++numbers);
+        request.deadline = now + Math.max(0, asked.ttlMillis()) * MILLI;
+        unanswered.put(stream, request);
+        int requestClass = requestClass(asked);
+        if (requestClass < 0) {
+            counters.add(Name.BAD_INPUT);
+            answer(request, Code.FAILED, false, 0, Bytes.NONE);
+        } else if (unanswered.size() > limits.openRequests()) {
+            counters.add(Name.TURNED_AWAY);
+            answer(request, Code.REFUSED, false, 0, Bytes.NONE);
+        } else {
+            requests.put(request.id, request);
+            timer(request.deadline + limits.answerGuard(), Kind.OVERDUE, Long.parseLong(request.id));
+            events.add(new RequestArrived(request.id, requestClass, asked.object(), asked.part(),
+                    asked.group(), 0, request.deadline - now, asked.repeat()));
+        }
+    }
+
+    private int requestClass(Input.Request asked) {
+        try {
+            return words.requestClass(asked.requestClass());
+        } catch (WireException e) {
+            LOG.warn("a request was failed: {}", e.getMessage());
+            return -1;
+        }
+    }
+
+    /** The client has left: no answer is owed any more. */
+    private void withdrawn(Request request) {
+        if (request != null) {
+            counters.add(Name.WITHDRAWN);
+            close(request);
+            events.add(new RequestGone(request.id));
+        }
+    }
+
+    /** The one final answer; there is none once the request is over. */
+    private boolean answer(Request request, Code code, boolean unchanged, long pushbackMillis, Bytes body) {
+        if (request == null || request.over) {
+            body.release();
+            return false;
+        }
+        counters.add(code == Code.SERVED ? unchanged ? Name.UNCHANGED : Name.SERVED
+                : code == Code.REFUSED ? Name.REFUSED : Name.FAILED);
+        close(request);
+        out.accept(new Effect.Answer(request.stream.connection(), request.stream.stream(), code, unchanged,
+                pushbackMillis, body));
+        return true;
+    }
+
+    private void close(Request request) {
+        request.over = true;
+        request.asked.body().release();
+        unanswered.remove(request.stream);
+        forgetIfDone(request);
+    }
+
+    private void forgetIfDone(Request request) {
+        if (request.over && request.out.isEmpty()) {
+            requests.remove(request.id);
+        }
+    }
+
+    // ---- what the module asks for ---------------------------------------------------------------------
+
+    private void act(Action action) {
+        if (action instanceof Fetch f) {
+            send(requests.get(f.id()), f);
+        } else if (action instanceof Lookup l) {  // no fill: what the member holds
+            send(requests.get(l.id()), new Fetch(l.id(), l.member(), l.member(), 0, 0, false, false, false, false,
+                    l.timeout()));
+        } else if (action instanceof Cancel c) {
+            Request request = requests.get(c.id());
+            Attempt attempt = request == null ? null : request.out.get(c.attempt());
+            if (attempt != null) {
+                quit(attempt);
+                end(attempt, Outcome.CANCELLED);
+            }
+        } else if (action instanceof Refuse r) {
+            answer(requests.get(r.id()), Code.REFUSED, false, (r.retryAfter() + MILLI - 1) / MILLI, Bytes.NONE);
+        } else if (action instanceof Fail f) {
+            answer(requests.get(f.id()), Code.FAILED, false, 0, Bytes.NONE);
+        } else if (action instanceof SetTimer t) {
+            timer(now + Math.max(1, t.delay()), Kind.MODULE, t.token());
+        } else if (action instanceof CloseIdle c && endpoints.containsKey(c.member())) {
+            out.accept(new Effect.CloseIdle(endpoints.get(c.member()).instance()));
+        } else if (action instanceof Log l) {
+            LOG.info("{}", l.text());
+        }
+    }
+
+    private void send(Request request, Fetch f) {
+        if (request == null) {
+            throw new IllegalStateException("an attempt for the request " + f.id() + ", which is not open");
+        }
+        Endpoint target = endpoints.get(f.member());
+        Endpoint source = endpoints.get(f.source());
+        if (target == null || source == null) {
+            throw new IllegalStateException("an attempt at a member that was never listed");
+        }
+        Attempt attempt = new Attempt();
+        attempt.request = request;
+        attempt.key = ++numbers;
+        attempt.number = request.sent++;
+        attempt.member = f.member();
+        attempt.sentAt = now;
+        attempts.put(attempt.key, attempt);
+        request.out.put(attempt.number, attempt);
+        long until = f.timeout() > 0 ? Math.min(request.deadline, now + f.timeout()) : request.deadline;
+        if (request.over || f.timeout() < 0 || until <= now || request.sent > settings.limits().attempts()) {
+            end(attempt, Outcome.MOOT);
+            return;
+        }
+        counters.add(Name.ATTEMPTS);
+        timer(until, Kind.ATTEMPT, attempt.key);
+        timer(now + limits.unwritten(), Kind.UNWRITTEN, attempt.key);
+        Input.Request asked = request.asked;
+        out.accept(new Effect.Ask(attempt.key, target.instance(), target.address(), asked.call(),
+                asked.requestClass(), asked.object(), asked.part(), Math.max(1, (until - now) / MILLI),
+                f.source() == f.member() ? null : source.instance(), f.keepRank(),
+                f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0, f.join(), f.onlyIfHeld(), f.passParent(),
+                f.renew(), asked.tag(), asked.body().retain()));
+    }
+
+    private void quit(Attempt attempt) {
+        counters.add(Name.QUITS);
+        out.accept(new Effect.Quit(attempt.key, settings.limits().cancel()));
+    }
+
+    // ---- outcomes -------------------------------------------------------------------------------------
+
+    private void answered(Input.Answered a) {
+        Attempt attempt = attempts.get(a.attempt());
+        if (attempt == null) {
+            counters.add(Name.LATE_ANSWERS);
+            a.body().release();
+            return;
+        }
+        Outcome outcome = OUTCOMES.get(a.word());
+        if (outcome == Outcome.OK) {
+            answer(attempt.request, Code.SERVED, a.word() == Word.UNCHANGED, 0, a.body());
+        } else {
+            a.body().release();
+        }
+        end(attempt, outcome, a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
+                a.load());
+    }
+
+    private void end(Attempt attempt, Outcome outcome) {
+        end(attempt, outcome, FillNote.NONE, Map.of());
+    }
+
+    private void end(Attempt attempt, Outcome outcome, FillNote note, Map<String, Double> load) {
+        if (attempt == null) {
+            return;
+        }
+        Request request = attempt.request;
+        attempts.remove(attempt.key);
+        request.out.remove(attempt.number);
+        counters.add(Name.valueOf(outcome.name()));
+        events.add(new AttemptEnded(request.id, attempt.number, attempt.member, outcome, now - attempt.sentAt,
+                request.over, note, 0, load));
+        forgetIfDone(request);
+    }
+
+    // ---- timers ---------------------------------------------------------------------------------------
+
+    private void timer(long at, Kind kind, long about) {
+        timers.add(new Timer(at, ++numbers, kind, about));
+    }
+
+    private void due() {
+        while (!timers.isEmpty() && timers.peek().at() <= now) {
+            Timer timer = timers.poll();
+            Attempt attempt = attempts.get(timer.about());
+            switch (timer.kind()) {
+                case MODULE -> events.add(new TimerDue(timer.about()));
+                case ATTEMPT -> {
+                    if (attempt != null) {
+                        quit(attempt);
+                        end(attempt, Outcome.TIMEOUT);
+                    }
+                }
+                case UNWRITTEN -> {
+                    if (attempt != null && !attempt.written) {
+                        quit(attempt);
+                        end(attempt, Outcome.CONNECT_FAILED);
+                    }
+                }
+                case OVERDUE -> overdue(requests.get(Long.toString(timer.about())));
+                case EXIT -> {
+                    List.copyOf(unanswered.values()).forEach(this::overdue);
+                }
+                case EXIT_IF_QUIET -> {
+                    // the check after each input does it
+                }
+            }
+            drive();
+        }
+    }
+
+    /** The module owes an answer and has given none: the request fails here. */
+    private void overdue(Request request) {
+        if (request != null && answer(request, Code.FAILED, false, 0, Bytes.NONE)) {
+            counters.add(Name.OVERDUE);
+            events.add(new RequestGone(request.id));
+        }
+    }
+
+    private void terminate() {
+        if (terminatedAt < 0) {
+            terminatedAt = now;
+            timer(now + limits.quietAfterTerm(), Kind.EXIT_IF_QUIET, 0);
+            timer(now + limits.lastAfterTerm(), Kind.EXIT, 0);
+            out.accept(new Effect.Drain());
+        }
+    }
+
+    /** Whether new requests are wanted: the members are known and the process is not about to end. */
+    public boolean ready() {
+        return terminatedAt < 0 && !endpoints.isEmpty();
+    }
+
+    // ---- what the coordinator tells -------------------------------------------------------------------
+
+    private void updated(String json) {
+        try {
+            updated(Message.parse(json));
+        } catch (WireException e) {
+            counters.add(Name.BAD_INPUT);
+            LOG.error("an event of the coordinator was skipped: {}", e.getMessage());
+        }
+    }
+
+    /** Takes the events that were known at the start. */
+    public void known(long time, NodeConfig config, Consumer<Effect> effects) {
+        now = time;
+        out = effects;
+        for (Message update : config.known()) {
+            try {
+                updated(update);
+            } catch (WireException e) {
+                counters.add(Name.BAD_INPUT);
+                LOG.error("a known event was skipped: {}", e.getMessage());
+            }
+            drive();
+        }
+        lastUpdate = Math.max(lastUpdate, config.knownIndex());
+    }
+
+    private void updated(Message update) throws WireException {
+        long index = update.integer("index", lastUpdate + 1);
+        if (index <= lastUpdate) {
+            return;  // told before
+        }
+        lastUpdate = index;
+        counters.add(Name.UPDATES);
+        if (update.has("endpoints")) {
+            listed(update.object("endpoints"));
+        }
+        if (update.has("evict")) {
+            counters.add(Name.PURGES);
+            Message purge = update.object("evict");
+            long age = Math.max(0, now - purge.integer("unix_ms") * MILLI);
+            events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1), age));
+        }
+    }
+
+    private void listed(Message list) throws WireException {
+        List<Member> members = new ArrayList<>();
+        for (Message line : list.objects("instances")) {
+            counters.add(Name.LIST_LINES);
+            String instance = line.text("instanceId");
+            State state = STATES.get(line.text("lifecycle"));
+            if (state == null) {
+                throw new WireException("unknown lifecycle '" + line.text("lifecycle") + "'");
+            }
+            Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
+                    words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
+                    line.integer("startedAtMs", 0) * MILLI, state);
+            members.add(member);
+            Endpoint before = endpoints.put(member.id(),
+                    new Endpoint(instance, line.text("hostPort"), member.started()));
+            if (state == State.GONE) {
+                out.accept(new Effect.Retire(instance));
+            } else if (before != null && before.started() != member.started()) {
+                out.accept(new Effect.Drop(instance, member.started()));
+            }
+        }
+        events.add(new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
+                list.integer("generation", 0), members));
+    }
+
+    /** A number for a member that is the same at every router and every start: FNV-1a over its name. */
+    static long memberId(String instance) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte b : instance.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -0,0 +1,38 @@
+package pumicemoor.node;
+
+import pumicemoor.RouterApi.RequestClass;
+import pumicemoor.RouterApi.Settings;
+
+/**
+ * All sizes, counts and times by which the router guards its own resources, filled once at start and handed
+ * down. It must never hold a value by which requests are steered: those stand in the decision module. Times
+ * are microseconds, sizes bytes.
+ */
+public record ResourceLimits(int openRequests, int openPerClient, int clients, int frameBytes, int requestBytes,
+        int answerBytes, int lineBytes, long bufferedBytes, int clientBacklogBytes, int linesPerMember,
+        int attemptsPerLine, long connectTimeout, long unwritten, long lineIdle, long feedSilence,
+        long feedRetry, long answerGuard, long quietAfterTerm, long lastAfterTerm) {
+
+    private static final long MILLI = 1_000;
+    private static final long SECOND = 1_000_000;
+
+    /**
+     * The limits of a router with this many descriptors: a third for clients, most of the rest for members. A
+     * request not written whole counts as out of reach after the connect time-out, and well before a drain
+     * or a purge told meanwhile would bind it.
+     */
+    public static ResourceLimits of(Settings settings, NodeConfig.Figures figures) {
+        long bound = settings.limits().connectTimeout() > 0 ? settings.limits().connectTimeout() : SECOND;
+        long unwritten = Math.min(bound, Math.min(settings.rules().drainGrace() > 0
+                ? settings.rules().drainGrace() / 2 : bound, settings.rules().purgeGrace() > 0
+                ? settings.rules().purgeGrace() * 4 / 5 : bound));
+        long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+        int opens = settings.limits().openRequests() > 0 ? settings.limits().openRequests() : 20_000;
+        return new ResourceLimits(Math.min(opens, 8_192), 32, Math.max(16, figures.sockets() * 2 / 5), 262_144,
+                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 5, 2 * 1_048_576,
+                Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()), bound, unwritten,
+                figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND, 4 * SECOND,
+                100 * MILLI, settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
+                Math.min(longest, 3 * SECOND) + 450 * MILLI);
+    }
+}
--- a/src/main/java/pumicemoor/wire/Message.java
+++ b/src/main/java/pumicemoor/wire/Message.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** One JSON object of the wire, read whole, with typed access to its fields. */
-final class Message {
+public final class Message {
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -24,7 +24,7 @@
     }
 
     /** Reads the one object that a line must hold. */
-    static Message parse(String line) throws WireException {
+    public static Message parse(String line) throws WireException {
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new WireException("not a JSON object");
@@ -69,45 +69,45 @@
         };
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return fields.get(name) != null;
     }
 
-    String text(String name) throws WireException {
+    public String text(String name) throws WireException {
         return required(name, String.class);
     }
 
-    String text(String name, String absent) throws WireException {
+    public String text(String name, String absent) throws WireException {
         return has(name) ? text(name) : absent;
     }
 
-    long integer(String name) throws WireException {
+    public long integer(String name) throws WireException {
         return required(name, Number.class).longValue();
     }
 
-    long integer(String name, long absent) throws WireException {
+    public long integer(String name, long absent) throws WireException {
         return has(name) ? integer(name) : absent;
     }
 
-    double number(String name, double absent) throws WireException {
+    public double number(String name, double absent) throws WireException {
         return has(name) ? required(name, Number.class).doubleValue() : absent;
     }
 
-    boolean flag(String name) throws WireException {
+    public boolean flag(String name) throws WireException {
         return has(name) && required(name, Boolean.class);
     }
 
-    Message object(String name) throws WireException {
+    public Message object(String name) throws WireException {
         return object(path + name, required(name, Map.class));
     }
 
     /** The object of that name, or one without fields. */
-    Message objectOrEmpty(String name) throws WireException {
+    public Message objectOrEmpty(String name) throws WireException {
         return has(name) ? object(name) : new Message(path + name + ".", Map.of());
     }
 
     /** The elements of a list of objects; an absent list is empty. */
-    List<Message> objects(String name) throws WireException {
+    public List<Message> objects(String name) throws WireException {
         List<Message> objects = new ArrayList<>();
         for (Object element : list(name)) {
             if (!(element instanceof Map)) {
@@ -118,11 +118,11 @@
         return objects;
     }
 
-    List<String> texts(String name) throws WireException {
+    public List<String> texts(String name) throws WireException {
         return elements(name, String.class);
     }
 
-    List<Number> numbers(String name) throws WireException {
+    public List<Number> numbers(String name) throws WireException {
         return elements(name, Number.class);
     }
 
--- a/src/main/java/pumicemoor/wire/Vocabulary.java
+++ b/src/main/java/pumicemoor/wire/Vocabulary.java
@@ -23,7 +23,7 @@
 import pumicemoor.RouterApi.Weights;
 
 /** The names that one instance's settings define, and the settings and list lines read with them. */
-final class Vocabulary {
+public final class Vocabulary {
 
     private static final Map<String, Effect> EFFECTS =
             Map.of("pure", Effect.SAFE, "token", Effect.KEYED, "side_effect", Effect.UNSAFE);
@@ -51,7 +51,7 @@
     private final int originKind;
     private final List<String> kinds;
 
-    Vocabulary(Message info) throws WireException {
+    public Vocabulary(Message info) throws WireException {
         Message specifics = info.objectOrEmpty("specifics");
         zones = info.texts("zones");
         kinds = info.texts("kinds");
@@ -100,11 +100,11 @@
                 info.objectOrEmpty("clients").flag("marks-retry"));
     }
 
-    Settings settings() {
+    public Settings settings() {
         return settings;
     }
 
-    int requestClass(String name) throws WireException {
+    public int requestClass(String name) throws WireException {
         return index(classes, name, "class");
     }
 
@@ -113,15 +113,24 @@
     }
 
     Member member(Message line) throws WireException {
-        int kind = line.has("generation-hw") ? index(kinds, line.text("generation-hw"), "kind") : -1;
-        Role role = kind >= 0 && kind == parentKind ? Role.PARENT
-                : kind >= 0 && kind == originKind ? Role.ORIGIN : Role.CACHE;
-        return new Member(line.integer("server"), role, index(zones, line.text("area"), "zone"),
+        return new Member(line.integer("server"), role(line.text("generation-hw", null)),
+                zone(line.text("area")),
                 (int) line.integer("block", 0), line.number("capacity-hint", 1),
                 line.integer("online-since-us", 0),
                 word(STATES, line.text("health"), "health"));
     }
 
+    /** What a member of this kind of machine is for; without a kind it is a cache. */
+    public Role role(String kindName) throws WireException {
+        int kind = kindName == null ? -1 : index(kinds, kindName, "kind");
+        return kind >= 0 && kind == parentKind ? Role.PARENT
+                : kind >= 0 && kind == originKind ? Role.ORIGIN : Role.CACHE;
+    }
+
+    public int zone(String name) throws WireException {
+        return index(zones, name, "zone");
+    }
+
     private static RequestClass requestClass(Message entry, Message specifics, int at) throws WireException {
         return new RequestClass(entry.text("name"), entry.integer("aim-us"), entry.number("aim-stretch", 0),
                 entry.integer("deadline-us"), entry.number("worth", 1), entry.number("late-worth", 0),
