--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -42,6 +42,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
 
+    private static final long WAKE_GRAIN = 1_000;
+
     private final NodeConfig config;
     private final ResourceLimits limits;
     private final Counters counters = new Counters();
@@ -158,7 +160,9 @@
         long due = reducer.nextDue();
         if (due < wakeAt) {
             wakeAt = due;
-            loop.schedule(this::wake, Math.max(0, due - clock()), TimeUnit.MICROSECONDS);
+            // the selector waits in milliseconds only and would turn idly through what is less than one
+            long wait = Math.max(1, (due - clock() + WAKE_GRAIN - 1) / WAKE_GRAIN);
+            loop.schedule(this::wake, wait * WAKE_GRAIN, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -128,6 +128,9 @@
 
     /** When the next Due input is wanted; Long.MAX_VALUE for never. */
     public long nextDue() {
+        while (!timers.isEmpty() && stale(timers.peek())) {
+            timers.poll();
+        }
         return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at();
     }
 
@@ -367,6 +370,16 @@
         timers.add(new Timer(at, ++numbers, kind, about));
     }
 
+    /** Whether what a timer is about has ended meanwhile, so that nobody need wake for it. */
+    private boolean stale(Timer timer) {
+        return switch (timer.kind()) {
+            case ATTEMPT -> !attempts.containsKey(timer.about());
+            case UNWRITTEN -> !attempts.containsKey(timer.about()) || attempts.get(timer.about()).written;
+            case OVERDUE -> !requests.containsKey(Long.toString(timer.about()));
+            default -> false;
+        };
+    }
+
     private void due() {
         while (!timers.isEmpty() && timers.peek().at() <= now) {
             Timer timer = timers.poll();
