Bound buffered bytes, clients that do not read and connections that fall silent

Bodies may hold a sixth of the memory limit (ResourceLimits.bufferedBytes): past it a cache's line is not read until there is room (AnswerDecoder.hasRoom), a request with a body is refused. A client with more than 1 MB unread is not read, one that takes nothing for 4 s is closed, an idle one after 30 s. A line on which nothing was heard since a request was written over a connect time-out before that request was given up carries nothing new (CacheLines.Line.quit).

--- a/src/main/java/pumicemoor/net/AnswerDecoder.java
+++ b/src/main/java/pumicemoor/net/AnswerDecoder.java
@@ -1,6 +1,7 @@
 package pumicemoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.CorruptedFrameException;
@@ -23,13 +24,16 @@
 
     private final int longestLine;
     private final int longestBody;
+    private final BufferBudget budget;
     private String[] words;
     private ByteBuf body;
     private int left;
+    private boolean waiting;
 
-    AnswerDecoder(int longestLine, int longestBody) {
+    AnswerDecoder(int longestLine, int longestBody, BufferBudget budget) {
         this.longestLine = longestLine;
         this.longestBody = longestBody;
+        this.budget = budget;
     }
 
     @Override
@@ -43,9 +47,12 @@
                 }
                 return;
             }
-            head(ctx, in.readString(end - in.readerIndex(), StandardCharsets.UTF_8).stripTrailing());
+            head(in.readString(end - in.readerIndex(), StandardCharsets.UTF_8).stripTrailing());
             in.skipBytes(1);
         }
+        if (body == null && !hasRoom(ctx)) {
+            return;
+        }
         int more = Math.min(left, in.readableBytes());
         body.writeBytes(in, more);
         left -= more;
@@ -59,7 +66,26 @@
         }
     }
 
-    private void head(ChannelHandlerContext ctx, String line) {
+    /** Takes the buffer for the body; while there is no room for it, nothing more is read here. */
+    private boolean hasRoom(ChannelHandlerContext ctx) {
+        if (waiting || !budget.admit(left, () -> goOn(ctx))) {
+            waiting = true;
+            ctx.channel().config().setAutoRead(false);
+            return false;
+        }
+        body = left == 0 ? ctx.alloc().buffer(0) : ctx.alloc().ioBuffer(left, left);
+        return true;
+    }
+
+    private void goOn(ChannelHandlerContext ctx) {
+        waiting = false;
+        if (!ctx.isRemoved()) {
+            ctx.channel().config().setAutoRead(true);
+            ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);  // takes up what has been read before
+        }
+    }
+
+    private void head(String line) {
         String[] read = line.split(" ");
         if (read.length != 4) {
             throw new CorruptedFrameException("a line of " + read.length + " words, not 4");
@@ -73,7 +99,6 @@
             throw new CorruptedFrameException("a body of '" + read[3] + "' bytes");
         }
         words = read;
-        body = left == 0 ? ctx.alloc().buffer(0) : ctx.alloc().ioBuffer(left, left);
     }
 
     /** The pairs of FIELDS; what is no pair is skipped. */
--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.DecoderException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -22,11 +23,11 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pumicemoor.node.Counters;
 import pumicemoor.node.Counters.Name;
+import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
-import pumicemoor.node.Input;
 import pumicemoor.node.Input.Word;
+import pumicemoor.node.Input;
 import pumicemoor.node.ResourceLimits;
 
 /**
@@ -42,18 +43,23 @@
 
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
+    private final BufferBudget budget;
     private final Counters counters;
-    private final NodeServer server;
+    private final Loop loop;
     private final Map<String, List<Line>> lines = new HashMap<>();
     private final Map<Long, Line> lineOfAttempt = new HashMap<>();
 
-    CacheLines(Bootstrap bootstrap, ResourceLimits limits, Counters counters, NodeServer server) {
+    CacheLines(Bootstrap bootstrap, ResourceLimits limits, BufferBudget budget, Counters counters,
+            Loop loop) {
         this.limits = limits;
+        this.budget = budget;
         this.counters = counters;
-        this.server = server;
+        this.loop = loop;
         this.bootstrap = bootstrap.clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.connectTimeout() / 1_000))
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(limits.lineBacklogBytes() / 2, limits.lineBacklogBytes()));
     }
 
     void ask(Effect.Ask ask) {
@@ -66,7 +72,7 @@
         }
         if (line == null) {
             ask.body().release();
-            server.submit(new Input.Unreached(ask.attempt()));
+            loop.submit(new Input.Unreached(ask.attempt()));
             return;
         }
         lineOfAttempt.put(ask.attempt(), line);
@@ -98,7 +104,8 @@
     /** Closes what has carried nothing for a while, before the other side does. */
     void sweep(long now) {
         for (List<Line> pool : List.copyOf(lines.values())) {
-            List.copyOf(pool).stream().filter(l -> l.empty() && (l.retired || now - l.usedAt > limits.lineIdle()))
+            List.copyOf(pool).stream().filter(l -> l.empty() && l.retired
+                    || now - l.usedAt > (l.empty() ? limits.lineIdle() : limits.lineAbandoned()))
                     .forEach(Line::close);
         }
     }
@@ -107,18 +114,22 @@
         lines.values().stream().flatMap(p -> List.copyOf(p).stream()).toList().forEach(Line::close);
     }
 
+    /** An attempt that is out, and when its last byte was written: Long.MAX_VALUE for not yet. */
+    private record Sent(long attempt, long writtenAt) {
+    }
+
     /** One connection. */
     private final class Line extends SimpleChannelInboundHandler<AnswerDecoder.Answer> {
         private final String instance;
         private final String address;
-        private final long openedAt = server.clock();
+        private final long openedAt = loop.clock();
         private final Deque<Effect.Ask> queue = new ArrayDeque<>();
-        private final Map<String, Long> out = new LinkedHashMap<>();
+        private final Map<String, Sent> out = new LinkedHashMap<>();
         private final Set<String> spent = new LinkedHashSet<>();  // given up; an answer may still cross
         private Effect.Ask writing;
         private Channel channel;
         private boolean connected, pumping, retired, ended;
-        private long usedAt = openedAt;
+        private long usedAt = openedAt, heardAt = openedAt;
 
         Line(String instance, String address) {
             this.instance = instance;
@@ -131,7 +142,8 @@
             Bootstrap opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new AnswerDecoder(limits.lineBytes(), limits.answerBytes()), Line.this);
+                    ch.pipeline().addLast(new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget),
+                            Line.this);
                 }
             });
             ChannelFuture connecting = opening.connect(new InetSocketAddress(address.substring(0, colon),
@@ -166,7 +178,7 @@
             while (connected && !ended && writing == null && !queue.isEmpty()) {
                 Effect.Ask ask = queue.poll();
                 writing = ask;
-                out.put(ask.id(), ask.attempt());
+                out.put(ask.id(), new Sent(ask.attempt(), Long.MAX_VALUE));
                 ByteBuf body = NettyBytes.buffer(ask.body());
                 channel.write(CacheLine.ask(channel.alloc(), ask), channel.voidPromise());
                 if (body != null) {
@@ -175,8 +187,9 @@
                 channel.writeAndFlush(CacheLine.end(channel.alloc())).addListener(done -> {
                     if (done.isSuccess()) {
                         writing = null;
-                        usedAt = server.clock();
-                        server.submit(new Input.Written(ask.attempt()));
+                        usedAt = loop.clock();
+                        out.replace(ask.id(), new Sent(ask.attempt(), usedAt));
+                        loop.submit(new Input.Written(ask.attempt()));
                         pump();
                     }
                 });
@@ -198,22 +211,34 @@
                 close();  // half a request is on it
                 return;
             }
-            String id = out.entrySet().stream().filter(e -> e.getValue() == attempt).map(Map.Entry::getKey)
+            String id = out.entrySet().stream().filter(e -> e.getValue().attempt() == attempt).map(Map.Entry::getKey)
                     .findFirst().orElse(null);
+            if (id != null) {
+                // silent since that request was written: what comes next tries whether a new one comes up
+                retired |= spent.size() > SPENT_IDS || heardAt < out.get(id).writtenAt()
+                        && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
+            }
             if (id != null && tellCache) {
                 out.remove(id);
                 spent.add(id);
-                retired |= spent.size() > SPENT_IDS;
                 if (channel.isActive()) {
                     channel.writeAndFlush(CacheLine.quit(channel.alloc(), id), channel.voidPromise());
                 }
+                if (!channel.isWritable()) {
+                    close();  // it takes nothing in any more
+                }
+            }
+            if (retired && empty()) {
+                close();
             }
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, AnswerDecoder.Answer answer) {
-            usedAt = server.clock();
-            Long attempt = out.remove(answer.id());
+            usedAt = loop.clock();
+            heardAt = usedAt;
+            Sent sent = out.remove(answer.id());
+            Long attempt = sent == null ? null : sent.attempt();
             Word word = CacheLine.word(answer.word());
             if (attempt == null || word == null) {
                 if (attempt != null || !spent.remove(answer.id())) {
@@ -223,13 +248,13 @@
                 answer.body().release();
                 if (attempt != null) {
                     lineOfAttempt.remove(attempt);
-                    server.submit(new Input.Broken(attempt));
+                    loop.submit(new Input.Broken(attempt));
                 }
                 return;
             }
             lineOfAttempt.remove(attempt);
             counters.add(Name.BYTES_IN, answer.body().readableBytes());
-            server.submit(new Input.Answered(attempt, word, answer.fields().get("tell"),
+            loop.submit(new Input.Answered(attempt, word, answer.fields().get("tell"),
                     CacheLine.load(answer.fields().get("meter")), NettyBytes.of(answer.body())));
             if (retired && empty()) {
                 close();
@@ -267,8 +292,8 @@
                 lines.remove(instance);
             }
             List<Input> ends = new ArrayList<>();
-            out.values().forEach(a -> ends.add(writing != null && writing.attempt() == a
-                    ? new Input.Unreached(a) : new Input.Broken(a)));
+            out.values().forEach(s -> ends.add(s.writtenAt() == Long.MAX_VALUE
+                    ? new Input.Unreached(s.attempt()) : new Input.Broken(s.attempt())));
             queue.forEach(q -> {
                 q.body().release();
                 ends.add(new Input.Unreached(q.attempt()));
@@ -279,7 +304,7 @@
             for (Input end : ends) {
                 lineOfAttempt.remove(end instanceof Input.Broken b ? b.attempt()
                         : ((Input.Unreached) end).attempt());
-                server.submit(end);
+                loop.submit(end);
             }
         }
     }
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
@@ -11,10 +12,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.node.Bytes;
-import pumicemoor.node.Counters;
 import pumicemoor.node.Counters.Name;
-import pumicemoor.node.Effect;
+import pumicemoor.node.Counters;
 import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Effect;
 import pumicemoor.node.Input;
 import pumicemoor.node.ResourceLimits;
 
@@ -28,16 +29,21 @@
 
     private final long number;
     private final ResourceLimits limits;
+    private final BufferBudget budget;
     private final Counters counters;
-    private final NodeServer server;
+    private final Loop loop;
     private final Set<Integer> open = new HashSet<>();
     private ChannelHandlerContext context;
+    private long activeAt;
+    private long backlogSeen;
 
-    ClientConnection(long number, ResourceLimits limits, Counters counters, NodeServer server) {
+    ClientConnection(long number, ResourceLimits limits, BufferBudget budget, Counters counters,
+            Loop loop) {
         this.number = number;
         this.limits = limits;
+        this.budget = budget;
         this.counters = counters;
-        this.server = server;
+        this.loop = loop;
     }
 
     @Override
@@ -48,13 +54,20 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         counters.add(Name.CONNECTIONS);
-        server.opened(number, this);
+        activeAt = loop.clock();
+        loop.opened(number, this);
+    }
+
+    /** A client that does not read gets no more to read: while its backlog is large, it is not read either. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        server.closed(number);
-        server.submit(new Input.ClientClosed(number));
+        loop.closed(number);
+        loop.submit(new Input.ClientClosed(number));
     }
 
     @Override
@@ -68,6 +81,7 @@
 
     private void frame(ByteBuf frame) {
         counters.add(Name.BYTES_IN, frame.readableBytes());
+        activeAt = loop.clock();
         if (frame.readableBytes() < 5) {
             throw new CorruptedFrameException("a frame of " + frame.readableBytes() + " bytes");
         }
@@ -77,11 +91,11 @@
             case ClientFrame.REQUEST -> request(stream, frame);
             case ClientFrame.WITHDRAWN -> {
                 if (open.remove(stream)) {
-                    server.submit(new Input.Withdrawn(number, stream));
+                    loop.submit(new Input.Withdrawn(number, stream));
                 }
             }
             case ClientFrame.READY_ASKED -> context.writeAndFlush(
-                    ClientFrame.ready(context.alloc(), stream, server.ready()), context.voidPromise());
+                    ClientFrame.ready(context.alloc(), stream, loop.ready()), context.voidPromise());
             default -> throw new CorruptedFrameException("a frame of the unknown type " + type);
         }
     }
@@ -100,13 +114,13 @@
             answer(new Effect.Answer(number, stream, Code.FAILED, false, 0, Bytes.NONE));
             return;
         }
-        if (open.size() > limits.openPerClient()) {
+        if (open.size() > limits.openPerClient() || !budget.room(request.body().size())) {
             counters.add(Name.TURNED_AWAY);
             request.body().release();
             answer(new Effect.Answer(number, stream, Code.REFUSED, false, 0, Bytes.NONE));
             return;
         }
-        server.submit(request);
+        loop.submit(request);
     }
 
     void answer(Effect.Answer answer) {
@@ -129,6 +143,22 @@
         context.writeAndFlush(ClientFrame.drain(context.alloc()), context.voidPromise());
     }
 
+    /** Closes the connection where nothing has happened for long: no request open, or none of it read. */
+    void sweep(long now) {
+        ChannelOutboundBuffer backlog = context.channel().unsafe().outboundBuffer();
+        long seen = backlog == null || backlog.totalPendingWriteBytes() == 0 ? 0
+                : backlog.totalPendingWriteBytes() - backlog.currentProgress();
+        if (seen == 0 || seen != backlogSeen) {
+            backlogSeen = seen;
+            activeAt = seen == 0 ? activeAt : now;
+        }
+        if (now - activeAt > (seen > 0 ? limits.clientStall() : limits.clientIdle())
+                && (seen > 0 || open.isEmpty())) {
+            LOG.info("a client's connection was closed: {}", seen > 0 ? "its answers are not read" : "idle");
+            context.close();
+        }
+    }
+
     /** Closes the connection once what was written has left. */
     void close() {
         context.writeAndFlush(context.alloc().buffer(0)).addListener(done -> context.close());
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -40,16 +40,16 @@
     private final String address;
     private final ResourceLimits limits;
     private final LongSupplier lastEvent;
-    private final NodeServer server;
+    private final Loop loop;
     private Channel channel;
     private boolean stopped;
 
     CoordinatorStream(Bootstrap bootstrap, String address, ResourceLimits limits, LongSupplier lastEvent,
-            NodeServer server) {
+            Loop loop) {
         this.address = address;
         this.limits = limits;
         this.lastEvent = lastEvent;
-        this.server = server;
+        this.loop = loop;
         this.bootstrap = bootstrap.clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.feedSilence() / 1_000))
                 .handler(new ChannelInitializer<Channel>() {
@@ -88,7 +88,7 @@
     /** Cuts the stream into events. */
     private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
         private final ServerSentEvents events = new ServerSentEvents(
-                data -> server.submit(new Input.Update(data)));
+                data -> loop.submit(new Input.Update(data)));
         private boolean answered;
 
         @Override
--- /dev/null
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -0,0 +1,20 @@
+package pumicemoor.net;
+
+import pumicemoor.node.Input;
+
+/** What connections may ask of the loop they run on; none of it may be called from another thread. */
+interface Loop {
+
+    /** Hands an input to the reducer, after those that came before. */
+    void submit(Input input);
+
+    /** Unix time in microseconds. */
+    long clock();
+
+    /** Whether new requests are wanted. */
+    boolean ready();
+
+    void opened(long number, ClientConnection client);
+
+    void closed(long number);
+}
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -38,7 +39,7 @@
  * carries out its effects. It owns the listening socket, the clock and the loop's one timer, and must never
  * decide anything about a request.
  */
-public final class NodeServer {
+public final class NodeServer implements Loop {
 
     private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
 
@@ -50,6 +51,7 @@
     private final Reducer reducer;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
+    private final BufferBudget budget;
     private final CacheLines lines;
     private final CoordinatorStream coordinator;
     private final Map<Long, ClientConnection> clients = new HashMap<>();
@@ -69,7 +71,8 @@
                 counters);
         Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
-        this.lines = new CacheLines(connections, limits, counters, this);
+        this.budget = new BufferBudget(PooledByteBufAllocator.DEFAULT::pinnedDirectMemory, limits.bufferedBytes());
+        this.lines = new CacheLines(connections, limits, budget, counters, this);
         this.coordinator = config.coordinator().isEmpty() ? null
                 : new CoordinatorStream(connections, config.coordinator(), limits, reducer::lastUpdate, this);
     }
@@ -79,7 +82,7 @@
         loop.submit(() -> {
             reducer.known(clock(), config, effects::add);
             work();
-            loop.scheduleAtFixedRate(() -> lines.sweep(clock()), 1, 1, TimeUnit.SECONDS);
+            loop.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
             if (coordinator != null) {
                 coordinator.open();
             }
@@ -92,16 +95,28 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
+                        if (clients.size() >= limits.clients()) {
+                            ch.close();
+                            return;
+                        }
+                        ch.config().setWriteBufferWaterMark(new WriteBufferWaterMark(
+                                limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
                         ch.pipeline().addLast(
                                 new LengthFieldBasedFrameDecoder(limits.frameBytes() + ClientFrame.LENGTH_BYTES, 0,
                                         ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES),
-                                new ClientConnection(++lastClient, limits, counters, NodeServer.this));
+                                new ClientConnection(++lastClient, limits, budget, counters, NodeServer.this));
                     }
                 }).bind(new InetSocketAddress(config.listen().substring(0, colon),
                         Integer.parseInt(config.listen().substring(colon + 1)))).sync().channel();
         LOG.info("{} listens on {}", config.name(), config.listen());
     }
 
+    private void sweep() {
+        long now = clock();
+        lines.sweep(now);
+        clients.values().stream().toList().forEach(c -> c.sweep(now));
+    }
+
     /** Ends the router in good order: no new requests, all that are open answered, then out. */
     public void terminate() {
         loop.execute(() -> submit(new Input.Terminate()));
@@ -117,28 +132,33 @@
     }
 
     /** Unix time in microseconds. */
-    long clock() {
+    @Override
+    public long clock() {
         Instant now = Instant.now();
         return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
     }
 
-    boolean ready() {
+    @Override
+    public boolean ready() {
         return reducer.ready();
     }
 
-    void opened(long number, ClientConnection client) {
+    @Override
+    public void opened(long number, ClientConnection client) {
         clients.put(number, client);
         if (draining) {
             client.drain();
         }
     }
 
-    void closed(long number) {
+    @Override
+    public void closed(long number) {
         clients.remove(number);
     }
 
     /** Takes an input on the loop's thread; one that comes while another is worked on waits its turn. */
-    void submit(Input input) {
+    @Override
+    public void submit(Input input) {
         inbox.add(input);
         work();
     }
@@ -157,6 +177,7 @@
         } finally {
             working = false;
         }
+        budget.resume();
         long due = reducer.nextDue();
         if (due < wakeAt) {
             wakeAt = due;
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -9,8 +9,9 @@
  * are microseconds, sizes bytes.
  */
 public record ResourceLimits(int openRequests, int openPerClient, int clients, int frameBytes, int requestBytes,
-        int answerBytes, int lineBytes, long bufferedBytes, int clientBacklogBytes, int linesPerMember,
-        int attemptsPerLine, long connectTimeout, long unwritten, long lineIdle, long feedSilence,
+        int answerBytes, int lineBytes, long bufferedBytes, int clientBacklogBytes, int lineBacklogBytes,
+        long clientIdle, long clientStall, int linesPerMember, int attemptsPerLine, long connectTimeout, long unwritten, long lineIdle, long lineAbandoned,
+        long feedSilence,
         long feedRetry, long answerGuard, long quietAfterTerm, long lastAfterTerm) {
 
     private static final long MILLI = 1_000;
@@ -29,9 +30,10 @@
         long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         int opens = settings.limits().openRequests() > 0 ? settings.limits().openRequests() : 20_000;
         return new ResourceLimits(Math.min(opens, 8_192), 32, Math.max(16, figures.sockets() * 2 / 5), 262_144,
-                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 5, 2 * 1_048_576,
-                Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()), bound, unwritten,
-                figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND, 4 * SECOND,
+                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 6, 1_048_576, 131_072, 30 * SECOND,
+                4 * SECOND, Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()), bound, unwritten,
+                figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
+                figures.keepAlive() + 2 * longest + 10 * SECOND, 4 * SECOND,
                 100 * MILLI, settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
                 Math.min(longest, 3 * SECOND) + 450 * MILLI);
     }
