--- a/src/main/java/pumicemoor/net/AnswerDecoder.java
+++ b/src/main/java/pumicemoor/net/AnswerDecoder.java
@@ -29,6 +29,7 @@
     private ByteBuf body;
     private int left;
     private boolean waiting;
+    private boolean broken;
 
     AnswerDecoder(int longestLine, int longestBody, BufferBudget budget) {
         this.longestLine = longestLine;
@@ -38,6 +39,16 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (broken) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        broken = true;  // unless this ends well, nothing behind it can be read either
+        read(ctx, in, out);
+        broken = false;
+    }
+
+    private void read(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (words == null) {
             int end = in.indexOf(in.readerIndex(), in.readerIndex() + Math.min(in.readableBytes(), longestLine),
                     (byte) '\n');
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -119,7 +119,9 @@
 
     /** Ends the router in good order: no new requests, all that are open answered, then out. */
     public void terminate() {
-        loop.execute(() -> submit(new Input.Terminate()));
+        if (!group.isShuttingDown()) {
+            loop.execute(() -> submit(new Input.Terminate()));
+        }
     }
 
     /** Waits for the end; true once it has come within that time. */
@@ -127,6 +129,11 @@
         return ended.await(millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
     public Counters counters() {
         return counters;
     }
--- /dev/null
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -0,0 +1,87 @@
+package pumicemoor.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pumicemoor.node.NodeTestConfig;
+
+/** The command line as a user meets it: output and exit code of a process of its own. */
+class MainTest {
+
+    @TempDir
+    Path folder;
+
+    private record Ended(int code, String out, String err) {
+    }
+
+    private Ended run(String config, String... words) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName()));
+        command.addAll(List.of(words));
+        Path out = folder.resolve("out");
+        Path err = folder.resolve("err");
+        ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(out.toFile())
+                .redirectError(err.toFile()).redirectInput(Files.writeString(folder.resolve("in"), "").toFile());
+        builder.environment().remove("RELAY_CONFIG");
+        if (config != null) {
+            builder.environment().put("RELAY_CONFIG",
+                    Files.writeString(folder.resolve("config.json"), config).toString());
+        }
+        int code = builder.start().waitFor();
+        return new Ended(code, Files.readString(out, StandardCharsets.UTF_8),
+                Files.readString(err, StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void noOrAnUnknownCommandPrintsTheUsage() throws Exception {
+        for (String[] words : new String[][] {{}, {"dance"}, {"version", "now"}}) {
+            Ended ended = run(null, words);
+            assertEquals(2, ended.code());
+            assertTrue(ended.err().contains("usage: java -jar pumicemoor.jar COMMAND"), ended.err());
+            assertEquals("", ended.out());
+        }
+    }
+
+    @Test
+    void versionIsPrinted() throws Exception {
+        Ended ended = run(null, "version");
+        assertEquals(0, ended.code());
+        assertTrue(ended.out().startsWith("pumicemoor "), ended.out());
+    }
+
+    @Test
+    void drillEndsWithItsInput() throws Exception {
+        assertEquals(new Ended(0, "", ""), run(null, "drill"));
+    }
+
+    @Test
+    void aConfigurationThatCanBeUsedIsSummedUp() throws Exception {
+        Ended ended = run(NodeTestConfig.json("127.0.0.1:9090", "127.0.0.1:7070"), "check-config");
+        assertEquals(0, ended.code());
+        assertTrue(ended.out().contains("router 'n0' on 127.0.0.1:9090, 2 classes"), ended.out());
+    }
+
+    @Test
+    void aConfigurationThatCannotBeUsedIsNamedInOneLine() throws Exception {
+        String good = NodeTestConfig.json("127.0.0.1:9090", "127.0.0.1:7070");
+        String[][] bad = {{good.replace("127.0.0.1:9090", "here"), "listen"}, {good.replace("8c1f", "zz"), "seed"},
+            {good.replace("policy-limits", "limits"), "policy-limits"}, {good.substring(1), "JSON"}};
+        for (String[] each : bad) {
+            for (String command : new String[] {"check-config", "serve"}) {
+                Ended ended = run(each[0], command);
+                assertEquals(1, ended.code(), each[1]);
+                assertTrue(ended.err().contains(each[1]) && ended.err().lines().count() == 1, ended.err());
+            }
+        }
+        assertEquals(1, run(null, "serve").code());
+    }
+}
--- /dev/null
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -0,0 +1,307 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pumicemoor.node.Bytes;
+import pumicemoor.node.Counters;
+import pumicemoor.node.Effect;
+import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Input;
+import pumicemoor.node.NodeConfig;
+import pumicemoor.node.NodeTestConfig;
+import pumicemoor.node.ResourceLimits;
+
+/** Frames of clients, however they come in, and the frames that answer them. */
+class ClientConnectionTest {
+
+    private static final Map<String, String> FIELDS = new TreeMap<>(Map.of("op", "segment", "call",
+            "9b1f03aa5c7e2d41", "ttl", "1500", "rep", "1", "row", "7f3a9c21e0b4d655", "piece", "3", "lot", "17",
+            "ver", "4be0c1927d55a6f3"));
+
+    private final List<Input> inputs = new ArrayList<>();
+    private ResourceLimits limits;
+    private long held;
+    private long time;
+    private boolean ready = true;
+    private ClientConnection connection;
+    private EmbeddedChannel channel;
+
+    private final Loop loop = new Loop() {
+        @Override
+        public void submit(Input input) {
+            inputs.add(input);
+        }
+
+        @Override
+        public long clock() {
+            return time;
+        }
+
+        @Override
+        public boolean ready() {
+            return ready;
+        }
+
+        @Override
+        public void opened(long number, ClientConnection client) {
+            // not needed here
+        }
+
+        @Override
+        public void closed(long number) {
+            // not needed here
+        }
+    };
+
+    @BeforeEach
+    void start() throws Exception {
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
+        limits = ResourceLimits.of(config.words().settings(), config.figures());
+        open();
+    }
+
+    private void open() {
+        inputs.clear();
+        connection = new ClientConnection(1, limits, new BufferBudget(() -> held, 1_000_000), new Counters(), loop);
+        channel = new EmbeddedChannel(new LengthFieldBasedFrameDecoder(limits.frameBytes() + 4, 0, 4, 0, 4),
+                connection);
+    }
+
+    @AfterEach
+    void stop() {
+        channel.finishAndReleaseAll();
+    }
+
+    private static byte[] frame(int type, int stream, Map<String, String> fields, byte[] body) {
+        ByteBuf frame = Unpooled.buffer().writeInt(0).writeByte(type).writeInt(stream);
+        if (fields != null) {
+            frame.writeByte(fields.size());
+            fields.forEach((name, value) -> {
+                frame.writeByte(name.length()).writeBytes(name.getBytes(StandardCharsets.UTF_8));
+                frame.writeShort(value.length()).writeBytes(value.getBytes(StandardCharsets.UTF_8));
+            });
+        }
+        frame.writeBytes(body).setInt(0, frame.readableBytes() - 4);
+        return ByteBufUtil.getBytes(frame);
+    }
+
+    private static byte[] request(int stream, String... changes) {
+        Map<String, String> fields = new TreeMap<>(FIELDS);
+        for (int i = 0; i < changes.length; i += 2) {
+            if (changes[i + 1] == null) {
+                fields.remove(changes[i]);
+            } else {
+                fields.put(changes[i], changes[i + 1]);
+            }
+        }
+        return frame(7, stream, fields, new byte[] {1, 0, 13, 10, -1});
+    }
+
+    private void write(byte[] bytes) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes));
+    }
+
+    private String written() {
+        ByteBuf all = Unpooled.buffer();
+        for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+            all.writeBytes(out);
+            out.release();
+        }
+        return ByteBufUtil.hexDump(all);
+    }
+
+    private void checkRequest() {
+        Input.Request request = (Input.Request) inputs.get(0);
+        ByteBuf body = NettyBytes.buffer(request.body());
+        assertEquals("01000d0aff", ByteBufUtil.hexDump(body));
+        assertEquals(new Input.Request(1, 5, "9b1f03aa5c7e2d41", "segment", "7f3a9c21e0b4d655", 3, 17,
+                "4be0c1927d55a6f3", 1500, true, request.body()), request);
+        body.release();
+    }
+
+    @Test
+    void aRequestIsReadWhereverTheInputIsSplit() {
+        byte[] request = request(5);
+        for (int split = 0; split <= request.length; split++) {
+            open();
+            channel.writeInbound(Unpooled.copiedBuffer(request, 0, split));
+            channel.writeInbound(Unpooled.copiedBuffer(request, split, request.length - split));
+            assertEquals(1, inputs.size());
+            checkRequest();
+            channel.finishAndReleaseAll();
+        }
+    }
+
+    @Test
+    void absentFieldsHaveTheirDefaults() {
+        write(frame(7, 5, Map.of("op", "order", "call", "c", "row", "r", "ttl", "9"), new byte[0]));
+        assertEquals(new Input.Request(1, 5, "c", "order", "r", 0, -1, null, 9, false, Bytes.NONE), inputs.get(0));
+    }
+
+    @Test
+    void aRequestWhoseFieldsCannotBeUsedFailsAndTheConnectionGoesOn() {
+        String[][] bad = {{"call", null}, {"op", null}, {"row", null}, {"ttl", null}, {"ttl", "-1"}, {"ttl", "soon"},
+            {"lot", "256"}, {"piece", "-1"}, {"call", "a b"}, {"row", "x,miss=s-1"}, {"row", "a\r\nASK"}, {"op", ""}};
+        int stream = 0;
+        for (String[] change : bad) {
+            write(request(++stream, change));
+            assertEquals("00000007" + "08" + String.format("%08x", stream) + "09" + "00", written());
+        }
+        assertTrue(inputs.isEmpty());
+        assertTrue(channel.isOpen());
+        write(request(5));
+        checkRequest();
+    }
+
+    @Test
+    void aTagThatCannotStandOnALineIsNotPassedOn() {
+        write(request(5, "ver", "a,b"));
+        Input.Request request = (Input.Request) inputs.get(0);
+        assertNull(request.tag());
+        request.body().release();
+    }
+
+    @Test
+    void garbageIsToldOnStreamZeroAndEndsTheConnection() {
+        byte[][] garbage = {frame(42, 5, null, new byte[0]), {0, 0, 0, 2, 7, 7}, {-1, -1, -1, -1, 0, 0, 0, 0},
+            {0, 0x10, 0, 0, 7}, frame(7, 0, FIELDS, new byte[0])};
+        for (byte[] bytes : garbage) {
+            open();
+            write(bytes);
+            assertEquals("0000000708000000000900", written());
+            assertFalse(channel.isOpen());
+            assertTrue(inputs.stream().noneMatch(Input.Request.class::isInstance));
+        }
+    }
+
+    @Test
+    void fieldsThatEndEarlyFailTheRequest() {
+        byte[] whole = request(5);
+        byte[] cut = java.util.Arrays.copyOf(whole, 30);
+        cut[3] = 26;
+        cut[2] = 0;
+        write(cut);
+        assertEquals("00000007" + "0800000005" + "0900", written());
+    }
+
+    @Test
+    void aBodyThatIsTooLongFailsTheRequest() {
+        write(frame(7, 5, FIELDS, new byte[48_001]));
+        assertEquals("00000007" + "0800000005" + "0900", written());
+    }
+
+    @Test
+    void aStreamStillOpenIsNotNew() {
+        write(request(5));
+        checkRequest();
+        write(request(5));
+        assertFalse(channel.isOpen());
+        assertTrue(inputs.contains(new Input.ClientClosed(1)));
+    }
+
+    @Test
+    void anAnswerIsOneFrameAndIsWrittenOnce() {
+        write(request(5));
+        checkRequest();
+        byte[] body = {9, 8, 7};
+        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(body))));
+        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(body))));
+        assertEquals("0000000a" + "08" + "00000005" + "01" + "00" + "090807", written());
+        write(request(6));
+        connection.answer(new Effect.Answer(1, 6, Code.SERVED, true, 0, Bytes.NONE));
+        assertEquals("00000014" + "08" + "00000006" + "01" + "01" + "09" + ByteBufUtil.hexDump("unchanged".getBytes(
+                StandardCharsets.US_ASCII)) + "0001" + "31", written());
+        ((Input.Request) inputs.get(1)).body().release();
+        write(request(7));
+        connection.answer(new Effect.Answer(1, 7, Code.REFUSED, false, 200, Bytes.NONE));
+        assertTrue(written().endsWith(ByteBufUtil.hexDump("pushback".getBytes(StandardCharsets.US_ASCII)) + "0003"
+                + ByteBufUtil.hexDump("200".getBytes(StandardCharsets.US_ASCII))));
+        ((Input.Request) inputs.get(2)).body().release();
+    }
+
+    @Test
+    void anAnswerThatCrossesAWithdrawalIsNotWritten() {
+        write(request(5));
+        checkRequest();
+        write(frame(9, 5, null, new byte[0]));
+        write(frame(9, 5, null, new byte[0]));
+        assertEquals(List.of(new Input.Withdrawn(1, 5)), inputs.subList(1, inputs.size()));
+        ByteBuf body = Unpooled.copiedBuffer(new byte[] {1});
+        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(body)));
+        assertEquals("", written());
+        assertEquals(0, body.refCnt());
+    }
+
+    @Test
+    void readinessIsToldOnTheStreamThatAsked() {
+        write(frame(1, 3, Map.of(), new byte[0]));
+        ready = false;
+        write(frame(1, 4, null, new byte[0]));
+        assertEquals("00000007" + "02" + "00000003" + "0100" + "00000007" + "02" + "00000004" + "0000", written());
+    }
+
+    @Test
+    void aDrainIsToldOnStreamZero() {
+        connection.drain();
+        assertEquals("00000005" + "03" + "00000000", written());
+    }
+
+    @Test
+    void moreThanThirtyTwoOpenStreamsAreRefused() {
+        for (int stream = 1; stream <= 33; stream++) {
+            write(request(stream));
+        }
+        assertEquals(32, inputs.size());
+        assertEquals("00000007" + "08" + "00000021" + "0000", written());
+        inputs.forEach(i -> ((Input.Request) i).body().release());
+    }
+
+    @Test
+    void withoutRoomForItsBodyARequestIsRefused() {
+        held = 999_999;
+        write(request(5));
+        assertTrue(inputs.isEmpty());
+        assertEquals("00000007" + "08" + "00000005" + "0000", written());
+    }
+
+    @Test
+    void aClientWithALargeBacklogIsNotRead() {
+        channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(10, 20));
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        channel.runPendingTasks();
+        assertFalse(channel.config().isAutoRead());
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        channel.runPendingTasks();
+        assertTrue(channel.config().isAutoRead());
+    }
+
+    @Test
+    void anIdleConnectionIsClosedButNotOneWithAnOpenRequest() {
+        write(request(5));
+        checkRequest();
+        time = limits.clientIdle() + 1;
+        connection.sweep(time);
+        assertTrue(channel.isOpen());
+        connection.answer(new Effect.Answer(1, 5, Code.FAILED, false, 0, Bytes.NONE));
+        connection.sweep(time);
+        assertFalse(channel.isOpen());
+        written();
+    }
+}
--- /dev/null
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -0,0 +1,492 @@
+package pumicemoor.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pumicemoor.RouterApi;
+import pumicemoor.RouterApi.Action;
+import pumicemoor.RouterApi.AttemptEnded;
+import pumicemoor.RouterApi.Cancel;
+import pumicemoor.RouterApi.Event;
+import pumicemoor.RouterApi.Fail;
+import pumicemoor.RouterApi.Fetch;
+import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.Lookup;
+import pumicemoor.RouterApi.MembersListed;
+import pumicemoor.RouterApi.Outcome;
+import pumicemoor.RouterApi.Purged;
+import pumicemoor.RouterApi.Refuse;
+import pumicemoor.RouterApi.RequestArrived;
+import pumicemoor.RouterApi.RequestGone;
+import pumicemoor.RouterApi.SetTimer;
+import pumicemoor.RouterApi.State;
+import pumicemoor.RouterApi.TimerDue;
+import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Input.Word;
+
+/** The reducer by inputs, with decisions that a test scripts. */
+class ReducerTest {
+
+    private static final long MILLI = 1_000;
+    private static final long SECOND = 1_000_000;
+    private static final long START = 1_764_576_000 * SECOND;
+    private static final long CACHE = Reducer.memberId("s-1");
+    private static final long PARENT = Reducer.memberId("p-1");
+
+    private final List<Event> events = new ArrayList<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private final Counters counters = new Counters();
+    private Consumer<Event> script = e -> { };
+    private Consumer<Action> act;
+    private NodeConfig config;
+    private ResourceLimits limits;
+    private Reducer reducer;
+    private long now = START;
+
+    @BeforeEach
+    void start() throws Exception {
+        start(1_000);
+    }
+
+    private void start(int maxOpen) throws Exception {
+        config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2", maxOpen,
+                NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                        NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
+        limits = ResourceLimits.of(config.words().settings(), config.figures());
+        RouterApi scripted = (time, event, sink) -> {
+            events.add(event);
+            act = sink::accept;
+            script.accept(event);
+        };
+        reducer = new Reducer(scripted, config.words(), limits, counters);
+        reducer.known(now, config, effects::add);
+        events.clear();
+        effects.clear();
+    }
+
+    /** A body that counts who holds it. */
+    private static final class Counted implements Bytes {
+        private int holders = 1;
+
+        @Override
+        public int size() {
+            return 10;
+        }
+
+        @Override
+        public Bytes retain() {
+            holders++;
+            return this;
+        }
+
+        @Override
+        public void release() {
+            holders--;
+        }
+    }
+
+    private void take(Input input) {
+        reducer.accept(now, input, effects::add);
+    }
+
+    /** Lets time pass, waking the reducer whenever it asked for it. */
+    private void pass(long micros) {
+        long end = now + micros;
+        while (reducer.nextDue() <= end) {
+            now = Math.max(now, reducer.nextDue());
+            take(new Input.Due());
+        }
+        now = end;
+    }
+
+    private void request(int stream, String requestClass, Bytes body) {
+        take(new Input.Request(1, stream, "9b1f03aa5c7e2d41", requestClass, "7f3a9c21e0b4d655", 3, 17, "4be0", 1500,
+                false, body));
+    }
+
+    private <T> List<T> of(List<?> all, Class<T> type) {
+        return all.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private Effect.Ask ask() {
+        List<Effect.Ask> asks = of(effects, Effect.Ask.class);
+        return asks.get(asks.size() - 1);
+    }
+
+    private void onArrival(Consumer<RequestArrived> then) {
+        script = e -> {
+            if (e instanceof RequestArrived r) {
+                then.accept(r);
+            }
+        };
+    }
+
+    private void fetchOnArrival(long oldest, long timeout) {
+        onArrival(r -> act.accept(new Fetch(r.id(), CACHE, PARENT, 2, oldest, true, false, false, false, timeout)));
+    }
+
+    private static Input.Answered answered(long attempt, Word word, Bytes body) {
+        return new Input.Answered(attempt, word, "parent", Map.of("inflight", 7.0), body);
+    }
+
+    @Test
+    void firstOkGoesToTheClientWithItsBytesAndEndsTheRequest() {
+        fetchOnArrival(0, 0);
+        Counted asked = new Counted();
+        request(5, "segment", asked);
+        Effect.Ask ask = ask();
+        assertEquals("s-1", ask.instance());
+        assertEquals("127.0.0.1:11", ask.address());
+        assertEquals("p-1", ask.source());
+        assertEquals("9b1f03aa5c7e2d41", ask.id());
+        assertEquals("7f3a9c21e0b4d655", ask.object());
+        assertEquals(1500, ask.limitMillis());
+        assertEquals("4be0", ask.tag());
+        take(new Input.Written(ask.attempt()));
+        Counted body = new Counted();
+        now += 90 * MILLI;
+        take(answered(ask.attempt(), Word.DATA, body));
+        Effect.Answer answer = of(effects, Effect.Answer.class).get(0);
+        assertEquals(new Effect.Answer(1, 5, Code.SERVED, false, 0, body), answer);
+        assertEquals(1, body.holders, "the answer's holder is the effect");
+        ask.body().release();
+        assertEquals(0, asked.holders);
+        AttemptEnded end = of(events, AttemptEnded.class).get(0);
+        assertEquals(Outcome.OK, end.outcome());
+        assertTrue(end.closed());
+        assertEquals(FillNote.FILLED, end.note());
+        assertEquals(90 * MILLI, end.latency());
+        assertEquals(Map.of("inflight", 7.0), end.load());
+        pass(5 * SECOND);
+        assertEquals(1, of(effects, Effect.Answer.class).size());
+        assertEquals(0, reducer.openRequests());
+    }
+
+    @Test
+    void aCopyThatTheClientHoldsIsToldAsUnchanged() {
+        fetchOnArrival(0, 0);
+        request(5, "segment", Bytes.NONE);
+        take(answered(ask().attempt(), Word.UNCHANGED, Bytes.NONE));
+        assertTrue(of(effects, Effect.Answer.class).get(0).unchanged());
+    }
+
+    @Test
+    void aLookupNamesNoSource() {
+        onArrival(r -> act.accept(new Lookup(r.id(), CACHE, 0)));
+        request(5, "segment", Bytes.NONE);
+        assertNull(ask().source());
+        assertEquals(0, ask().withinMillis());
+    }
+
+    @Test
+    void theOldestCopyRoundsDownToMillisecondsButNeverToAnyAge() {
+        for (long[] pair : new long[][] {{0, 0}, {1, 1}, {999, 1}, {1_999, 1}, {2_000, 2}, {6 * SECOND, 6_000}}) {
+            fetchOnArrival(pair[0], 0);
+            request(5, "segment", Bytes.NONE);
+            assertEquals(pair[1], ask().withinMillis(), "for " + pair[0]);
+            take(answered(ask().attempt(), Word.DATA, Bytes.NONE));
+        }
+    }
+
+    @Test
+    void eachWordOfACacheIsTheOutcomeItProves() {
+        Map<Word, Outcome> expected = Map.of(Word.ABSENT, Outcome.MISS, Word.FULL, Outcome.FULL, Word.FAILED,
+                Outcome.ERROR, Word.MOOT, Outcome.MOOT);
+        expected.forEach((word, outcome) -> {
+            events.clear();
+            fetchOnArrival(0, 0);
+            request(word.ordinal() + 1, "segment", Bytes.NONE);
+            Counted body = new Counted();
+            take(answered(ask().attempt(), word, body));
+            assertEquals(outcome, of(events, AttemptEnded.class).get(0).outcome());
+            assertFalse(of(events, AttemptEnded.class).get(0).closed());
+            assertEquals(0, body.holders, "a body that goes nowhere is let go");
+        });
+    }
+
+    @Test
+    void anAttemptNotWrittenWholeNeverRanAndABrokenOneMayHave() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        take(new Input.Unreached(ask().attempt()));
+        request(2, "segment", Bytes.NONE);
+        take(new Input.Written(ask().attempt()));
+        take(new Input.Broken(ask().attempt()));
+        List<Outcome> outcomes = of(events, AttemptEnded.class).stream().map(AttemptEnded::outcome).toList();
+        assertEquals(List.of(Outcome.CONNECT_FAILED, Outcome.RESET), outcomes);
+    }
+
+    @Test
+    void aRequestStuckUnwrittenIsTakenBackBeforeADrainOrPurgeBindsIt() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        long attempt = ask().attempt();
+        pass(limits.unwritten());
+        assertEquals(attempt, of(effects, Effect.Quit.class).get(0).attempt());
+        assertEquals(Outcome.CONNECT_FAILED, of(events, AttemptEnded.class).get(0).outcome());
+        assertTrue(limits.unwritten() < config.words().settings().rules().purgeGrace());
+        assertTrue(limits.unwritten() < config.words().settings().rules().drainGrace());
+    }
+
+    @Test
+    void aWrittenAttemptIsNotTakenBackButEndsWithItsTimeOut() {
+        fetchOnArrival(0, 700 * MILLI);
+        request(1, "segment", Bytes.NONE);
+        take(new Input.Written(ask().attempt()));
+        assertEquals(700, ask().limitMillis());
+        pass(699 * MILLI);
+        assertTrue(of(events, AttemptEnded.class).isEmpty());
+        pass(2 * MILLI);
+        assertEquals(Outcome.TIMEOUT, of(events, AttemptEnded.class).get(0).outcome());
+        assertEquals(1, of(effects, Effect.Quit.class).size());
+    }
+
+    @Test
+    void aLateAnswerBelongsToItsOwnAttempt() {
+        fetchOnArrival(0, 700 * MILLI);
+        request(1, "segment", Bytes.NONE);
+        long first = ask().attempt();
+        take(new Input.Written(first));
+        script = e -> {
+            if (e instanceof AttemptEnded a && !a.closed()) {
+                act.accept(new Fetch(a.id(), CACHE, PARENT, 0, 0, false, false, false, false, 0));
+            }
+        };
+        pass(701 * MILLI);
+        long second = ask().attempt();
+        assertFalse(first == second);
+        Counted late = new Counted();
+        take(answered(first, Word.DATA, late));
+        assertEquals(0, late.holders);
+        assertTrue(of(effects, Effect.Answer.class).isEmpty());
+        take(answered(second, Word.DATA, Bytes.NONE));
+        assertEquals(1, of(effects, Effect.Answer.class).size());
+    }
+
+    @Test
+    void theDeadlineEndsTheAttemptAndTheDecisionsMayStillAnswer() {
+        fetchOnArrival(0, 0);
+        request(1, "order", Bytes.NONE);
+        take(new Input.Written(ask().attempt()));
+        Consumer<Event> failing = e -> {
+            if (e instanceof AttemptEnded a) {
+                assertFalse(a.closed());
+                act.accept(new Fail(a.id()));
+            }
+        };
+        script = failing;
+        pass(1_499 * MILLI);
+        assertTrue(of(effects, Effect.Answer.class).isEmpty());
+        pass(2 * MILLI);
+        assertEquals(Code.FAILED, of(effects, Effect.Answer.class).get(0).code());
+    }
+
+    @Test
+    void aRequestThatNobodyAnswersFailsWithinTheSlackAndIsAnsweredOnce() {
+        request(1, "segment", Bytes.NONE);
+        pass(1_500 * MILLI + 28 * MILLI);
+        List<Effect.Answer> answers = of(effects, Effect.Answer.class);
+        assertEquals(1, answers.size());
+        assertEquals(Code.FAILED, answers.get(0).code());
+        RequestArrived arrived = of(events, RequestArrived.class).get(0);
+        assertEquals(List.of(new RequestGone(arrived.id())), of(events, RequestGone.class));
+        act.accept(new Refuse(arrived.id(), 0));
+        assertEquals(1, of(effects, Effect.Answer.class).size());
+    }
+
+    @Test
+    void aRefusalSaysWhenToComeBackInWholeMilliseconds() {
+        onArrival(r -> act.accept(new Refuse(r.id(), 200_001)));
+        request(1, "segment", Bytes.NONE);
+        assertEquals(new Effect.Answer(1, 1, Code.REFUSED, false, 201, Bytes.NONE),
+                of(effects, Effect.Answer.class).get(0));
+    }
+
+    @Test
+    void nothingIsOwedToAClientThatHasLeft() {
+        fetchOnArrival(0, 0);
+        Counted asked = new Counted();
+        request(1, "segment", asked);
+        Effect.Ask ask = ask();
+        take(new Input.Withdrawn(1, 1));
+        assertEquals(1, of(events, RequestGone.class).size());
+        Counted crossing = new Counted();
+        take(answered(ask.attempt(), Word.DATA, crossing));
+        assertEquals(0, crossing.holders);
+        ask.body().release();
+        assertEquals(0, asked.holders);
+        take(new Input.Withdrawn(1, 1));
+        pass(5 * SECOND);
+        assertTrue(of(effects, Effect.Answer.class).isEmpty());
+        assertEquals(1, of(events, RequestGone.class).size());
+    }
+
+    @Test
+    void aClosedConnectionEndsAllItsRequestsAndNoOthers() {
+        request(1, "segment", Bytes.NONE);
+        request(2, "segment", Bytes.NONE);
+        take(new Input.Request(2, 1, "a", "segment", "b", 0, 0, null, 1500, false, Bytes.NONE));
+        take(new Input.ClientClosed(1));
+        assertEquals(2, of(events, RequestGone.class).size());
+        assertEquals(1, reducer.openRequests());
+    }
+
+    @Test
+    void aCallOffIsToldToTheCacheAndEndsTheAttempt() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        String id = of(events, RequestArrived.class).get(0).id();
+        script = e -> {
+            if (e instanceof TimerDue) {
+                act.accept(new Cancel(id, 0));
+            }
+        };
+        act.accept(new SetTimer(10 * MILLI, 77));
+        take(new Input.Written(ask().attempt()));
+        pass(11 * MILLI);
+        assertEquals(List.of(new Effect.Quit(ask().attempt(), true)), of(effects, Effect.Quit.class));
+        assertEquals(Outcome.CANCELLED, of(events, AttemptEnded.class).get(0).outcome());
+        assertEquals(new TimerDue(77), of(events, TimerDue.class).get(0));
+    }
+
+    @Test
+    void requestsBeyondTheBoundAreRefusedUnseen() throws Exception {
+        start(2);
+        request(1, "segment", Bytes.NONE);
+        request(2, "segment", Bytes.NONE);
+        Counted third = new Counted();
+        request(3, "segment", third);
+        assertEquals(Code.REFUSED, of(effects, Effect.Answer.class).get(0).code());
+        assertEquals(0, third.holders);
+        assertEquals(2, of(events, RequestArrived.class).size());
+        take(new Input.Withdrawn(1, 1));
+        request(4, "segment", Bytes.NONE);
+        assertEquals(3, of(events, RequestArrived.class).size());
+    }
+
+    @Test
+    void aRequestOfAnUnknownClassFailsAtOnce() {
+        request(1, "nonsense", Bytes.NONE);
+        assertEquals(Code.FAILED, of(effects, Effect.Answer.class).get(0).code());
+        assertTrue(of(events, RequestArrived.class).isEmpty());
+    }
+
+    @Test
+    void attemptsBeyondTheMostAllowedAreMootAndNotSent() {
+        onArrival(r -> {
+            for (int i = 0; i < 9; i++) {
+                act.accept(new Lookup(r.id(), CACHE, 0));
+            }
+        });
+        request(1, "segment", Bytes.NONE);
+        assertEquals(8, of(effects, Effect.Ask.class).size());
+        assertEquals(Outcome.MOOT, of(events, AttemptEnded.class).get(0).outcome());
+    }
+
+    @Test
+    void aFaultOfTheDecisionsFailsOneRequestAndNotTheRouter() {
+        onArrival(r -> {
+            throw new IllegalStateException("for the test");
+        });
+        request(1, "segment", Bytes.NONE);
+        fetchOnArrival(0, 0);
+        request(2, "segment", Bytes.NONE);
+        take(answered(ask().attempt(), Word.DATA, Bytes.NONE));
+        pass(2 * SECOND);
+        assertEquals(List.of(Code.SERVED, Code.FAILED),
+                of(effects, Effect.Answer.class).stream().map(Effect.Answer::code).toList());
+        assertEquals(1, counters.get(Counters.Name.FAULTS));
+    }
+
+    @Test
+    void eventsOfTheCoordinatorAreTakenOnceAndInOrder() {
+        String purge = "{\"index\":2,\"evict\":{\"ref\":\"7f3a\",\"unix_ms\":" + (START / MILLI - 250) + "}}";
+        take(new Input.Update(purge));
+        take(new Input.Update(purge));
+        take(new Input.Update("{\"index\":3,\"evict\":{\"shard\":17,\"unix_ms\":" + START / MILLI + "}}"));
+        assertEquals(List.of(new Purged("7f3a", -1, 250 * MILLI), new Purged(null, 17, 0)), events);
+        assertEquals(3, reducer.lastUpdate());
+    }
+
+    @Test
+    void anEventThatCannotBeReadIsSkipped() {
+        take(new Input.Update("{\"index\":2,"));
+        take(new Input.Update(NodeTestConfig.list(2, false,
+                NodeTestConfig.member("s-9", "127.0.0.1:19", "box", "sleeping", 0))));
+        assertTrue(events.isEmpty());
+        assertEquals(2, counters.get(Counters.Name.BAD_INPUT));
+    }
+
+    @Test
+    void aMemberThatLeavesOrStartsAnewLosesItsOldConnections() {
+        take(new Input.Update(NodeTestConfig.list(2, false,
+                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", START / MILLI))));
+        take(new Input.Update(NodeTestConfig.list(3, false,
+                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "left", START / MILLI),
+                NodeTestConfig.member("s-2", "127.0.0.1:11", "box", "active", START / MILLI))));
+        assertEquals(List.of(new Effect.Drop("s-1", START), new Effect.Retire("s-1")), effects);
+        MembersListed last = of(events, MembersListed.class).get(1);
+        assertEquals(State.GONE, last.members().get(0).state());
+        assertFalse(last.members().get(0).id() == last.members().get(1).id());
+        fetchOnArrival(0, 0);
+        onArrival(r -> act.accept(new Lookup(r.id(), Reducer.memberId("s-2"), 0)));
+        request(1, "segment", Bytes.NONE);
+        assertEquals("s-2", ask().instance());
+    }
+
+    @Test
+    void askedToEndItTellsClientsAnswersWhatIsOpenAndThenGoes() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        take(new Input.Written(ask().attempt()));
+        assertTrue(reducer.ready());
+        take(new Input.Terminate());
+        assertEquals(1, of(effects, Effect.Drain.class).size());
+        assertFalse(reducer.ready());
+        pass(300 * MILLI);
+        request(2, "segment", Bytes.NONE);
+        List<Effect.Ask> asks = of(effects, Effect.Ask.class);
+        take(answered(asks.get(1).attempt(), Word.DATA, Bytes.NONE));
+        pass(600 * MILLI);
+        assertTrue(of(effects, Effect.Exit.class).isEmpty(), "a request is still open");
+        take(answered(asks.get(0).attempt(), Word.DATA, Bytes.NONE));
+        assertEquals(1, of(effects, Effect.Exit.class).size());
+    }
+
+    @Test
+    void askedToEndWithNothingOpenItWaitsForRequestsOnTheirWay() {
+        take(new Input.Terminate());
+        pass(700 * MILLI);
+        assertTrue(of(effects, Effect.Exit.class).isEmpty());
+        pass(100 * MILLI);
+        assertEquals(1, of(effects, Effect.Exit.class).size());
+    }
+
+    @Test
+    void whatIsStillOpenShortlyBeforeTheKillFails() {
+        take(new Input.Terminate());
+        take(new Input.Request(1, 9, "a", "segment", "b", 0, 0, null, 60_000, false, Bytes.NONE));
+        pass(3_650 * MILLI);
+        assertEquals(Code.FAILED, of(effects, Effect.Answer.class).get(0).code());
+        assertEquals(1, of(effects, Effect.Exit.class).size());
+    }
+
+    @Test
+    void timersOfWhatHasEndedWakeNobody() {
+        fetchOnArrival(0, 0);
+        for (int i = 1; i <= 50; i++) {
+            request(i, "segment", Bytes.NONE);
+            take(new Input.Written(ask().attempt()));
+            take(answered(ask().attempt(), Word.DATA, Bytes.NONE));
+        }
+        assertEquals(Long.MAX_VALUE, reducer.nextDue());
+    }
+}
