--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -215,7 +215,7 @@
                     .findFirst().orElse(null);
             if (id != null) {
                 // silent since that request was written: what comes next tries whether a new one comes up
-                retired |= spent.size() > SPENT_IDS || heardAt < out.get(id).writtenAt()
+                retired |= spent.size() > SPENT_IDS || heardAt <= out.get(id).writtenAt()
                         && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
             }
             if (id != null && tellCache) {
--- /dev/null
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -0,0 +1,267 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pumicemoor.node.Bytes;
+import pumicemoor.node.Counters;
+import pumicemoor.node.Effect;
+import pumicemoor.node.Input;
+import pumicemoor.node.NodeConfig;
+import pumicemoor.node.NodeTestConfig;
+import pumicemoor.node.ResourceLimits;
+
+/** The pooled connections to members, against a listener that a test answers by hand, on a clock it sets. */
+class CacheLinesTest {
+
+    private static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
+
+    private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private ServerSocket listener;
+    private ResourceLimits limits;
+    private CacheLines lines;
+    private volatile long time = 1_000_000_000;
+
+    /** A line that the member was sent, and the connection it came on. */
+    private record Got(Socket from, String line) {
+    }
+
+    private final Loop loop = new Loop() {
+        @Override
+        public void submit(Input input) {
+            inputs.add(input);
+        }
+
+        @Override
+        public long clock() {
+            return time;
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public void opened(long number, ClientConnection client) {
+            // no clients here
+        }
+
+        @Override
+        public void closed(long number) {
+            // no clients here
+        }
+    };
+
+    @BeforeEach
+    void start() throws Exception {
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
+        limits = ResourceLimits.of(config.words().settings(), config.figures());
+        lines = new CacheLines(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
+                new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = listener.accept();
+                    Thread each = new Thread(() -> read(socket));
+                    each.setDaemon(true);
+                    each.start();
+                }
+            } catch (IOException e) {
+                // closed at the end of the test
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void read(Socket socket) {
+        try {
+            InputStream in = socket.getInputStream();
+            StringBuilder line = new StringBuilder();
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                if (b != '\n') {
+                    line.append((char) b);
+                } else {
+                    if (line.length() > 1) {
+                        got.add(new Got(socket, line.toString().strip()));
+                    }
+                    line.setLength(0);
+                }
+            }
+        } catch (IOException e) {
+            // the connection has ended
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        listener.close();
+        onLoop(lines::closeAll);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void onLoop(Runnable what) throws Exception {
+        group.submit(what).sync();
+    }
+
+    private Effect.Ask ask(long attempt, String id) {
+        return new Effect.Ask(attempt, "s-1", "127.0.0.1:" + listener.getLocalPort(), id, "segment", "o", 0, 100,
+                null, 0, 0, false, false, false, false, null, Bytes.NONE);
+    }
+
+    private Got sent(long attempt, String id) throws Exception {
+        onLoop(() -> lines.ask(ask(attempt, id)));
+        assertEquals(new Input.Written(attempt), next());
+        Got line = got.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        assertEquals("ASK " + id + " cls=segment,item=o,chunk=0,limit=100 0", line.line());
+        return line;
+    }
+
+    private Input next() throws InterruptedException {
+        Input input = inputs.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        assertNotNull(input, "nothing came");
+        return input;
+    }
+
+    private void quit(long attempt) throws Exception {
+        onLoop(() -> lines.quit(new Effect.Quit(attempt, true)));
+    }
+
+    private static void answer(Got to, String id, String word) throws IOException {
+        to.from().getOutputStream().write((id + " " + word + " - 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static boolean same(Got one, Got other) {
+        return one.from() == other.from();
+    }
+
+    @Test
+    void requestsShareAConnectionButNoIdStandsTwiceOnIt() throws Exception {
+        Got first = sent(1, "a");
+        assertEquals(true, same(first, sent(2, "b")));
+        Got again = sent(3, "a");
+        assertEquals(false, same(first, again));
+        answer(again, "a", "absent");
+        answer(first, "a", "full");
+        Input.Answered one = (Input.Answered) next();
+        Input.Answered two = (Input.Answered) next();
+        assertEquals(Input.Word.ABSENT, one.attempt() == 3 ? one.word() : two.word());
+        assertEquals(Input.Word.FULL, one.attempt() == 1 ? one.word() : two.word());
+    }
+
+    @Test
+    void anAnswerThatCrossesAQuitIsNotTakenForTheNextAttempt() throws Exception {
+        Got first = sent(1, "a");
+        quit(1);
+        assertEquals("QUIT a", got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
+        Got second = sent(2, "a");
+        assertEquals(false, same(first, second));
+        answer(first, "a", "data");
+        Got third = sent(3, "b");
+        assertEquals(true, same(first, third));
+        answer(third, "b", "failed");
+        assertEquals(new Input.Answered(3, Input.Word.FAILED, null, java.util.Map.of(), Bytes.NONE), next());
+        answer(second, "a", "absent");
+        assertEquals(2, ((Input.Answered) next()).attempt());
+    }
+
+    @Test
+    void aRequestTakenBackBeforeItIsWrittenNeverLeaves() throws Exception {
+        onLoop(() -> {
+            lines.ask(ask(1, "a"));  // the connection is not up yet
+            lines.quit(new Effect.Quit(1, true));
+            lines.ask(ask(2, "b"));
+        });
+        assertEquals(new Input.Written(2), next());
+        assertEquals("ASK b cls=segment,item=o,chunk=0,limit=100 0",
+                got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
+    }
+
+    @Test
+    void whenAConnectionEndsWhatWasWrittenMayHaveRun() throws Exception {
+        Got first = sent(1, "a");
+        first.from().close();
+        assertEquals(new Input.Broken(1), next());
+        assertEquals(false, same(first, sent(2, "b")));
+    }
+
+    @Test
+    void whenNoConnectionComesUpNothingRan() throws Exception {
+        Effect.Ask ask = ask(1, "a");
+        listener.close();
+        onLoop(() -> lines.ask(ask));
+        assertEquals(new Input.Unreached(1), next());
+    }
+
+    @Test
+    void aConnectionThatFellSilentIsUsedForNothingNew() throws Exception {
+        Got first = sent(1, "a");
+        sent(2, "b");
+        time += limits.connectTimeout() + 1;
+        quit(1);
+        got.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        Got next = sent(3, "c");
+        assertEquals(false, same(first, next));
+        answer(first, "b", "absent");
+        assertEquals(2, ((Input.Answered) next()).attempt());
+    }
+
+    @Test
+    void aConnectionThatWasHeardGoesOnAfterAQuit() throws Exception {
+        Got first = sent(1, "a");
+        sent(2, "b");
+        time += 1;
+        answer(first, "b", "absent");
+        next();
+        time += limits.connectTimeout() + 1;
+        quit(1);
+        got.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        assertEquals(true, same(first, sent(3, "c")));
+    }
+
+    @Test
+    void anIdleConnectionIsClosedBeforeTheOtherSideDoes() throws Exception {
+        Got first = sent(1, "a");
+        answer(first, "a", "absent");
+        next();
+        time += limits.lineIdle() + 1;
+        onLoop(() -> lines.sweep(time));
+        assertEquals(false, same(first, sent(2, "b")));
+    }
+
+    @Test
+    void garbageFromAMemberEndsTheConnectionAndItsAttempts() throws Exception {
+        Got first = sent(1, "a");
+        first.from().getOutputStream().write("what is this\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals(new Input.Broken(1), next());
+    }
+
+    @Test
+    void connectionsOpenedBeforeAMembersStartAreDropped() throws Exception {
+        sent(1, "a");
+        onLoop(() -> lines.drop("s-1", time));
+        onLoop(() -> lines.drop("s-1", time + 1));
+        assertEquals(new Input.Broken(1), next());
+    }
+}
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -292,6 +293,28 @@
         assertTrue(channel.config().isAutoRead());
     }
 
+    @Test
+    void aClientThatReadsNothingIsClosedAfterAWhile() {
+        connection = new ClientConnection(1, limits, new BufferBudget(() -> held, 1_000_000), new Counters(), loop);
+        channel = new EmbeddedChannel(connection) {
+            @Override
+            protected void doWrite(ChannelOutboundBuffer in) {
+                // takes nothing
+            }
+        };
+        channel.writeInbound(Unpooled.copiedBuffer(request(5), 4, request(5).length - 4));
+        checkRequest();
+        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0,
+                NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
+        connection.sweep(time);
+        time = limits.clientStall();
+        connection.sweep(time);
+        assertTrue(channel.isOpen());
+        time++;
+        connection.sweep(time);
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void anIdleConnectionIsClosedButNotOneWithAnOpenRequest() {
         write(request(5));
