--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -30,6 +30,8 @@
             usage: java -jar pumicemoor.jar COMMAND
               serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
               drill          decide for the simulator: events on standard input, actions on standard output
+              status         ask a running router for its state and counters: status HOST:PORT
+              self-check     start a router on loopback, have it serve one request, end it
               check-config   read a configuration and say whether it can be used: check-config [FILE]
               version        print the version""";
 
@@ -40,6 +42,8 @@
 
     @Argument(handler = SubCommandHandler.class, metaVar = "COMMAND", required = true)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "drill", impl = Replay.class),
+            @SubCommand(name = "status", impl = Status.class),
+            @SubCommand(name = "self-check", impl = SelfCheck.class),
             @SubCommand(name = "check-config", impl = CheckConfig.class),
             @SubCommand(name = "version", impl = Version.class)})
     private Command command;
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -95,7 +96,8 @@
                 }
             }
             case ClientFrame.READY_ASKED -> context.writeAndFlush(
-                    ClientFrame.ready(context.alloc(), stream, loop.ready()), context.voidPromise());
+                    ClientFrame.ready(context.alloc(), stream, loop.ready(),
+                            ClientFrame.asksForCounters(frame) ? counters.all() : Map.of()), context.voidPromise());
             default -> throw new CorruptedFrameException("a frame of the unknown type " + type);
         }
     }
--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -106,10 +106,17 @@
         out.writeCharSequence(value, StandardCharsets.US_ASCII);
     }
 
-    /** The answer to whether the router is ready. */
-    static ByteBuf ready(ByteBufAllocator allocator, int stream, boolean ready) {
-        return allocator.ioBuffer(16).writeInt(HEADER + 2).writeByte(READY).writeInt(stream)
-                .writeByte(ready ? 1 : 0).writeByte(0);
+    /** Whether the question for readiness asks for the counters too. */
+    static boolean asksForCounters(ByteBuf frame) {
+        return frame.isReadable() && "1".equals(fields(frame).get("counters"));
+    }
+
+    /** The answer to whether the router is ready, with these fields. */
+    static ByteBuf ready(ByteBufAllocator allocator, int stream, boolean ready, Map<String, String> fields) {
+        ByteBuf out = allocator.ioBuffer(16).writeInt(0).writeByte(READY).writeInt(stream)
+                .writeByte(ready ? 1 : 0).writeByte(fields.size());
+        fields.forEach((name, value) -> field(out, name, value));
+        return out.setInt(0, out.readableBytes() - LENGTH_BYTES);
     }
 
     /** Bring no new request on this connection. */
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -58,6 +58,22 @@
         assertTrue(ended.out().startsWith("pumicemoor "), ended.out());
     }
 
+    @Test
+    void aRouterCheckedByItselfServesARequestAndTellsItsCounters() throws Exception {
+        Ended ended = run(null, "self-check");
+        assertEquals(0, ended.code(), ended.err());
+        assertTrue(ended.out().startsWith("ready yes\nconnections 2\nrequests 1\n"), ended.out());
+    }
+
+    @Test
+    void statusOfWhatDoesNotAnswerIsToldInOneLine() throws Exception {
+        for (String[] words : new String[][] {{"status", "127.0.0.1:1"}, {"status", "nowhere"}}) {
+            Ended ended = run(null, words);
+            assertEquals(1, ended.code());
+            assertEquals(1, ended.err().lines().count(), ended.err());
+        }
+    }
+
     @Test
     void drillEndsWithItsInput() throws Exception {
         assertEquals(new Ended(0, "", ""), run(null, "drill"));
