Rehearse the path of a request before the router says it is ready

Ruled out: collections (2 to 8 ms), idle turns of the loop (gone before), class loading alone (the archive moved the loss rather than ended it). Rehearsal takes made-up requests through frames, reducer, decisions and answers on a reducer and clock of its own, 0.6 s at most, before the listening socket opens.

--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -99,7 +99,7 @@
         return head.setInt(0, head.readableBytes() - LENGTH_BYTES + bodySize);
     }
 
-    private static void field(ByteBuf out, String name, String value) {
+    static void field(ByteBuf out, String name, String value) {
         out.writeByte(name.length());
         out.writeCharSequence(name, StandardCharsets.US_ASCII);
         out.writeShort(value.length());
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -79,6 +79,10 @@
 
     /** Listens and follows the coordinator; returns when both have begun. */
     public void start() throws InterruptedException {
+        long began = System.nanoTime();
+        long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime());
+        LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
         loop.submit(() -> {
             reducer.known(clock(), config, effects::add);
             work();
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -12,7 +12,8 @@
         int answerBytes, int lineBytes, long bufferedBytes, int clientBacklogBytes, int lineBacklogBytes,
         long clientIdle, long clientStall, int linesPerMember, int attemptsPerLine, long connectTimeout, long unwritten, long lineIdle, long lineAbandoned,
         long feedSilence,
-        long feedRetry, long answerGuard, long quietAfterTerm, long lastAfterTerm) {
+        long feedRetry, long answerGuard, long quietAfterTerm, long lastAfterTerm,
+        int rehearsals, long rehearsalTime) {
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
@@ -35,6 +36,6 @@
                 figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 4 * SECOND,
                 100 * MILLI, settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
-                Math.min(longest, 3 * SECOND) + 450 * MILLI);
+                Math.min(longest, 3 * SECOND) + 450 * MILLI, 2_500, 600 * MILLI);
     }
 }
--- /dev/null
+++ b/src/test/java/pumicemoor/net/RehearsalTest.java
@@ -0,0 +1,40 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pumicemoor.node.NodeConfig;
+import pumicemoor.node.NodeTestConfig;
+import pumicemoor.node.ResourceLimits;
+
+/** The way of a request, played before the router is ready. */
+class RehearsalTest {
+
+    private static final long NOW = 1_764_576_000_000_000L;
+
+    private static long run(int requests, long time, String... updates) throws Exception {
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "", updates));
+        return new Rehearsal(config, ResourceLimits.of(config.words().settings(), config.figures()), NOW)
+                .run(requests, time);
+    }
+
+    @Test
+    void everyRequestGoesTheWholeWay() throws Exception {
+        assertEquals(500, run(500, 60_000_000, NodeTestConfig.list(1, true,
+                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
+                NodeTestConfig.member("p-1", "127.0.0.1:13", "shield", "active", 0),
+                NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
+    }
+
+    @Test
+    void withoutMembersItEndsAllTheSame() throws Exception {
+        assertTrue(run(100, 60_000_000) <= 100);
+    }
+
+    @Test
+    void itDoesNotGoOnPastItsTime() throws Exception {
+        assertEquals(0, run(100, 0));
+    }
+}
