Test the end of a served process by SIGTERM; share the loop of the network tests

serve as a process of its own is asked for its state by frame, ended by SIGTERM, and must log its counters. The two tests of connections held the same stand-in for the loop.

--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -4,11 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pumicemoor.node.NodeTestConfig;
@@ -23,6 +27,12 @@
     }
 
     private Ended run(String config, String... words) throws IOException, InterruptedException {
+        int code = start(config, words).waitFor();
+        return new Ended(code, Files.readString(folder.resolve("out"), StandardCharsets.UTF_8),
+                Files.readString(folder.resolve("err"), StandardCharsets.UTF_8));
+    }
+
+    private Process start(String config, String... words) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
                 Main.class.getName()));
@@ -36,9 +46,34 @@
             builder.environment().put("RELAY_CONFIG",
                     Files.writeString(folder.resolve("config.json"), config).toString());
         }
-        int code = builder.start().waitFor();
-        return new Ended(code, Files.readString(out, StandardCharsets.UTF_8),
-                Files.readString(err, StandardCharsets.UTF_8));
+        return builder.start();
+    }
+
+    @Test
+    void askedToEndServeLogsItsCountersAndGoes() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Process router = start(NodeTestConfig.json("127.0.0.1:" + port, ""), "serve");
+        try {
+            FrameClient.Answer state = null;
+            while (state == null && router.isAlive()) {
+                try (FrameClient client = new FrameClient("127.0.0.1", port)) {
+                    state = client.ask(1, Map.of(), 2);
+                } catch (ConnectException e) {
+                    Thread.sleep(20);  // it does not listen yet
+                }
+            }
+            assertEquals(0, state.code(), "without members it is not ready");
+            assertEquals(Map.of(), state.fields());
+            router.destroy();
+            assertEquals(128 + 15, router.waitFor());
+            String log = Files.readString(folder.resolve("err"), StandardCharsets.UTF_8);
+            assertTrue(log.contains("counters: connections=1"), log);
+        } finally {
+            router.destroyForcibly();
+        }
     }
 
     @Test
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -33,45 +33,17 @@
 
     private static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
 
-    private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final TestLoop loop = new TestLoop();
     private final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private ServerSocket listener;
     private ResourceLimits limits;
     private CacheLines lines;
-    private volatile long time = 1_000_000_000;
 
     /** A line that the member was sent, and the connection it came on. */
     private record Got(Socket from, String line) {
     }
 
-    private final Loop loop = new Loop() {
-        @Override
-        public void submit(Input input) {
-            inputs.add(input);
-        }
-
-        @Override
-        public long clock() {
-            return time;
-        }
-
-        @Override
-        public boolean ready() {
-            return true;
-        }
-
-        @Override
-        public void opened(long number, ClientConnection client) {
-            // no clients here
-        }
-
-        @Override
-        public void closed(long number) {
-            // no clients here
-        }
-    };
-
     @BeforeEach
     void start() throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
@@ -139,7 +111,7 @@
     }
 
     private Input next() throws InterruptedException {
-        Input input = inputs.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        Input input = loop.inputs.poll(PATIENCE, TimeUnit.MILLISECONDS);
         assertNotNull(input, "nothing came");
         return input;
     }
@@ -218,7 +190,7 @@
     void aConnectionThatFellSilentIsUsedForNothingNew() throws Exception {
         Got first = sent(1, "a");
         sent(2, "b");
-        time += limits.connectTimeout() + 1;
+        loop.time += limits.connectTimeout() + 1;
         quit(1);
         got.poll(PATIENCE, TimeUnit.MILLISECONDS);
         Got next = sent(3, "c");
@@ -231,10 +203,10 @@
     void aConnectionThatWasHeardGoesOnAfterAQuit() throws Exception {
         Got first = sent(1, "a");
         sent(2, "b");
-        time += 1;
+        loop.time += 1;
         answer(first, "b", "absent");
         next();
-        time += limits.connectTimeout() + 1;
+        loop.time += limits.connectTimeout() + 1;
         quit(1);
         got.poll(PATIENCE, TimeUnit.MILLISECONDS);
         assertEquals(true, same(first, sent(3, "c")));
@@ -245,8 +217,8 @@
         Got first = sent(1, "a");
         answer(first, "a", "absent");
         next();
-        time += limits.lineIdle() + 1;
-        onLoop(() -> lines.sweep(time));
+        loop.time += limits.lineIdle() + 1;
+        onLoop(() -> lines.sweep(loop.time));
         assertEquals(false, same(first, sent(2, "b")));
     }
 
@@ -260,8 +232,8 @@
     @Test
     void connectionsOpenedBeforeAMembersStartAreDropped() throws Exception {
         sent(1, "a");
-        onLoop(() -> lines.drop("s-1", time));
-        onLoop(() -> lines.drop("s-1", time + 1));
+        onLoop(() -> lines.drop("s-1", loop.time));
+        onLoop(() -> lines.drop("s-1", loop.time + 1));
         assertEquals(new Input.Broken(1), next());
     }
 }
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -36,41 +36,12 @@
             "9b1f03aa5c7e2d41", "ttl", "1500", "rep", "1", "row", "7f3a9c21e0b4d655", "piece", "3", "lot", "17",
             "ver", "4be0c1927d55a6f3"));
 
-    private final List<Input> inputs = new ArrayList<>();
+    private final TestLoop loop = new TestLoop();
     private ResourceLimits limits;
     private long held;
-    private long time;
-    private boolean ready = true;
     private ClientConnection connection;
     private EmbeddedChannel channel;
 
-    private final Loop loop = new Loop() {
-        @Override
-        public void submit(Input input) {
-            inputs.add(input);
-        }
-
-        @Override
-        public long clock() {
-            return time;
-        }
-
-        @Override
-        public boolean ready() {
-            return ready;
-        }
-
-        @Override
-        public void opened(long number, ClientConnection client) {
-            // not needed here
-        }
-
-        @Override
-        public void closed(long number) {
-            // not needed here
-        }
-    };
-
     @BeforeEach
     void start() throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
@@ -79,7 +50,7 @@
     }
 
     private void open() {
-        inputs.clear();
+        loop.inputs.clear();
         connection = new ClientConnection(1, limits, new BufferBudget(() -> held, 1_000_000), new Counters(), loop);
         channel = new EmbeddedChannel(new LengthFieldBasedFrameDecoder(limits.frameBytes() + 4, 0, 4, 0, 4),
                 connection);
@@ -115,6 +86,10 @@
         return frame(7, stream, fields, new byte[] {1, 0, 13, 10, -1});
     }
 
+    private List<Input> inputs() {
+        return List.copyOf(loop.inputs);
+    }
+
     private void write(byte[] bytes) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes));
     }
@@ -129,7 +104,7 @@
     }
 
     private void checkRequest() {
-        Input.Request request = (Input.Request) inputs.get(0);
+        Input.Request request = (Input.Request) inputs().get(0);
         ByteBuf body = NettyBytes.buffer(request.body());
         assertEquals("01000d0aff", ByteBufUtil.hexDump(body));
         assertEquals(new Input.Request(1, 5, "9b1f03aa5c7e2d41", "segment", "7f3a9c21e0b4d655", 3, 17,
@@ -144,7 +119,7 @@
             open();
             channel.writeInbound(Unpooled.copiedBuffer(request, 0, split));
             channel.writeInbound(Unpooled.copiedBuffer(request, split, request.length - split));
-            assertEquals(1, inputs.size());
+            assertEquals(1, loop.inputs.size());
             checkRequest();
             channel.finishAndReleaseAll();
         }
@@ -153,7 +128,7 @@
     @Test
     void absentFieldsHaveTheirDefaults() {
         write(frame(7, 5, Map.of("op", "order", "call", "c", "row", "r", "ttl", "9"), new byte[0]));
-        assertEquals(new Input.Request(1, 5, "c", "order", "r", 0, -1, null, 9, false, Bytes.NONE), inputs.get(0));
+        assertEquals(new Input.Request(1, 5, "c", "order", "r", 0, -1, null, 9, false, Bytes.NONE), inputs().get(0));
     }
 
     @Test
@@ -165,7 +140,7 @@
             write(request(++stream, change));
             assertEquals("00000007" + "08" + String.format("%08x", stream) + "09" + "00", written());
         }
-        assertTrue(inputs.isEmpty());
+        assertTrue(loop.inputs.isEmpty());
         assertTrue(channel.isOpen());
         write(request(5));
         checkRequest();
@@ -174,7 +149,7 @@
     @Test
     void aTagThatCannotStandOnALineIsNotPassedOn() {
         write(request(5, "ver", "a,b"));
-        Input.Request request = (Input.Request) inputs.get(0);
+        Input.Request request = (Input.Request) inputs().get(0);
         assertNull(request.tag());
         request.body().release();
     }
@@ -188,7 +163,7 @@
             write(bytes);
             assertEquals("0000000708000000000900", written());
             assertFalse(channel.isOpen());
-            assertTrue(inputs.stream().noneMatch(Input.Request.class::isInstance));
+            assertTrue(loop.inputs.stream().noneMatch(Input.Request.class::isInstance));
         }
     }
 
@@ -214,7 +189,7 @@
         checkRequest();
         write(request(5));
         assertFalse(channel.isOpen());
-        assertTrue(inputs.contains(new Input.ClientClosed(1)));
+        assertTrue(loop.inputs.contains(new Input.ClientClosed(1)));
     }
 
     @Test
@@ -229,12 +204,12 @@
         connection.answer(new Effect.Answer(1, 6, Code.SERVED, true, 0, Bytes.NONE));
         assertEquals("00000014" + "08" + "00000006" + "01" + "01" + "09" + ByteBufUtil.hexDump("unchanged".getBytes(
                 StandardCharsets.US_ASCII)) + "0001" + "31", written());
-        ((Input.Request) inputs.get(1)).body().release();
+        ((Input.Request) inputs().get(1)).body().release();
         write(request(7));
         connection.answer(new Effect.Answer(1, 7, Code.REFUSED, false, 200, Bytes.NONE));
         assertTrue(written().endsWith(ByteBufUtil.hexDump("pushback".getBytes(StandardCharsets.US_ASCII)) + "0003"
                 + ByteBufUtil.hexDump("200".getBytes(StandardCharsets.US_ASCII))));
-        ((Input.Request) inputs.get(2)).body().release();
+        ((Input.Request) inputs().get(2)).body().release();
     }
 
     @Test
@@ -243,7 +218,7 @@
         checkRequest();
         write(frame(9, 5, null, new byte[0]));
         write(frame(9, 5, null, new byte[0]));
-        assertEquals(List.of(new Input.Withdrawn(1, 5)), inputs.subList(1, inputs.size()));
+        assertEquals(List.of(new Input.Withdrawn(1, 5)), inputs().subList(1, loop.inputs.size()));
         ByteBuf body = Unpooled.copiedBuffer(new byte[] {1});
         connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(body)));
         assertEquals("", written());
@@ -253,7 +228,7 @@
     @Test
     void readinessIsToldOnTheStreamThatAsked() {
         write(frame(1, 3, Map.of(), new byte[0]));
-        ready = false;
+        loop.ready = false;
         write(frame(1, 4, null, new byte[0]));
         assertEquals("00000007" + "02" + "00000003" + "0100" + "00000007" + "02" + "00000004" + "0000", written());
     }
@@ -269,16 +244,16 @@
         for (int stream = 1; stream <= 33; stream++) {
             write(request(stream));
         }
-        assertEquals(32, inputs.size());
+        assertEquals(32, loop.inputs.size());
         assertEquals("00000007" + "08" + "00000021" + "0000", written());
-        inputs.forEach(i -> ((Input.Request) i).body().release());
+        loop.inputs.forEach(i -> ((Input.Request) i).body().release());
     }
 
     @Test
     void withoutRoomForItsBodyARequestIsRefused() {
         held = 999_999;
         write(request(5));
-        assertTrue(inputs.isEmpty());
+        assertTrue(loop.inputs.isEmpty());
         assertEquals("00000007" + "08" + "00000005" + "0000", written());
     }
 
@@ -306,12 +281,12 @@
         checkRequest();
         connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0,
                 NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
-        connection.sweep(time);
-        time = limits.clientStall();
-        connection.sweep(time);
+        connection.sweep(loop.time);
+        loop.time += limits.clientStall();
+        connection.sweep(loop.time);
         assertTrue(channel.isOpen());
-        time++;
-        connection.sweep(time);
+        loop.time++;
+        connection.sweep(loop.time);
         assertFalse(channel.isOpen());
     }
 
@@ -319,11 +294,11 @@
     void anIdleConnectionIsClosedButNotOneWithAnOpenRequest() {
         write(request(5));
         checkRequest();
-        time = limits.clientIdle() + 1;
-        connection.sweep(time);
+        loop.time += limits.clientIdle() + 1;
+        connection.sweep(loop.time);
         assertTrue(channel.isOpen());
         connection.answer(new Effect.Answer(1, 5, Code.FAILED, false, 0, Bytes.NONE));
-        connection.sweep(time);
+        connection.sweep(loop.time);
         assertFalse(channel.isOpen());
         written();
     }
--- /dev/null
+++ b/src/test/java/pumicemoor/net/TestLoop.java
@@ -0,0 +1,38 @@
+package pumicemoor.net;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import pumicemoor.node.Input;
+
+/** A loop whose clock a test sets and whose inputs it reads. */
+final class TestLoop implements Loop {
+
+    final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    volatile long time = 1_000_000_000;
+    volatile boolean ready = true;
+
+    @Override
+    public void submit(Input input) {
+        inputs.add(input);
+    }
+
+    @Override
+    public long clock() {
+        return time;
+    }
+
+    @Override
+    public boolean ready() {
+        return ready;
+    }
+
+    @Override
+    public void opened(long number, ClientConnection client) {
+        // a test holds its own
+    }
+
+    @Override
+    public void closed(long number) {
+        // a test holds its own
+    }
+}
