Rehearse 800 requests before ready, for 6 s at most

The probe shows the path compiled after 500 to 700 requests, at 0.9 s of CPU in all whatever the compiler's flags (blocking compilation, thresholds at 0.05 to 2 were tried: 0.9 to 1.25 s); at a third of a core that is about 3 s, so 3 s of wall time cut it short. The figures stand in ResourceLimits (rehearsals, rehearsalTime).

--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -36,6 +36,6 @@
                 figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 4 * SECOND,
                 100 * MILLI, settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
-                Math.min(longest, 3 * SECOND) + 450 * MILLI, 1_000, 3 * SECOND);
+                Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND);
     }
 }
