Let answers on their way reach slow clients before an asked end

Read in the code while going through the end at SIGTERM: the loop was shut down 0.1 s after the last answer was handed to the sockets, which cut those that a slow client had not taken in yet (NodeServer.end). Now it ends when each client's connection has written all and closed. The new test in NodeServerTest fails without this. Counters may be read by any thread.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -1,6 +1,7 @@
 package pumicemoor.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -161,9 +162,10 @@
         }
     }
 
-    /** Closes the connection once what was written has left. */
-    void close() {
+    /** Closes the connection once what was written has left; tells when it is closed. */
+    ChannelFuture close() {
         context.writeAndFlush(context.alloc().buffer(0)).addListener(done -> context.close());
+        return context.channel().closeFuture();
     }
 
     @Override
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -14,6 +14,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.util.concurrent.Promise;
+import io.netty.util.concurrent.PromiseCombiner;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -242,7 +244,12 @@
             coordinator.close();
         }
         lines.closeAll();
-        clients.values().stream().toList().forEach(ClientConnection::close);
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
+        // answers still on their way to a slow client are given the time that they take
+        PromiseCombiner flushed = new PromiseCombiner(loop);
+        clients.values().stream().toList().forEach(c -> flushed.add(c.close()));
+        Promise<Void> all = loop.newPromise();
+        flushed.finish(all);
+        all.addListener(done -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+                .addListener(end -> ended.countDown()));
     }
 }
--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -1,14 +1,14 @@
 package pumicemoor.node;
 
-import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.stream.Collectors;
 
 /**
  * What the router took in, sent and answered, counted since its start. It only counts; nothing may be
- * decided by it.
+ * decided by it. One thread adds, any may read.
  */
 public final class Counters {
 
@@ -19,10 +19,10 @@
         UPDATES, LIST_LINES, PURGES, BAD_INPUT, FAULTS, BYTES_IN, BYTES_OUT, LINES_OPENED
     }
 
-    private final Map<Name, Long> counts = new EnumMap<>(Name.class);
+    private final AtomicLongArray counts = new AtomicLongArray(Name.values().length);
 
     public void add(Name name, long more) {
-        counts.merge(name, more, Long::sum);
+        counts.lazySet(name.ordinal(), counts.get(name.ordinal()) + more);  // one thread writes
     }
 
     public void add(Name name) {
@@ -30,7 +30,7 @@
     }
 
     public long get(Name name) {
-        return counts.getOrDefault(name, 0L);
+        return counts.get(name.ordinal());
     }
 
     /** All of them by name, in their order. */
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -216,7 +216,15 @@
         final DataOutputStream out;
 
         Client() throws IOException {
+            this(0);
+        }
+
+        /** A client that takes in so many bytes before it reads; 0 for the usual. */
+        Client(int receiveBuffer) throws IOException {
             toClose.add(this);
+            if (receiveBuffer > 0) {
+                socket.setReceiveBufferSize(receiveBuffer);
+            }
             socket.connect(new InetSocketAddress("127.0.0.1", server.address().getPort()));
             socket.setSoTimeout(PATIENCE);
             in = new DataInputStream(socket.getInputStream());
@@ -420,4 +428,32 @@
         assertTrue(server.awaitEnd(PATIENCE));
         assertNull(client.next());
     }
+
+    @Test
+    void answersOnTheirWayToASlowClientArriveWholeThoughTheRouterEnds() throws Exception {
+        Cache cache = new Cache("data");
+        cache.body = new byte[240_000];
+        start("", NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        Client slow = new Client(4_096);
+        for (int stream = 1; stream <= 32; stream++) {
+            slow.request(stream, "segment", new byte[0]);
+        }
+        while (server.counters().get(Name.SERVED) + server.counters().get(Name.REFUSED) < 32) {
+            Thread.onSpinWait();
+        }
+        server.terminate();
+        boolean listening = true;
+        while (listening) {  // until the router has begun to close
+            try {
+                new Client().close();
+            } catch (IOException e) {
+                listening = false;
+            }
+        }
+        int whole = 0;
+        for (Frame frame = slow.next(); frame != null; frame = slow.next()) {
+            whole += frame.type() == 8 ? 1 : 0;
+        }
+        assertEquals(32, whole);
+    }
 }
