Retire the connections to members that a whole list no longer names

Read in the code: a whole list, which may come after a gap, took members from the decisions but left their addresses and connections (Reducer.listed). Members gone are forgotten, so the table of addresses cannot grow with the list's changes.

--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.RouterApi.Action;
@@ -399,9 +401,7 @@
                     }
                 }
                 case OVERDUE -> overdue(requests.get(Long.toString(timer.about())));
-                case EXIT -> {
-                    List.copyOf(unanswered.values()).forEach(this::overdue);
-                }
+                case EXIT -> List.copyOf(unanswered.values()).forEach(this::overdue);
                 case EXIT_IF_QUIET -> {
                     // the check after each input does it
                 }
@@ -493,15 +493,23 @@
             Endpoint before = endpoints.put(member.id(),
                     new Endpoint(instance, line.text("hostPort"), member.started()));
             if (state == State.GONE) {
-                out.accept(new Effect.Retire(instance));
+                gone(member.id());
             } else if (before != null && before.started() != member.started()) {
                 out.accept(new Effect.Drop(instance, member.started()));
             }
         }
+        if (list.flag("reset")) {  // who is not in a whole list has been removed
+            Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
+            endpoints.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::gone);
+        }
         events.add(new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
                 list.integer("generation", 0), members));
     }
 
+    private void gone(long member) {
+        out.accept(new Effect.Retire(endpoints.remove(member).instance()));
+    }
+
     /** A number for a member that is the same at every router and every start: FNV-1a over its name. */
     static long memberId(String instance) {
         long hash = 0xcbf29ce484222325L;
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -442,6 +442,17 @@
         assertEquals("s-2", ask().instance());
     }
 
+    @Test
+    void whoIsMissingFromAWholeListLosesItsConnections() {
+        take(new Input.Update(NodeTestConfig.list(2, true,
+                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0))));
+        assertEquals(List.of(new Effect.Retire("p-1")), effects);
+        assertTrue(reducer.ready());
+        take(new Input.Update(NodeTestConfig.list(3, true)));
+        assertFalse(reducer.ready(), "nobody is left");
+    }
+
     @Test
     void askedToEndItTellsClientsAnswersWhatIsOpenAndThenGoes() {
         fetchOnArrival(0, 0);
