End an attempt at once when no socket can be opened for it

Read in the code: where a connection fails before it is tried (no descriptor left), the attempt was queued behind the failure and waited 0.4 s to be taken back (CacheLines.ask), and the coordinator's stream was not opened again (CoordinatorStream.reopen). CacheLinesTest has the first case and fails without the change.

--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -65,19 +65,23 @@
     void ask(Effect.Ask ask) {
         List<Line> pool = lines.computeIfAbsent(ask.instance(), i -> new ArrayList<>());
         Line line = pool.stream().filter(l -> l.takes(ask)).findFirst().orElse(null);
-        if (line == null && pool.size() < limits.linesPerMember()) {
-            line = new Line(ask.instance(), ask.address());
-            pool.add(line);
-            line.open();
-        }
-        if (line == null) {
+        if (line == null && pool.size() >= limits.linesPerMember()) {
             ask.body().release();
             loop.submit(new Input.Unreached(ask.attempt()));
             return;
         }
+        boolean fresh = line == null;
+        if (fresh) {
+            line = new Line(ask.instance(), ask.address());
+            pool.add(line);
+        }
         lineOfAttempt.put(ask.attempt(), line);
         line.queue.add(ask);
-        line.pump();
+        if (fresh) {
+            line.open();  // may fail at once, and then ends what is queued
+        } else {
+            line.pump();
+        }
     }
 
     void quit(Effect.Quit quit) {
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -76,7 +76,7 @@
 
     private void reopen(long delay) {
         if (!stopped) {
-            channel.eventLoop().schedule(this::open, delay, TimeUnit.MICROSECONDS);
+            bootstrap.config().group().schedule(this::open, delay, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -186,6 +187,15 @@
         assertEquals(new Input.Unreached(1), next());
     }
 
+    @Test
+    void whenNoSocketCanBeOpenedNothingRan() throws Exception {
+        CacheLines without = new CacheLines(new Bootstrap().group(group).channelFactory(() -> {
+            throw new ChannelException("no descriptor is left");
+        }), limits, new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        onLoop(() -> without.ask(ask(1, "a")));
+        assertEquals(new Input.Unreached(1), next());
+    }
+
     @Test
     void aConnectionThatFellSilentIsUsedForNothingNew() throws Exception {
         Got first = sent(1, "a");
