Tell the loop on its own thread when no socket can be opened

The end of connecting is now taken on the loop, and the test asks for that; it was seen to fail with the lines as they were.

--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.DecoderException;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -153,14 +154,17 @@
             ChannelFuture connecting = opening.connect(new InetSocketAddress(address.substring(0, colon),
                     Integer.parseInt(address.substring(colon + 1))));
             channel = connecting.channel();
-            connecting.addListener(done -> {
-                connected = done.isSuccess();
-                if (connected) {
-                    pump();
-                } else {
-                    ended();
-                }
-            });
+            // where no socket can be had, the listener is called on a thread that is not the loop's
+            connecting.addListener(done -> bootstrap.config().group().next().execute(() -> connected(done)));
+        }
+
+        private void connected(Future<?> done) {
+            connected = done.isSuccess();
+            if (connected) {
+                pump();
+            } else {
+                ended();
+            }
         }
 
         boolean empty() {
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -188,12 +188,13 @@
     }
 
     @Test
-    void whenNoSocketCanBeOpenedNothingRan() throws Exception {
+    void whenNoSocketCanBeOpenedNothingRanAndTheLoopIsTold() throws Exception {
         CacheLines without = new CacheLines(new Bootstrap().group(group).channelFactory(() -> {
             throw new ChannelException("no descriptor is left");
         }), limits, new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
         onLoop(() -> without.ask(ask(1, "a")));
         assertEquals(new Input.Unreached(1), next());
+        assertEquals(true, group.next().inEventLoop(loop.submitter), "told on the loop's own thread");
     }
 
     @Test
--- a/src/test/java/pumicemoor/net/TestLoop.java
+++ b/src/test/java/pumicemoor/net/TestLoop.java
@@ -10,9 +10,11 @@
     final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
     volatile long time = 1_000_000_000;
     volatile boolean ready = true;
+    volatile Thread submitter;
 
     @Override
     public void submit(Input input) {
+        submitter = Thread.currentThread();
         inputs.add(input);
     }
 
