--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -52,7 +52,7 @@
     private final Counters counters = new Counters();
     private final Reducer reducer;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
+    private final EventLoop loop = group.next();
     private final BufferBudget budget;
     private final CacheLines lines;
     private final CoordinatorStream coordinator;
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -11,7 +11,6 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
 import pumicemoor.RouterApi.Cancel;
@@ -29,6 +28,7 @@
 import pumicemoor.RouterApi.SetTimer;
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
+import pumicemoor.RouterApi;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.Word;
 
