--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -31,7 +31,7 @@
         long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         int opens = settings.limits().openRequests() > 0 ? settings.limits().openRequests() : 20_000;
         return new ResourceLimits(Math.min(opens, 8_192), 32, Math.max(16, figures.sockets() * 2 / 5), 262_144,
-                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 6, 1_048_576, 131_072, 30 * SECOND,
+                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 8, 1_048_576, 131_072, 30 * SECOND,
                 4 * SECOND, Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()), bound, unwritten,
                 figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 4 * SECOND,
