Test the coordinator's stream on a clock that the test moves

Found by it: closing a stream never opened threw, and a reopening planned before the close still took place (CoordinatorStream).

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -55,14 +56,21 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(
-                                new ReadTimeoutHandler(limits.feedSilence(), TimeUnit.MICROSECONDS),
-                                new HttpClientCodec(), new Reader());
+                        ch.pipeline().addLast(handlers());
                     }
                 });
     }
 
+    /** What one connection needs; the stream's comments keep the first from ending it. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new ReadTimeoutHandler(limits.feedSilence(), TimeUnit.MICROSECONDS),
+            new HttpClientCodec(), new Reader()};
+    }
+
     void open() {
+        if (stopped) {
+            return;
+        }
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1))));
@@ -82,7 +90,9 @@
 
     void close() {
         stopped = true;
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     /** Cuts the stream into events. */
--- /dev/null
+++ b/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
@@ -0,0 +1,99 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pumicemoor.node.Input;
+import pumicemoor.node.NodeConfig;
+import pumicemoor.node.NodeTestConfig;
+import pumicemoor.node.ResourceLimits;
+
+/** One connection to the coordinator, on a clock that the test moves. */
+class CoordinatorStreamTest {
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final TestLoop loop = new TestLoop();
+    private ResourceLimits limits;
+    private CoordinatorStream stream;
+    private EmbeddedChannel channel;
+
+    @BeforeEach
+    void start() throws Exception {
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
+        limits = ResourceLimits.of(config.words().settings(), config.figures());
+        stream = new CoordinatorStream(new Bootstrap().group(group).channel(NioSocketChannel.class), "127.0.0.1:1",
+                limits, () -> 41, loop);
+        channel = new EmbeddedChannel();
+        channel.freezeTime();
+        channel.pipeline().addLast(stream.handlers());
+        channel.pipeline().fireChannelActive();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        stream.close();
+        channel.finishAndReleaseAll();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void take(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private void pass(long micros) {
+        channel.advanceTimeBy(micros, TimeUnit.MICROSECONDS);
+        channel.runPendingTasks();
+    }
+
+    @Test
+    void itAsksFromTheLastEventThatWasTaken() {
+        StringBuilder request = new StringBuilder();
+        for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+            request.append(out.toString(StandardCharsets.US_ASCII));
+            out.release();
+        }
+        assertTrue(request.toString().startsWith("GET /v2/stream HTTP/1.1\r\n"), request.toString());
+        assertTrue(request.toString().toLowerCase().contains("last-event-id: 41\r\n"), request.toString());
+    }
+
+    @Test
+    void aLinkWithoutCommentsIsDeadAndOneWithThemIsNot() {
+        take("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+        for (int i = 0; i < 10; i++) {
+            pass(limits.feedSilence() / 2);
+            take(":\n\n");
+        }
+        assertTrue(channel.isOpen());
+        pass(limits.feedSilence() + 1_000);
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void eventsAreHandedOnAsTheTextThatCame() {
+        take("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 42\ndata: {\"i\r\n");
+        assertEquals(0, loop.inputs.size());
+        take("a\r\nndex\":42}\n\r\n1\r\n\n\r\n");
+        assertEquals(List.of(new Input.Update("{\"index\":42}")), List.copyOf(loop.inputs));
+    }
+
+    @Test
+    void anAnswerThatIsNoStreamEndsTheConnection() {
+        take("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        assertFalse(channel.isOpen());
+    }
+}
