--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -19,6 +21,7 @@
 import pumicemoor.node.NodeConfig;
 import pumicemoor.wire.Drill;
 import pumicemoor.wire.WireException;
+import sun.misc.Signal;
 
 /**
  * The command line: it owns the way in and the exit codes, and must never hold anything that serving or
@@ -69,6 +72,7 @@
         }
     }
 
+    /** Reads a configuration: at the start, at a reload and for check-config alike. */
     private static NodeConfig config(String file) throws IOException, WireException {
         if (file == null) {
             throw new WireException("no configuration: RELAY_CONFIG is not set");
@@ -83,17 +87,43 @@
 
         @Override
         public void run() throws IOException, WireException, InterruptedException {
-            NodeServer server = new NodeServer(config(System.getenv("RELAY_CONFIG")));
+            String file = System.getenv("RELAY_CONFIG");
+            // from here on SIGHUP ends nothing; a signal that comes before the server can take it waits for that
+            Semaphore reload = new Semaphore(0);
+            CountDownLatch end = new CountDownLatch(1);
+            Signal.handle(new Signal("HUP"), signal -> reload.release());
+            Signal.handle(new Signal("TERM"), signal -> end.countDown());
+            Signal.handle(new Signal("INT"), signal -> end.countDown());
+            NodeServer server = new NodeServer(config(file));
             server.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    server.terminate();
-                    server.awaitEnd(LONGEST_END);
-                    LOG.info("counters: {}", server.counters());
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+            Thread reloading = new Thread(() -> reload(server, file, reload), "reload");
+            reloading.setDaemon(true);
+            reloading.start();
+            end.await();
+            server.terminate();
+            server.awaitEnd(LONGEST_END);
+            LOG.info("counters: {}", server.counters());
+            System.exit(0);
+        }
+
+        /** Reads the file once for all the signals that have come by then, and hands over what it found. */
+        private static void reload(NodeServer server, String file, Semaphore asked) {
+            try {
+                while (true) {
+                    asked.acquire();
+                    asked.drainPermits();
+                    NodeConfig next = null;
+                    String problem = null;
+                    try {
+                        next = config(file);
+                    } catch (WireException | IOException | RuntimeException e) {
+                        problem = e.toString();
+                    }
+                    server.reload(next, problem);
                 }
-            }));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
     }
 
--- a/src/main/java/pumicemoor/net/AnswerDecoder.java
+++ b/src/main/java/pumicemoor/net/AnswerDecoder.java
@@ -26,6 +26,7 @@
     private final int longestBody;
     private final BufferBudget budget;
     private String[] words;
+    private Map<String, String> fields;
     private ByteBuf body;
     private int left;
     private boolean waiting;
@@ -71,7 +72,7 @@
             if (in.readByte() != '\r' || in.readByte() != '\n') {
                 throw new CorruptedFrameException("no end of line behind a body");
             }
-            out.add(new Answer(words[0], words[1], fields(words[2]), body));
+            out.add(new Answer(words[0], words[1], fields, body));
             words = null;
             body = null;
         }
@@ -88,6 +89,16 @@
         return true;
     }
 
+    /** Whether part of an answer has come and the rest has not. */
+    boolean midway() {
+        return words != null || actualReadableBytes() > 0;
+    }
+
+    /** Whether what comes is left unread for want of room, so that silence tells nothing. */
+    boolean waiting() {
+        return waiting;
+    }
+
     private void goOn(ChannelHandlerContext ctx) {
         waiting = false;
         if (!ctx.isRemoved()) {
@@ -109,17 +120,18 @@
         if (left < 0 || left > longestBody) {
             throw new CorruptedFrameException("a body of '" + read[3] + "' bytes");
         }
+        fields = fields(read[2]);
         words = read;
     }
 
-    /** The pairs of FIELDS; what is no pair is skipped. */
+    /** The pairs of FIELDS; what is no pair cannot be read, and so nothing behind it can be trusted. */
     static Map<String, String> fields(String text) {
         Map<String, String> fields = new LinkedHashMap<>();
         if (!text.equals("-")) {
             for (String pair : text.split(",")) {
                 int at = pair.indexOf('=');
-                if (at > 0) {
-                    fields.put(pair.substring(0, at), pair.substring(at + 1));
+                if (at <= 0 || fields.put(pair.substring(0, at), pair.substring(at + 1)) != null) {
+                    throw new CorruptedFrameException("fields that cannot be read");
                 }
             }
         }
--- a/src/main/java/pumicemoor/net/CacheLine.java
+++ b/src/main/java/pumicemoor/net/CacheLine.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.regex.Pattern;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input.Word;
 
@@ -17,6 +18,9 @@
 final class CacheLine {
 
     private static final Map<String, Word> WORDS = words();
+    private static final String LIFE = "life";  // no id of a client's
+    private static final Pattern ENTITY = Pattern.compile("[0-9A-Za-z._~-]{1,64}");
+    private static final Pattern ISSUED = Pattern.compile("[0-9]{1,18}");
 
     private CacheLine() {
     }
@@ -74,12 +78,40 @@
         return text(allocator, "QUIT " + id + "\r\n");
     }
 
+    /** Asks whether the connection works; nothing more is asked of the member. */
+    static ByteBuf noop(ByteBufAllocator allocator) {
+        return text(allocator, "NOOP " + LIFE + "\r\n");
+    }
+
     private static ByteBuf text(ByteBufAllocator allocator, CharSequence text) {
         ByteBuf buffer = allocator.ioBuffer(text.length());
         buffer.writeCharSequence(text, StandardCharsets.US_ASCII);
         return buffer;
     }
 
+    /**
+     * Why an answer cannot be one, whoever spoilt it, so that nothing else on its connection can be trusted
+     * either; null for a good one. Where nobody asked (ask null), a whole answer is left at that.
+     */
+    static String unusable(AnswerDecoder.Answer answer, Effect.Ask ask) {
+        Word word = word(answer.word());
+        if (word == null) {
+            return answer.word().equals("well") && answer.id().equals(LIFE) ? null
+                    : "the unknown word '" + answer.word() + "'";
+        }
+        if (ask == null || word != Word.DATA && word != Word.UNCHANGED) {
+            return null;
+        }
+        if (ask.cacheable() && !ENTITY.matcher(answer.fields().getOrDefault("entity", "")).matches()) {
+            return "an answer without a tag that can be read";
+        }
+        if (ask.cacheable() && !ISSUED.matcher(answer.fields().getOrDefault("issued", "")).matches()) {
+            return "an answer without a time that can be read";
+        }
+        return word == Word.UNCHANGED && (answer.body().isReadable() || ask.tag() == null)
+                ? "a copy said to be unchanged that cannot be" : null;
+    }
+
     /** The word that ends an attempt; null for one that is not known. */
     static Word word(String text) {
         return WORDS.get(text);
--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -17,13 +18,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
@@ -34,14 +32,12 @@
 /**
  * The connections to cache servers, parents and the origin, pooled by instance. It owns which attempt is
  * where: queued, being written or out. An attempt leaves the queue only when the connection takes it, so
- * that it can be taken back until then, and no id stands twice on one connection. It must never send an
- * attempt a second time or to anyone but the member it was meant for.
+ * that it can be taken back until then, and no id stands twice on one connection. A connection that cannot be
+ * read, or that shows no sign of life while it owes answers, ends with all that is on it. It must never send
+ * an attempt a second time or to anyone but the member it was meant for.
  */
 final class CacheLines {
 
-    private static final Logger LOG = LoggerFactory.getLogger(CacheLines.class);
-    private static final int SPENT_IDS = 4_096;  // given up on a connection before it is used no more
-
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
     private final BufferBudget budget;
@@ -106,8 +102,9 @@
                 .forEach(Line::close);
     }
 
-    /** Closes what has carried nothing for a while, before the other side does. */
+    /** Closes what has carried nothing for a while, before the other side does, and what shows no life. */
     void sweep(long now) {
+        lines.values().stream().flatMap(List::stream).toList().forEach(l -> l.checkLife(now));
         for (List<Line> pool : List.copyOf(lines.values())) {
             List.copyOf(pool).stream().filter(l -> l.empty() && l.retired
                     || now - l.usedAt > (l.empty() ? limits.lineIdle() : limits.lineAbandoned()))
@@ -120,7 +117,10 @@
     }
 
     /** An attempt that is out, and when its last byte was written: Long.MAX_VALUE for not yet. */
-    private record Sent(long attempt, long writtenAt) {
+    private record Sent(Effect.Ask ask, long writtenAt) {
+        long attempt() {
+            return ask.attempt();
+        }
     }
 
     /** One connection. */
@@ -130,11 +130,12 @@
         private final long openedAt = loop.clock();
         private final Deque<Effect.Ask> queue = new ArrayDeque<>();
         private final Map<String, Sent> out = new LinkedHashMap<>();
-        private final Set<String> spent = new LinkedHashSet<>();  // given up; an answer may still cross
+        private final Map<String, Long> past = new LinkedHashMap<>();  // ended, when; an answer may still come
+        private final AnswerDecoder decoder = new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget);
         private Effect.Ask writing;
         private Channel channel;
         private boolean connected, pumping, retired, ended;
-        private long usedAt = openedAt, heardAt = openedAt;
+        private long usedAt = openedAt, heardAt = openedAt, askedLifeAt = -1;
 
         Line(String instance, String address) {
             this.instance = instance;
@@ -147,8 +148,7 @@
             Bootstrap opening = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget),
-                            Line.this);
+                    ch.pipeline().addLast(decoder, Line.this);
                 }
             });
             ChannelFuture connecting = opening.connect(new InetSocketAddress(address.substring(0, colon),
@@ -173,7 +173,7 @@
 
         boolean takes(Effect.Ask ask) {
             return !retired && !ended && out.size() + queue.size() < limits.attemptsPerLine()
-                    && !out.containsKey(ask.id()) && !spent.contains(ask.id())
+                    && !out.containsKey(ask.id()) && !past.containsKey(ask.id())
                     && queue.stream().noneMatch(q -> q.id().equals(ask.id()));
         }
 
@@ -186,7 +186,7 @@
             while (connected && !ended && writing == null && !queue.isEmpty()) {
                 Effect.Ask ask = queue.poll();
                 writing = ask;
-                out.put(ask.id(), new Sent(ask.attempt(), Long.MAX_VALUE));
+                out.put(ask.id(), new Sent(ask, Long.MAX_VALUE));
                 ByteBuf body = NettyBytes.buffer(ask.body());
                 channel.write(CacheLine.ask(channel.alloc(), ask), channel.voidPromise());
                 if (body != null) {
@@ -196,7 +196,7 @@
                     if (done.isSuccess()) {
                         writing = null;
                         usedAt = loop.clock();
-                        out.replace(ask.id(), new Sent(ask.attempt(), usedAt));
+                        out.replace(ask.id(), new Sent(ask, usedAt));
                         loop.submit(new Input.Written(ask.attempt()));
                         pump();
                     }
@@ -223,12 +223,11 @@
                     .findFirst().orElse(null);
             if (id != null) {
                 // silent since that request was written: what comes next tries whether a new one comes up
-                retired |= spent.size() > SPENT_IDS || heardAt <= out.get(id).writtenAt()
-                        && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
+                retired |= heardAt <= out.get(id).writtenAt() && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
             }
             if (id != null && tellCache) {
                 out.remove(id);
-                spent.add(id);
+                past(id);
                 if (channel.isActive()) {
                     channel.writeAndFlush(CacheLine.quit(channel.alloc(), id), channel.voidPromise());
                 }
@@ -241,28 +240,66 @@
             }
         }
 
+        /** An id that has ended here; its answer, or a copy of it, may come for as long as anybody asks for it. */
+        private void past(String id) {
+            long now = loop.clock();
+            Iterator<Long> oldest = past.values().iterator();
+            while (oldest.hasNext() && now - oldest.next() > limits.idKept()) {
+                oldest.remove();
+            }
+            past.put(id, now);
+        }
+
+        /**
+         * A machine that has vanished, a process that hangs and an answer that stops short all look alike: no
+         * byte comes though answers are owed. While no answer is on its way in, a sign of life is asked for.
+         */
+        void checkLife(long now) {
+            long owedSince = out.values().stream().mapToLong(Sent::writtenAt).min().orElse(Long.MAX_VALUE);
+            if (!connected || ended || owedSince == Long.MAX_VALUE || decoder.waiting()) {
+                askedLifeAt = -1;
+                return;
+            }
+            long quiet = now - Math.max(heardAt, owedSince);
+            if (decoder.midway() ? quiet > limits.lineQuiet() + limits.lineDead()
+                    : askedLifeAt >= 0 && now - askedLifeAt > limits.lineDead()) {
+                counters.add(Name.LINES_DEAD);
+                loop.complain("a connection to member " + instance + " was closed: it shows no sign of life");
+                close();
+            } else if (askedLifeAt < 0 && !decoder.midway() && writing == null && quiet > limits.lineQuiet()) {
+                askedLifeAt = now;
+                channel.writeAndFlush(CacheLine.noop(channel.alloc()), channel.voidPromise());
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            heardAt = loop.clock();
+            askedLifeAt = -1;
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, AnswerDecoder.Answer answer) {
-            usedAt = loop.clock();
-            heardAt = usedAt;
-            Sent sent = out.remove(answer.id());
-            Long attempt = sent == null ? null : sent.attempt();
+            Sent sent = ended ? null : out.get(answer.id());
             Word word = CacheLine.word(answer.word());
-            if (attempt == null || word == null) {
-                if (attempt != null || !spent.remove(answer.id())) {
-                    counters.add(Name.BAD_INPUT);
-                    LOG.warn("member {} sent the answer '{}' to nothing asked", instance, answer.word());
-                }
+            String unusable = CacheLine.unusable(answer, sent == null ? null : sent.ask());
+            if (ended || sent == null || unusable != null) {
                 answer.body().release();
-                if (attempt != null) {
-                    lineOfAttempt.remove(attempt);
-                    loop.submit(new Input.Broken(attempt));
+                if (!ended && unusable != null) {
+                    throw new CorruptedFrameException(unusable);
+                }
+                if (!ended && word != null && past.remove(answer.id()) == null) {
+                    counters.add(Name.UNASKED);  // whole and harmless: nobody is given it
                 }
                 return;
             }
-            lineOfAttempt.remove(attempt);
+            usedAt = loop.clock();
+            out.remove(answer.id());
+            past(answer.id());
+            lineOfAttempt.remove(sent.attempt());
             counters.add(Name.BYTES_IN, answer.body().readableBytes());
-            loop.submit(new Input.Answered(attempt, word, answer.fields().get("tell"),
+            loop.submit(new Input.Answered(sent.attempt(), word, answer.fields().get("tell"),
                     CacheLine.load(answer.fields().get("meter")), NettyBytes.of(answer.body())));
             if (retired && empty()) {
                 close();
@@ -278,7 +315,7 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof DecoderException) {
                 counters.add(Name.BAD_INPUT);
-                LOG.warn("a connection to member {} was closed: {}", instance, cause.getMessage());
+                loop.complain("a connection to member " + instance + " was closed: " + cause.getMessage());
             }
             close();
         }
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -11,8 +11,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.TreeSet;
 import pumicemoor.node.Bytes;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
@@ -23,20 +22,25 @@
 
 /**
  * One client's connection: turns whole frames into inputs and writes answers, each frame in one piece. It
- * owns which streams are open on it and must never hold an answer back or decide what one says.
+ * owns which streams are open and which were used on it, and must never hold an answer back or decide what
+ * one says. Whoever sends nothing that can be used, or half a frame and no more, is let go soon; whoever asked
+ * properly once may stay for a while, as long as there is room.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
 
-    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-
     private final long number;
     private final ResourceLimits limits;
     private final BufferBudget budget;
     private final Counters counters;
     private final Loop loop;
     private final Set<Integer> open = new HashSet<>();
+    private final TreeSet<Integer> used = new TreeSet<>(Integer::compareUnsigned);  // those above usedUpTo
     private ChannelHandlerContext context;
-    private long activeAt;
+    private int usedUpTo;  // every stream up to here is used, or too old to be new
+    private int misuses;  // requests that could not be used, so far
+    private boolean asked;  // something that can be used
+    private boolean leaving;  // told to bring no new request
+    private long openedAt, activeAt, midwaySince = -1;
     private long backlogSeen;
 
     ClientConnection(long number, ResourceLimits limits, BufferBudget budget, Counters counters,
@@ -56,7 +60,8 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         counters.add(Name.CONNECTIONS);
-        activeAt = loop.clock();
+        openedAt = loop.clock();
+        activeAt = openedAt;
         loop.opened(number, this);
     }
 
@@ -75,7 +80,9 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            frame((ByteBuf) message);
+            if (ctx.channel().isActive()) {  // what stands behind the reason for an end is not looked at
+                frame((ByteBuf) message);
+            }
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -84,6 +91,7 @@
     private void frame(ByteBuf frame) {
         counters.add(Name.BYTES_IN, frame.readableBytes());
         activeAt = loop.clock();
+        midwaySince = -1;
         if (frame.readableBytes() < 5) {
             throw new CorruptedFrameException("a frame of " + frame.readableBytes() + " bytes");
         }
@@ -96,36 +104,88 @@
                     loop.submit(new Input.Withdrawn(number, stream));
                 }
             }
-            case ClientFrame.READY_ASKED -> context.writeAndFlush(
-                    ClientFrame.ready(context.alloc(), stream, loop.ready(),
-                            ClientFrame.asksForCounters(frame) ? counters.all() : Map.of()), context.voidPromise());
+            case ClientFrame.READY_ASKED -> answerReady(stream, frame);
             default -> throw new CorruptedFrameException("a frame of the unknown type " + type);
         }
     }
 
+    private void answerReady(int stream, ByteBuf frame) {
+        asked = true;
+        context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(),
+                ClientFrame.asksForCounters(frame) ? counters.all() : Map.of()), context.voidPromise());
+    }
+
     private void request(int stream, ByteBuf frame) {
-        if (stream == 0 || !open.add(stream)) {
+        if (!use(stream)) {
             throw new CorruptedFrameException("a request on stream " + Integer.toUnsignedString(stream)
                     + ", which is not new");
         }
+        open.add(stream);
         Input.Request request;
         try {
-            request = ClientFrame.request(number, stream, frame, limits.requestBytes());
+            request = ClientFrame.request(number, stream, frame, limits);
         } catch (CorruptedFrameException e) {
             counters.add(Name.BAD_INPUT);
-            LOG.warn("a request was failed: {}", e.getMessage());
+            loop.complain("a request was failed: " + e.getMessage());
             answer(new Effect.Answer(number, stream, Code.FAILED, false, 0, Bytes.NONE));
+            misused();
             return;
         }
-        if (open.size() > limits.openPerClient() || !budget.room(request.body().size())) {
+        boolean tooMany = open.size() > limits.openPerClient();
+        if (tooMany || !budget.room(request.body().size())) {
             counters.add(Name.TURNED_AWAY);
             request.body().release();
-            answer(new Effect.Answer(number, stream, Code.REFUSED, false, 0, Bytes.NONE));
+            answer(new Effect.Answer(number, stream, Code.REFUSED, false, limits.pushback(), Bytes.NONE));
+            if (tooMany) {
+                misused();
+            }
             return;
         }
+        asked = true;
         loop.submit(request);
     }
 
+    /**
+     * Marks a stream as used; false if it was. A client counts its streams up, so only the newest need be
+     * known one by one, whatever the connection's age.
+     */
+    private boolean use(int stream) {
+        if (Integer.compareUnsigned(stream, usedUpTo) <= 0 || !used.add(stream)) {
+            return false;
+        }
+        while (!used.isEmpty() && (used.first() == usedUpTo + 1 || used.size() > limits.streamsKnown())) {
+            usedUpTo = used.pollFirst();
+        }
+        return true;
+    }
+
+    /** What cannot be used gets its answer, time and again; who goes on with it loses the connection. */
+    void misused() {
+        if (++misuses >= limits.misuses() && context.channel().isActive()) {
+            turnAway("too much that cannot be used");
+        }
+    }
+
+    /** Says on the connection that it ends here for a reason, then ends it. */
+    void turnAway(String reason) {
+        counters.add(Name.TURNED_OUT);
+        loop.complain("a client's connection was closed: " + reason);
+        context.write(ClientFrame.answerHead(context.alloc(), 0, Code.FAILED, false, 0, 0), context.voidPromise());
+        context.flush();
+        loop.closed(number);
+        context.close();
+    }
+
+    /** Whether it has asked for nothing that can be used so far. */
+    boolean silent() {
+        return !asked;
+    }
+
+    /** Since when nothing is open on it; Long.MAX_VALUE while something is. */
+    long idleSince() {
+        return open.isEmpty() ? activeAt : Long.MAX_VALUE;
+    }
+
     void answer(Effect.Answer answer) {
         if (!open.remove(answer.stream())) {
             answer.body().release();
@@ -143,10 +203,11 @@
     }
 
     void drain() {
+        leaving = true;
         context.writeAndFlush(ClientFrame.drain(context.alloc()), context.voidPromise());
     }
 
-    /** Closes the connection where nothing has happened for long: no request open, or none of it read. */
+    /** Lets go of a client that keeps a connection and has no use of it, or no proper one. */
     void sweep(long now) {
         ChannelOutboundBuffer backlog = context.channel().unsafe().outboundBuffer();
         long seen = backlog == null || backlog.totalPendingWriteBytes() == 0 ? 0
@@ -155,9 +216,24 @@
             backlogSeen = seen;
             activeAt = seen == 0 ? activeAt : now;
         }
-        if (now - activeAt > (seen > 0 ? limits.clientStall() : limits.clientIdle())
-                && (seen > 0 || open.isEmpty())) {
-            LOG.info("a client's connection was closed: {}", seen > 0 ? "its answers are not read" : "idle");
+        FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
+        midwaySince = decoder == null || !decoder.midway() ? -1 : midwaySince < 0 ? now : midwaySince;
+        if (seen > 0 && now - activeAt > limits.clientStall()) {
+            turnAway("its answers are not read");
+        } else if (midwaySince >= 0 && now - midwaySince > limits.clientFirst()) {
+            turnAway("half a frame and no more");
+        } else if (!asked && open.isEmpty() && now - openedAt > limits.clientFirst()) {
+            turnAway("nothing that can be used was asked");
+        } else if (seen == 0 && open.isEmpty() && now - activeAt > limits.clientIdle()) {
+            leave(now);
+        }
+    }
+
+    /** An idle client is told to bring nothing new, so that no request need cross the close that follows. */
+    private void leave(long now) {
+        if (!leaving) {
+            drain();
+        } else if (now - activeAt > limits.clientIdle() + limits.clientLeave()) {
             context.close();
         }
     }
@@ -172,10 +248,9 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof DecoderException) {
             counters.add(Name.BAD_INPUT);
-            LOG.warn("a client's connection was closed: {}", cause.getMessage());
-            context.write(ClientFrame.answerHead(ctx.alloc(), 0, Code.FAILED, false, 0, 0), ctx.voidPromise());
-            context.flush();
+            turnAway(cause.getMessage());
+        } else {
+            ctx.close();
         }
-        ctx.close();
     }
 }
--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -10,6 +10,7 @@
 import pumicemoor.node.Bytes;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input;
+import pumicemoor.node.ResourceLimits;
 
 /**
  * The form of the frames between clients and this router: reads those of clients, writes the router's. It
@@ -27,21 +28,24 @@
 
     private static final int HEADER = 1 + 4;
     private static final Pattern WORD = Pattern.compile("[0-9A-Za-z._~-]{1,64}");
+    private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
+    private static final int MOST_GROUP = 255;
 
     private ClientFrame() {
     }
 
     /** The request that follows type and stream; the body stays a slice of the frame. */
-    static Input.Request request(long connection, int stream, ByteBuf frame, int longestBody) {
+    static Input.Request request(long connection, int stream, ByteBuf frame, ResourceLimits limits) {
         Map<String, String> fields = fields(frame);
-        if (frame.readableBytes() > longestBody) {
+        if (frame.readableBytes() > limits.requestBytes()) {
             throw new CorruptedFrameException("a body of " + frame.readableBytes() + " bytes is too long");
         }
         String tag = fields.get("ver");
-        return new Input.Request(connection, stream, word(fields, "call"), word(fields, "op"),
-                word(fields, "row"), (int) number(fields, "piece", 0, 0, Integer.MAX_VALUE),
-                (int) number(fields, "lot", -1, 0, 255), tag != null && WORD.matcher(tag).matches() ? tag : null,
-                number(fields, "ttl", -1, 0, Integer.MAX_VALUE), "1".equals(fields.get("rep")),
+        return new Input.Request(connection, stream, word(fields, "call", ID), word(fields, "op", WORD),
+                word(fields, "row", ID), (int) number(fields, "piece", 0, Integer.MAX_VALUE),
+                (int) number(fields, "lot", -1, MOST_GROUP), tag != null && WORD.matcher(tag).matches() ? tag : null,
+                number(fields, "ttl", -1, limits.longestTtl() / 1_000), repeat(fields),
                 frame.isReadable() ? NettyBytes.of(frame.readRetainedSlice(frame.readableBytes())) : Bytes.NONE);
     }
 
@@ -50,7 +54,9 @@
             Map<String, String> fields = new LinkedHashMap<>();
             for (int left = frame.readUnsignedByte(); left > 0; left--) {
                 String name = frame.readString(frame.readUnsignedByte(), StandardCharsets.UTF_8);
-                fields.put(name, frame.readString(frame.readUnsignedShort(), StandardCharsets.UTF_8));
+                if (fields.put(name, frame.readString(frame.readUnsignedShort(), StandardCharsets.UTF_8)) != null) {
+                    throw new CorruptedFrameException("a field stands twice");
+                }
             }
             return fields;
         } catch (IndexOutOfBoundsException e) {
@@ -58,26 +64,30 @@
         }
     }
 
-    private static String word(Map<String, String> fields, String name) {
+    private static String word(Map<String, String> fields, String name, Pattern form) {
         String value = fields.get(name);
-        if (value == null || !WORD.matcher(value).matches()) {
+        if (value == null || !form.matcher(value).matches()) {
             throw new CorruptedFrameException("field '" + name + "' cannot be used");
         }
         return value;
     }
 
-    private static long number(Map<String, String> fields, String name, long absent, long least, long most) {
+    private static boolean repeat(Map<String, String> fields) {
+        String value = fields.get("rep");
+        if (value != null && !value.equals("1") && !value.equals("0")) {
+            throw new CorruptedFrameException("field 'rep' cannot be used");
+        }
+        return "1".equals(value);
+    }
+
+    /** A number of digits alone; an absent one is what is given for it, except the time, which must be there. */
+    private static long number(Map<String, String> fields, String name, long absent, long most) {
         String value = fields.get(name);
-        if (value == null && name.equals("ttl")) {
-            throw new CorruptedFrameException("field 'ttl' is missing");
+        if (value == null && !name.equals("ttl")) {
+            return absent;
         }
-        try {
-            long number = value == null ? absent : Long.parseLong(value);
-            if (value == null || number >= least && number <= most) {
-                return number;
-            }
-        } catch (NumberFormatException e) {
-            // told below
+        if (value != null && NUMBER.matcher(value).matches() && Long.parseLong(value) <= most) {
+            return Long.parseLong(value);
         }
         throw new CorruptedFrameException("field '" + name + "' is not a number that can be used");
     }
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -30,7 +31,7 @@
 
 /**
  * The coordinator's stream of events, held open for as long as the router runs. It owns the one connection
- * to the coordinator and must never read what an event says: each goes on as the text that came.
+ * to the coordinator that is followed now, opened anew whenever it ends or falls silent, and must never read what an event says: each goes on as the text that came.
  */
 final class CoordinatorStream {
 
@@ -38,21 +39,19 @@
     private static final String PATH = "/v2/stream";
 
     private final Bootstrap bootstrap;
-    private final String address;
     private final ResourceLimits limits;
     private final LongSupplier lastEvent;
     private final Loop loop;
+    private String address = "";
     private Channel channel;
-    private boolean stopped;
+    private Future<?> reopening;
 
-    CoordinatorStream(Bootstrap bootstrap, String address, ResourceLimits limits, LongSupplier lastEvent,
-            Loop loop) {
-        this.address = address;
+    CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Loop loop) {
         this.limits = limits;
         this.lastEvent = lastEvent;
         this.loop = loop;
         this.bootstrap = bootstrap.clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.feedSilence() / 1_000))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.feedConnect() / 1_000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -67,40 +66,68 @@
             new HttpClientCodec(), new Reader()};
     }
 
-    void open() {
-        if (stopped) {
+    /** Follows the coordinator at this address at once, in place of any other; an empty one is nobody. */
+    void follow(String newAddress) {
+        close();
+        address = newAddress;
+        open();
+    }
+
+    private void open() {
+        reopening = null;
+        if (address.isEmpty()) {
             return;
         }
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1))));
         channel = connecting.channel();
-        connecting.addListener(done -> {
+        // where no socket can be had, the listener is called on a thread that is not the loop's
+        connecting.addListener(done -> bootstrap.config().group().next().execute(() -> {
             if (!done.isSuccess()) {
-                reopen(limits.feedRetry());
+                reopen(connecting.channel());
             }
-        });
+        }));
     }
 
-    private void reopen(long delay) {
-        if (!stopped) {
-            bootstrap.config().group().schedule(this::open, delay, TimeUnit.MICROSECONDS);
+    /** After the end of the connection that is followed; one left behind by a new address opens none. */
+    private void reopen(Channel ended) {
+        if (ended == channel && reopening == null && !address.isEmpty()) {
+            reopening = bootstrap.config().group().next()
+                    .schedule(this::open, limits.feedRetry(), TimeUnit.MICROSECONDS);
         }
     }
 
     void close() {
-        stopped = true;
+        address = "";
+        if (reopening != null) {
+            reopening.cancel(false);
+            reopening = null;
+        }
         if (channel != null) {
-            channel.close();
+            Channel last = channel;
+            channel = null;
+            last.close();
         }
     }
 
     /** Cuts the stream into events. */
     private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
-        private final ServerSentEvents events = new ServerSentEvents(
-                data -> loop.submit(new Input.Update(data)));
+        private final ServerSentEvents events = new ServerSentEvents(this::take);
+        private ChannelHandlerContext stream;
         private boolean answered;
 
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            stream = ctx;
+        }
+
+        private void take(String event) {
+            if (stream.channel().isOpen()) {  // what stands behind the end of this stream is asked for again
+                loop.submit(new Input.Update(event));
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             DefaultFullHttpRequest request =
@@ -128,7 +155,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            reopen(answered ? 0 : limits.feedRetry());
+            reopen(ctx.channel());
         }
 
         @Override
--- a/src/main/java/pumicemoor/net/Loop.java
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -11,6 +11,9 @@
     /** Unix time in microseconds. */
     long clock();
 
+    /** A log line about what another side did wrong; those past a rate are left out. */
+    void complain(String text);
+
     /** Whether new requests are wanted. */
     boolean ready();
 
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -13,14 +13,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.util.concurrent.Promise;
 import io.netty.util.concurrent.PromiseCombiner;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -29,6 +29,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.Logic;
+import pumicemoor.node.BoundedLog;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input;
@@ -56,7 +58,8 @@
     private final BufferBudget budget;
     private final CacheLines lines;
     private final CoordinatorStream coordinator;
-    private final Map<Long, ClientConnection> clients = new HashMap<>();
+    private final Map<Long, ClientConnection> clients = new LinkedHashMap<>();  // the longest open first
+    private final BoundedLog complaints;
     private final Queue<Input> inbox = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -71,12 +74,12 @@
         this.limits = ResourceLimits.of(config.words().settings(), config.figures());
         this.reducer = new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits,
                 counters);
+        this.complaints = new BoundedLog(LOG, limits.complaints());
         Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
         this.budget = new BufferBudget(PooledByteBufAllocator.DEFAULT::pinnedDirectMemory, limits.bufferedBytes());
         this.lines = new CacheLines(connections, limits, budget, counters, this);
-        this.coordinator = config.coordinator().isEmpty() ? null
-                : new CoordinatorStream(connections, config.coordinator(), limits, reducer::lastUpdate, this);
+        this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, this);
     }
 
     /** Listens and follows the coordinator; returns when both have begun. */
@@ -88,10 +91,8 @@
         loop.submit(() -> {
             reducer.known(clock(), config, effects::add);
             work();
-            loop.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
-            if (coordinator != null) {
-                coordinator.open();
-            }
+            loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
+            coordinator.follow(config.coordinator());
         }).sync();
         int colon = config.listen().lastIndexOf(':');
         listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
@@ -101,15 +102,14 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        if (clients.size() >= limits.clients()) {
+                        if (!makeRoom()) {
+                            counters.add(Name.TURNED_OUT);
                             ch.close();
                             return;
                         }
                         ch.config().setWriteBufferWaterMark(new WriteBufferWaterMark(
                                 limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
-                        ch.pipeline().addLast(
-                                new LengthFieldBasedFrameDecoder(limits.frameBytes() + ClientFrame.LENGTH_BYTES, 0,
-                                        ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES),
+                        ch.pipeline().addLast(new FrameDecoder(limits.frameBytes()),
                                 new ClientConnection(++lastClient, limits, budget, counters, NodeServer.this));
                     }
                 }).bind(new InetSocketAddress(config.listen().substring(0, colon),
@@ -117,6 +117,23 @@
         LOG.info("{} listens on {}", config.name(), config.listen());
     }
 
+    /**
+     * Room for one client more: at the bound the one that says nothing for longest goes, else the one idle for
+     * longest, so that whoever holds connections without use keeps nobody out.
+     */
+    private boolean makeRoom() {
+        if (clients.size() < limits.clients()) {
+            return true;
+        }
+        ClientConnection least = clients.values().stream().filter(ClientConnection::silent).findFirst()
+                .or(() -> clients.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
+                        .min(Comparator.comparingLong(ClientConnection::idleSince))).orElse(null);
+        if (least != null) {
+            least.turnAway("its place is needed");
+        }
+        return least != null;
+    }
+
     private void sweep() {
         long now = clock();
         lines.sweep(now);
@@ -130,6 +147,13 @@
         }
     }
 
+    /** Takes over what it can of a configuration read anew; null with the problem where it can't be used. */
+    public void reload(NodeConfig next, String problem) {
+        if (!group.isShuttingDown()) {
+            loop.execute(() -> submit(new Input.Reload(next, problem)));
+        }
+    }
+
     /** Waits for the end; true once it has come within that time. */
     public boolean awaitEnd(long millis) throws InterruptedException {
         return ended.await(millis, TimeUnit.MILLISECONDS);
@@ -156,6 +180,11 @@
         return reducer.ready();
     }
 
+    @Override
+    public void complain(String text) {
+        complaints.warn(clock(), text);
+    }
+
     @Override
     public void opened(long number, ClientConnection client) {
         clients.put(number, client);
@@ -224,6 +253,10 @@
             } else {
                 client.answer(answer);
             }
+        } else if (effect instanceof Effect.Misused misused) {
+            if (clients.containsKey(misused.connection())) {
+                clients.get(misused.connection()).misused();
+            }
         } else if (effect instanceof Effect.CloseIdle close) {
             lines.closeIdle(close.instance());
         } else if (effect instanceof Effect.Drop drop) {
@@ -233,6 +266,8 @@
         } else if (effect instanceof Effect.Drain) {
             draining = true;
             clients.values().forEach(ClientConnection::drain);
+        } else if (effect instanceof Effect.Follow follow) {
+            coordinator.follow(follow.coordinator());
         } else if (effect instanceof Effect.Exit) {
             end();
         }
@@ -240,9 +275,7 @@
 
     private void end() {
         listener.close();
-        if (coordinator != null) {
-            coordinator.close();
-        }
+        coordinator.close();
         lines.closeAll();
         // answers still on their way to a slow client are given the time that they take
         PromiseCombiner flushed = new PromiseCombiner(loop);
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -50,8 +49,7 @@
         clock = now;
         reducer = new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits, counters);
         client = new ClientConnection(1, limits, budget, counters, this);
-        fromClient = new EmbeddedChannel(new LengthFieldBasedFrameDecoder(limits.frameBytes()
-                + ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES), client);
+        fromClient = new EmbeddedChannel(new FrameDecoder(limits.frameBytes()), client);
         fromCache = new EmbeddedChannel(new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget));
         reducer.known(clock, config, effects::add);
         work();
@@ -60,7 +58,8 @@
     /** Goes on until so many requests are done or this time has passed; tells how many were answered. */
     long run(int requests, long longestMicros) {
         long end = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(longestMicros);
-        for (int i = 1; i <= requests && !classes.isEmpty() && System.nanoTime() < end; i++) {
+        for (int i = 1; i <= requests && !classes.isEmpty() && System.nanoTime() < end
+                && fromClient.isOpen(); i++) {
             clock += STEP;
             if (reducer.nextDue() <= clock) {
                 submit(new Input.Due());
@@ -79,8 +78,8 @@
 
     private ByteBuf request(int number) {
         ByteBuf frame = allocator.ioBuffer(256).writeInt(0).writeByte(ClientFrame.REQUEST).writeInt(number);
-        String[] fields = {"op", classes.get(number % classes.size()).name(), "call", "c" + number, "ttl", "1000",
-            "row", "r" + number % OBJECTS, "piece", "0", "lot", "1"};
+        String[] fields = {"op", classes.get(number % classes.size()).name(), "call", id(number), "ttl", "1000",
+            "row", id(number % OBJECTS), "piece", "0", "lot", "1"};
         frame.writeByte(fields.length / 2);
         for (int i = 0; i < fields.length; i += 2) {
             ClientFrame.field(frame, fields[i], fields[i + 1]);
@@ -88,6 +87,10 @@
         return frame.setInt(0, frame.readableBytes() - ClientFrame.LENGTH_BYTES);
     }
 
+    private static String id(int number) {
+        return String.format("%016x", number);
+    }
+
     private void answer(Effect.Ask ask, int number) {
         CacheLine.ask(allocator, ask).release();
         submit(new Input.Written(ask.attempt()));
@@ -141,6 +144,11 @@
         return false;
     }
 
+    @Override
+    public void complain(String text) {
+        // nothing here is anybody's fault
+    }
+
     @Override
     public void opened(long number, ClientConnection connection) {
         // the one client is held above
--- /dev/null
+++ b/src/main/java/pumicemoor/node/BoundedLog.java
@@ -0,0 +1,39 @@
+package pumicemoor.node;
+
+import org.slf4j.Logger;
+
+/**
+ * Log lines about what others did wrong, so many a second at most: whoever sends bad input must not be able
+ * to buy the router's CPU or its log with it. It owns the count of the lines left out, which is told with the
+ * next one written; it must never be used for what the router itself decides, nor in place of a counter.
+ */
+public final class BoundedLog {
+
+    private static final long SECOND = 1_000_000;
+
+    private final Logger log;
+    private final int perSecond;
+    private long second;
+    private int written;
+    private long leftOut;
+
+    public BoundedLog(Logger log, int perSecond) {
+        this.log = log;
+        this.perSecond = perSecond;
+    }
+
+    /** Writes a line at this time (microseconds), or counts it as left out. */
+    public void warn(long now, String text) {
+        if (now / SECOND != second) {
+            second = now / SECOND;
+            written = 0;
+        }
+        if (written == perSecond) {
+            leftOut++;
+            return;
+        }
+        written++;
+        log.warn(leftOut == 0 ? "{}" : "{} ({} such lines were left out before)", text, leftOut);
+        leftOut = 0;
+    }
+}
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -10,10 +10,13 @@
     /** The codes of a final answer. */
     enum Code { SERVED, REFUSED, FAILED }
 
-    /** Write this request to a member; source null names none, within 0 leaves the class's bound. */
+    /**
+     * Write this request to a member; source null names none, within 0 leaves the class's bound. The answer to a
+     * cacheable one says which copy it is.
+     */
     record Ask(long attempt, String instance, String address, String id, String requestClass, String object,
             int part, long limitMillis, String source, int keepRank, long withinMillis, boolean join,
-            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, Bytes body) implements Effect {
+            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, boolean cacheable, Bytes body) implements Effect {
     }
 
     /** Give an attempt up: take it back where it was not written whole, else tell the cache if that is told. */
@@ -25,6 +28,10 @@
             implements Effect {
     }
 
+    /** What came on this client's connection could not be used; its answer goes by itself. */
+    record Misused(long connection) implements Effect {
+    }
+
     /** Close the connections to a member that carry nothing. */
     record CloseIdle(String instance) implements Effect {
     }
@@ -41,6 +48,10 @@
     record Drain() implements Effect {
     }
 
+    /** Follow the coordinator at this address from the last event on, in place of any stream so far. */
+    record Follow(String coordinator) implements Effect {
+    }
+
     /** All is done: end the process. */
     record Exit() implements Effect {
     }
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -46,6 +46,10 @@
     record Update(String json) implements Input {
     }
 
+    /** The configuration was read anew; null with the problem where it cannot be used. */
+    record Reload(NodeConfig config, String problem) implements Input {
+    }
+
     /** The time that the reducer asked to be called at has come. */
     record Due() implements Input {
     }
--- a/src/main/java/pumicemoor/node/NodeConfig.java
+++ b/src/main/java/pumicemoor/node/NodeConfig.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 import pumicemoor.wire.Message;
 import pumicemoor.wire.Vocabulary;
 import pumicemoor.wire.WireException;
@@ -11,7 +13,12 @@
  * only and must never fill in a value for a decision that the settings leave out.
  */
 public record NodeConfig(String name, String listen, String coordinator, long seed, Figures figures,
-        Vocabulary words, long knownIndex, List<Message> known) {
+        Vocabulary words, long knownIndex, List<Message> known, Message whole) {
+
+    private static final int LAST_PORT = 65_535;
+
+    /** The fields that a running router cannot take over; the rest is either new with each start or followed. */
+    private static final List<String> FIXED = List.of("name", "listen", "limits", "settings");
 
     /** The platform's limits and what the settings say of connections. */
     public record Figures(int memoryMb, int sockets, long keepAlive, int multiplex) {
@@ -24,16 +31,24 @@
         Message settings = all.object("settings");
         Message policy = settings.object("policy-limits");
         Message known = all.objectOrEmpty("known");
-        return new NodeConfig(all.text("name", ""), address(all, "listen"), all.text("coordinator", ""),
+        String coordinator = all.text("coordinator", "");
+        return new NodeConfig(all.text("name", ""), address(all, "listen"),
+                coordinator.isEmpty() ? coordinator : address(all, "coordinator"),
                 seed(all.text("seed", "0")),
                 new Figures((int) limits.integer("memory_mb", 192), (int) limits.integer("sockets", 1024),
                         policy.integer("keepalive-us", 0), (int) policy.integer("multiplex", 100)),
-                new Vocabulary(settings), known.integer("index", 0), new ArrayList<>(known.objects("updates")));
+                new Vocabulary(settings), known.integer("index", 0), new ArrayList<>(known.objects("updates")), all);
+    }
+
+    /** The first field by which this configuration differs from another that a running router cannot follow. */
+    public Optional<String> unfollowable(NodeConfig other) {
+        return FIXED.stream().filter(f -> !Objects.equals(whole.value(f), other.whole.value(f))).findFirst();
     }
 
     private static String address(Message all, String field) throws WireException {
         String address = all.text(field);
-        if (!address.matches("[^:\\s]+:\\d{1,5}")) {
+        if (!address.matches("[^:\\s]+:\\d{1,5}")
+                || Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) > LAST_PORT) {
             throw new WireException("field '" + field + "' is no address: '" + address + "'");
         }
         return address;
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -74,6 +74,8 @@
     private final Counters counters;
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<Stream, Request> unanswered = new LinkedHashMap<>();
+    private final Map<String, Request> calls = new HashMap<>();  // the unanswered, by the client's own id
+    private final BoundedLog complaints;
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<Long, Endpoint> endpoints = new HashMap<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -82,6 +84,8 @@
     private long now;
     private long numbers;  // of requests, attempts and timers, each its own
     private long lastUpdate;
+    private long gapAt = -1;  // the last event taken when an event was found missing behind it
+    private NodeConfig config;
     private long terminatedAt = -1;
     private boolean exited;
 
@@ -109,7 +113,7 @@
         Stream stream;
         long deadline;
         boolean over;
-        int sent;
+        int sent, requestClass;
         final Map<Integer, Attempt> out = new LinkedHashMap<>();
     }
 
@@ -126,6 +130,7 @@
         this.words = words;
         this.limits = limits;
         this.counters = counters;
+        this.complaints = new BoundedLog(LOG, limits.complaints());
     }
 
     /** When the next Due input is wanted; Long.MAX_VALUE for never. */
@@ -170,6 +175,8 @@
             end(attempts.get(b.attempt()), Outcome.RESET);
         } else if (input instanceof Input.Update u) {
             updated(u.json());
+        } else if (input instanceof Input.Reload r) {
+            reload(r);
         } else if (input instanceof Input.Terminate) {
             terminate();
         }
@@ -205,13 +212,18 @@
         request.deadline = now + Math.max(0, asked.ttlMillis()) * MILLI;
         unanswered.put(stream, request);
         int requestClass = requestClass(asked);
-        if (requestClass < 0) {
+        Request same = calls.putIfAbsent(asked.call(), request);
+        if (requestClass < 0 || same != null && !same.asked.object().equals(asked.object())) {
             counters.add(Name.BAD_INPUT);
+            complaints.warn(now, requestClass < 0 ? "a request was failed: unknown class '" + asked.requestClass()
+                    + "'" : "a request was failed: its id is that of an open request for another object");
             answer(request, Code.FAILED, false, 0, Bytes.NONE);
+            out.accept(new Effect.Misused(asked.connection()));
         } else if (unanswered.size() > limits.openRequests()) {
             counters.add(Name.TURNED_AWAY);
-            answer(request, Code.REFUSED, false, 0, Bytes.NONE);
+            answer(request, Code.REFUSED, false, limits.pushback(), Bytes.NONE);
         } else {
+            request.requestClass = requestClass;
             requests.put(request.id, request);
             timer(request.deadline + limits.answerGuard(), Kind.OVERDUE, Long.parseLong(request.id));
             events.add(new RequestArrived(request.id, requestClass, asked.object(), asked.part(),
@@ -223,7 +235,6 @@
         try {
             return words.requestClass(asked.requestClass());
         } catch (WireException e) {
-            LOG.warn("a request was failed: {}", e.getMessage());
             return -1;
         }
     }
@@ -255,6 +266,7 @@
         request.over = true;
         request.asked.body().release();
         unanswered.remove(request.stream);
+        calls.remove(request.asked.call(), request);
         forgetIfDone(request);
     }
 
@@ -322,7 +334,8 @@
                 asked.requestClass(), asked.object(), asked.part(), Math.max(1, (until - now) / MILLI),
                 f.source() == f.member() ? null : source.instance(), f.keepRank(),
                 f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0, f.join(), f.onlyIfHeld(), f.passParent(),
-                f.renew(), asked.tag(), asked.body().retain()));
+                f.renew(), asked.tag(), !settings.classes().get(request.requestClass).uncacheable(),
+                asked.body().retain()));
     }
 
     private void quit(Attempt attempt) {
@@ -439,7 +452,7 @@
             updated(Message.parse(json));
         } catch (WireException e) {
             counters.add(Name.BAD_INPUT);
-            LOG.error("an event of the coordinator was skipped: {}", e.getMessage());
+            complaints.warn(now, "an event of the coordinator was skipped: " + e.getMessage());
         }
     }
 
@@ -457,13 +470,42 @@
             drive();
         }
         lastUpdate = Math.max(lastUpdate, config.knownIndex());
+        this.config = config;
+    }
+
+    /**
+     * A new configuration, whoever asked for it and however often: a file that cannot be used, or that changes
+     * what a running router cannot follow, changes nothing at all. Nothing that is open is disturbed.
+     */
+    private void reload(Input.Reload r) {
+        String problem = r.config() == null ? r.problem() : config.unfollowable(r.config())
+                .map(f -> "field '" + f + "' can't be changed while running").orElse(null);
+        counters.add(problem == null ? Name.RELOADS : Name.RELOADS_REFUSED);
+        if (problem != null) {
+            LOG.error("the new configuration is not used: {}", problem);
+        } else if (r.config().coordinator().equals(config.coordinator())) {
+            LOG.info("the configuration was read again, the coordinator is the same");
+        } else {
+            config = r.config();
+            LOG.info("the configuration was read again, the coordinator is at {}", config.coordinator());
+            out.accept(new Effect.Follow(config.coordinator()));
+        }
     }
 
+    /** Takes an event once and in order; behind a gap the stream is asked for again, once for each gap. */
     private void updated(Message update) throws WireException {
         long index = update.integer("index", lastUpdate + 1);
         if (index <= lastUpdate) {
             return;  // told before
         }
+        if (index > lastUpdate + 1 && gapAt != lastUpdate && config != null) {
+            gapAt = lastUpdate;
+            counters.add(Name.GAPS);
+            complaints.warn(now, "event " + index + " came behind event " + lastUpdate
+                    + ": the coordinator is asked again");
+            out.accept(new Effect.Follow(config.coordinator()));
+            return;
+        }
         lastUpdate = index;
         counters.add(Name.UPDATES);
         if (update.has("endpoints")) {
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -10,10 +10,11 @@
  */
 public record ResourceLimits(int openRequests, int openPerClient, int clients, int frameBytes, int requestBytes,
         int answerBytes, int lineBytes, long bufferedBytes, int clientBacklogBytes, int lineBacklogBytes,
-        long clientIdle, long clientStall, int linesPerMember, int attemptsPerLine, long connectTimeout, long unwritten, long lineIdle, long lineAbandoned,
-        long feedSilence,
-        long feedRetry, long answerGuard, long quietAfterTerm, long lastAfterTerm,
-        int rehearsals, long rehearsalTime) {
+        long sweep, long clientFirst, long clientIdle, long clientLeave, long clientStall, int streamsKnown,
+        int misuses, long longestTtl, long pushback, int complaints, int linesPerMember, int attemptsPerLine,
+        long connectTimeout, long unwritten, long lineIdle, long lineAbandoned, long lineQuiet, long lineDead,
+        long idKept, long feedSilence, long feedConnect, long feedRetry, long answerGuard, long quietAfterTerm,
+        long lastAfterTerm, int rehearsals, long rehearsalTime) {
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
@@ -30,12 +31,16 @@
                 ? settings.rules().purgeGrace() * 4 / 5 : bound));
         long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
         int opens = settings.limits().openRequests() > 0 ? settings.limits().openRequests() : 20_000;
-        return new ResourceLimits(Math.min(opens, 8_192), 32, Math.max(16, figures.sockets() * 2 / 5), 262_144,
-                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 8, 1_048_576, 131_072, 30 * SECOND,
-                4 * SECOND, Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()), bound, unwritten,
-                figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
-                figures.keepAlive() + 2 * longest + 10 * SECOND, 4 * SECOND,
-                100 * MILLI, settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
+        long pushback = settings.limits().retryAfter() ? settings.limits().longestRetryAfter() / MILLI : 0;
+        return new ResourceLimits(Math.min(opens, 8_192), 32, Math.max(16, figures.sockets() / 2), 262_144,
+                48_000, 240_000, 4_096, figures.memoryMb() * 1_048_576L / 8, 1_048_576, 131_072,
+                200 * MILLI, 1_800 * MILLI, 5 * SECOND, SECOND, 4 * SECOND, 256,
+                16, Math.max(10 * longest, 60 * SECOND), pushback, 5,
+                Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()),
+                bound, unwritten, figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
+                figures.keepAlive() + 2 * longest + 10 * SECOND, 300 * MILLI, 500 * MILLI,
+                longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI,
+                settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
                 Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND);
     }
 }
--- a/src/main/java/pumicemoor/wire/Message.java
+++ b/src/main/java/pumicemoor/wire/Message.java
@@ -73,6 +73,11 @@
         return fields.get(name) != null;
     }
 
+    /** The value as it was read, whatever it is; null where absent. Equal texts give equal values. */
+    public Object value(String name) {
+        return fields.get(name);
+    }
+
     public String text(String name) throws WireException {
         return required(name, String.class);
     }
--- a/src/test/java/pumicemoor/net/TestLoop.java
+++ b/src/test/java/pumicemoor/net/TestLoop.java
@@ -8,6 +8,7 @@
 final class TestLoop implements Loop {
 
     final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> complaints = new LinkedBlockingQueue<>();
     volatile long time = 1_000_000_000;
     volatile boolean ready = true;
     volatile Thread submitter;
@@ -28,6 +29,11 @@
         return ready;
     }
 
+    @Override
+    public void complain(String text) {
+        complaints.add(text);
+    }
+
     @Override
     public void opened(long number, ClientConnection client) {
         // a test holds its own
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -500,4 +500,54 @@
         }
         assertEquals(Long.MAX_VALUE, reducer.nextDue());
     }
+
+    @Test
+    void theIdOfAnOpenRequestForAnotherObjectIsNotPassedOn() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        effects.clear();
+        take(new Input.Request(2, 1, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false,
+                Bytes.NONE));
+        assertEquals(List.of(new Effect.Answer(2, 1, Code.FAILED, false, 0, Bytes.NONE), new Effect.Misused(2)),
+                effects);
+        take(new Input.Withdrawn(1, 1));
+        effects.clear();
+        take(new Input.Request(2, 2, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false,
+                Bytes.NONE));
+        assertEquals(1, of(effects, Effect.Ask.class).size(), "the id is free again");
+    }
+
+    @Test
+    void anEventIsTakenOnceAndAGapIsAskedForOnce() {
+        String left = NodeTestConfig.list(3, false, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "left", 0));
+        take(new Input.Update(left));
+        assertEquals(List.of(new Effect.Follow("127.0.0.1:2")), effects);
+        assertEquals(1, reducer.lastUpdate());
+        String two = NodeTestConfig.list(2, false, NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", 0));
+        take(new Input.Update(two));
+        take(new Input.Update(two));
+        take(new Input.Update(left));
+        assertEquals(3, reducer.lastUpdate());
+        assertEquals(2, of(events, MembersListed.class).size());
+        String far = NodeTestConfig.list(9, false);
+        take(new Input.Update(far));
+        take(new Input.Update(far));
+        assertEquals(9, reducer.lastUpdate(), "what the coordinator does not have any more is not waited for");
+    }
+
+    @Test
+    void aReloadFollowsTheNewCoordinatorAndNothingElse() throws Exception {
+        String json = NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:3", 1_000,
+                NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0)));
+        take(new Input.Reload(null, "no such file"));
+        take(new Input.Reload(NodeConfig.parse(json.replace("127.0.0.1:1\"", "127.0.0.1:9\"")), null));
+        take(new Input.Reload(NodeConfig.parse(json.replace("\"max-open\":1000", "\"max-open\":9")), null));
+        assertEquals(List.of(), effects);
+        assertEquals(3, counters.get(Counters.Name.RELOADS_REFUSED));
+        take(new Input.Reload(NodeConfig.parse(json), null));
+        take(new Input.Reload(NodeConfig.parse(json), null));
+        assertEquals(List.of(new Effect.Follow("127.0.0.1:3")), effects);
+        assertEquals(2, counters.get(Counters.Name.RELOADS));
+        assertEquals(List.of(), of(events, MembersListed.class));
+    }
 }
