Count what was out when one attempt broke as the same trouble, not as strikes

One connection carries many requests, so its end was two strikes and more; the member was left for a second and then taken for a cold one, its objects filled elsewhere. Ruled out: CPU (3.3 s in 25 s, late only when members were out), coordinator.

Lines at fault: Logic.judge, the branch of CONNECT_FAILED and RESET. Silence still counts each time.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -90,10 +90,8 @@
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
-    private double meanPriority;
-    private double retryTokens;
-    private long arrivals;
-    private long lastFill;
+    private double meanPriority, retryTokens;
+    private long arrivals, lastFill;
     private boolean ticking;
     private long watchAgainAt = Long.MAX_VALUE;
     private long now;
@@ -108,7 +106,7 @@
         long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
         int open, strikes;  // attempts that are out, failures in a row
         double failShare;  // share of failures, lately
-        long lastAnswer, downUntil, downFor, coldFrom;
+        long lastAnswer, struckAt, downUntil, downFor, coldFrom;
         double flow, credit;  // work served lately, in transfers, as of flowAt; budget left while cold
         long flowAt, creditAt;
     }
@@ -510,7 +508,10 @@
         } else if (e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.RESET) {
             job.failed.add(a.target.member.id());
             forget(entry(job), a.target);
-            strike(a.target, true);
+            if (a.sent >= a.target.struckAt) {  // what was out when one broke tells of the same trouble
+                a.target.struckAt = now;
+                strike(a.target, true);
+            }
         } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
             tooMuch(a, null);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -18,6 +18,7 @@
 import pumicemoor.RouterApi.Cancel;
 import pumicemoor.RouterApi.Fetch;
 import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.Log;
 import pumicemoor.RouterApi.Lookup;
 import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.PeerNote;
@@ -102,6 +103,23 @@
         assertNotEquals(sent.member(), next.member());
     }
 
+    @Test
+    void whatWasOutTogetherAndBreaksTogetherDoesNotTakeAMemberOut() {
+        RouterHarness r = new RouterHarness().fleet(1, 2).start();
+        List<Fetch> sent = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            sent.add(fetch(r.ask("a")));
+        }
+        r.now += 100 * MILLI;
+        List<Action> all = new ArrayList<>();
+        sent.forEach(f -> all.addAll(r.end(f, 0, Outcome.RESET, FillNote.NONE)));
+        assertEquals(List.of(), only(Log.class, all), "one connection has broken, the cache is not out");
+        r.now += 100 * MILLI;
+        Fetch next = fetch(r.ask("a"));
+        r.now += 100 * MILLI;
+        assertEquals(1, only(Log.class, r.end(next, 0, Outcome.RESET, FillNote.NONE)).size(), "but after another");
+    }
+
     @Test
     void cacheThatRefusesConnectionsTwiceIsLeftForAWhileAndTriedAgain() {
         RouterHarness r = new RouterHarness().fleet(2, 2).start();
