--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -464,4 +464,57 @@
         }
         assertEquals(32, whole);
     }
+
+    /** A router that may hold no more than 16 connections of clients. */
+    private void startSmall(String... updates) throws Exception {
+        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "", updates)
+                .replace("\"sockets\":1024", "\"sockets\":32")));
+        server.start();
+    }
+
+    @Test
+    void aUsualClientGetsInWhileSilentOnesHoldAllTheyCan() throws Exception {
+        Cache cache = new Cache("data");
+        startSmall(NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        for (int i = 0; i < 100; i++) {
+            new Client();
+        }
+        Client usual = new Client();
+        usual.request(1, "segment", new byte[0]);
+        assertEquals(1, usual.next().code());
+    }
+
+    @Test
+    void aUsualClientGetsInWhileOthersAskedOnceAndKeepTheirConnections() throws Exception {
+        Cache cache = new Cache("data");
+        startSmall(NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        for (int i = 1; i <= 50; i++) {
+            Client keeper = new Client();
+            keeper.request(i, "segment", new byte[0]);
+            assertEquals(1, keeper.next().code());
+        }
+    }
+
+    @Test
+    void aNewCoordinatorIsFollowedFromTheLastEventOn() throws Exception {
+        Coordinator before = new Coordinator();
+        Coordinator after = new Coordinator();
+        String known = NodeTestConfig.list(1, true);
+        start(before.address(), known);
+        assertEquals("1", before.lastEventIds.poll(PATIENCE, TimeUnit.MILLISECONDS));
+        before.events.add("id: 2\ndata: " + NodeTestConfig.list(2, false));
+        while (server.counters().get(Name.UPDATES) < 2) {
+            Thread.onSpinWait();
+        }
+        server.reload(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)), null);
+        assertEquals("2", after.lastEventIds.poll(PATIENCE, TimeUnit.MILLISECONDS));
+        before.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
+        after.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
+        after.events.add("id: 4\ndata: " + NodeTestConfig.list(4, false));
+        while (server.counters().get(Name.UPDATES) < 4) {
+            Thread.onSpinWait();
+        }
+        assertEquals(0, server.counters().get(Name.GAPS));
+        assertEquals(1, server.counters().get(Name.RELOADS));
+    }
 }
