Blame nobody for an attempt whose client left before it was late

Each such attempt was told as cancelled, and Logic.judge took every cancelled attempt for a late one: the member's limit fell, and the cache was forgotten as a holder. Ruled out: CPU (sampled stacks wait in the selector), spoilt answers (7 in 25 s), members out (2 for a second).

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -91,10 +91,8 @@
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
-    private long arrivals, lastFill;
     private boolean ticking;
-    private long watchAgainAt = Long.MAX_VALUE;
-    private long now;
+    private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE;
     private Consumer<Action> out;
 
     /** A member of the list and what its outcomes have shown. */
@@ -512,7 +510,8 @@
                 a.target.struckAt = now;
                 strike(a.target, true);
             }
-        } else if (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.CANCELLED) {
+        } else if (e.outcome() == Outcome.TIMEOUT  // a client that left early tells nothing of the member
+                || e.outcome() == Outcome.CANCELLED && (!job.closed || now >= a.lateFrom)) {
             tooMuch(a, null);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
             job.failed.add(guilty.member.id());
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -23,6 +23,7 @@
 import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.PeerNote;
 import pumicemoor.RouterApi.Refuse;
+import pumicemoor.RouterApi.RequestGone;
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TellPeer;
 
@@ -86,6 +87,21 @@
         assertTrue(crowd(r, 40).size() < before);
     }
 
+    @Test
+    void clientsThatLeaveEarlyDoNotLowerWhatAMemberMayHave() {
+        int before = crowd(new RouterHarness().fleet(1, 1).start(), 40).size();
+        RouterHarness r = new RouterHarness().fleet(1, 1).start();
+        for (int round = 0; round < 30; round++) {
+            Fetch sent = fetch(r.ask("left" + round));
+            r.now += 30 * MILLI;
+            List<Cancel> cancels = only(Cancel.class, r.handle(new RequestGone(sent.id())));
+            assertEquals(1, cancels.size());
+            r.handle(new AttemptEnded(sent.id(), 0, sent.member(), Outcome.CANCELLED, 30 * MILLI, true,
+                    FillNote.NONE, 0, Map.of()));
+        }
+        assertEquals(before, crowd(r, 40).size());
+    }
+
     @Test
     void quickFailureIsTriedAgainAtTheSameCache() {
         RouterHarness r = new RouterHarness().fleet(3, 2).start();
