Take no full pool for a failed connection, no bad request for a bad member

A probe logged every attempt that did not end well: a request for an object that no cache knows gets 'failed' at once, is sent six times more, and after three answers at one member every connection to it had seen the id (CacheLines kept answered ids off, so the pool was full); CacheLines.ask told that as a connection that failed, twice in a row, and Logic took the member out and for cold. It also spent the retry budget of the usual clients. Ruled out: connections dead or reset (none), CPU (4 s in 25).

An answered id may now be asked again on a connection where no other is left, a full pool is told as full, a request that failed quickly at a second member is given up, and counts once on a member's failures.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -281,6 +281,7 @@
         boolean direct = settings.fills().direct();
         Node edge = edge(job);
         if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
+                || job.quickFailures > QUICK_FAILURES + 1  // it fails wherever it is sent
                 || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
         } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
@@ -597,7 +598,7 @@
      * only one that fails most of what it gets is left. A failure that took its time is a strike.
      */
     private void failed(Job job, Attempt a, Node n, long latency) {
-        n.failShare += FAIL_GAIN * (1 - n.failShare);
+        n.failShare += job.quickFailures > 0 ? 0 : FAIL_GAIN * (1 - n.failShare);  // each request tells once
         if (n.failShare > FAIL_SHARE) {
             down(n, false);
         }
--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -63,9 +63,13 @@
         List<Line> pool = lines.computeIfAbsent(ask.instance(), i -> new ArrayList<>());
         Line line = pool.stream().filter(l -> l.takes(ask)).findFirst().orElse(null);
         if (line == null && pool.size() >= limits.linesPerMember()) {
-            ask.body().release();
-            loop.submit(new Input.Unreached(ask.attempt()));
-            return;
+            // an answered id may be asked again where there is no other way; one given up may not
+            line = pool.stream().filter(l -> l.takesAgain(ask)).findFirst().orElse(null);
+            if (line == null) {
+                ask.body().release();
+                loop.submit(new Input.Crowded(ask.attempt()));
+                return;
+            }
         }
         boolean fresh = line == null;
         if (fresh) {
@@ -123,6 +127,11 @@
         }
     }
 
+    /** When an id ended on a connection, and whether it was given up there, so that its answer may come yet. */
+    private record Past(long at, boolean givenUp) {
+        private static final Past ANSWERED = new Past(0, false);
+    }
+
     /** One connection. */
     private final class Line extends SimpleChannelInboundHandler<AnswerDecoder.Answer> {
         private final String instance;
@@ -130,7 +139,7 @@
         private final long openedAt = loop.clock();
         private final Deque<Effect.Ask> queue = new ArrayDeque<>();
         private final Map<String, Sent> out = new LinkedHashMap<>();
-        private final Map<String, Long> past = new LinkedHashMap<>();  // ended, when; an answer may still come
+        private final Map<String, Past> past = new LinkedHashMap<>();  // ended here; an answer may still come
         private final AnswerDecoder decoder = new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget);
         private Effect.Ask writing;
         private Channel channel;
@@ -172,8 +181,12 @@
         }
 
         boolean takes(Effect.Ask ask) {
+            return takesAgain(ask) && !past.containsKey(ask.id());
+        }
+
+        boolean takesAgain(Effect.Ask ask) {
             return !retired && !ended && out.size() + queue.size() < limits.attemptsPerLine()
-                    && !out.containsKey(ask.id()) && !past.containsKey(ask.id())
+                    && !out.containsKey(ask.id()) && !past.getOrDefault(ask.id(), Past.ANSWERED).givenUp()
                     && queue.stream().noneMatch(q -> q.id().equals(ask.id()));
         }
 
@@ -227,7 +240,7 @@
             }
             if (id != null && tellCache) {
                 out.remove(id);
-                past(id);
+                past(id, true);
                 if (channel.isActive()) {
                     channel.writeAndFlush(CacheLine.quit(channel.alloc(), id), channel.voidPromise());
                 }
@@ -241,13 +254,13 @@
         }
 
         /** An id that has ended here; its answer, or a copy of it, may come for as long as anybody asks for it. */
-        private void past(String id) {
+        private void past(String id, boolean givenUp) {
             long now = loop.clock();
-            Iterator<Long> oldest = past.values().iterator();
-            while (oldest.hasNext() && now - oldest.next() > limits.idKept()) {
+            Iterator<Past> oldest = past.values().iterator();
+            while (oldest.hasNext() && now - oldest.next().at() > limits.idKept()) {
                 oldest.remove();
             }
-            past.put(id, now);
+            past.put(id, new Past(now, givenUp));
         }
 
         /**
@@ -296,7 +309,7 @@
             }
             usedAt = loop.clock();
             out.remove(answer.id());
-            past(answer.id());
+            past(answer.id(), false);
             lineOfAttempt.remove(sent.attempt());
             counters.add(Name.BYTES_IN, answer.body().readableBytes());
             loop.submit(new Input.Answered(sent.attempt(), word, answer.fields().get("tell"),
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -38,6 +38,10 @@
     record Unreached(long attempt) implements Input {
     }
 
+    /** An attempt for which this router has no room at the member: it never ran, and no one has failed. */
+    record Crowded(long attempt) implements Input {
+    }
+
     /** The connection of an attempt ended after it was written whole. */
     record Broken(long attempt) implements Input {
     }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -171,6 +171,8 @@
                     .forEach(this::withdrawn);
         } else if (input instanceof Input.Unreached u) {
             end(attempts.get(u.attempt()), Outcome.CONNECT_FAILED);
+        } else if (input instanceof Input.Crowded c) {
+            end(attempts.get(c.attempt()), Outcome.FULL);
         } else if (input instanceof Input.Broken b) {
             end(attempts.get(b.attempt()), Outcome.RESET);
         } else if (input instanceof Input.Update u) {
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -119,6 +119,25 @@
         assertNotEquals(sent.member(), next.member());
     }
 
+    @Test
+    void aRequestThatFailsWhereverItIsSentIsGivenUpAndTakesNoMemberOut() {
+        RouterHarness r = new RouterHarness().fleet(4, 2).start();
+        for (int i = 0; i < 30; i++) {
+            r.serve("good" + i, FillNote.FILLED);
+        }
+        for (int i = 0; i < 4; i++) {
+            List<Action> actions = r.ask("bad");
+            for (int attempt = 0; !only(Fetch.class, actions).isEmpty(); attempt++) {
+                assertTrue(attempt < 4, "sent a fifth time");
+                Fetch sent = fetch(actions);
+                actions = r.handle(new AttemptEnded(sent.id(), attempt, sent.member(), Outcome.ERROR, MILLI, false,
+                        FillNote.NONE, 0, Map.of()));
+                assertEquals(List.of(), only(Log.class, actions));
+            }
+            assertEquals(1, only(Refuse.class, actions).size());
+        }
+    }
+
     @Test
     void whatWasOutTogetherAndBreaksTogetherDoesNotTakeAMemberOut() {
         RouterHarness r = new RouterHarness().fleet(1, 2).start();
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -288,6 +288,21 @@
         assertEquals(Input.Word.FULL, ((Input.Answered) next()).word());
     }
 
+    @Test
+    void whereNoOtherConnectionIsLeftAnAnsweredIdIsAskedAgainButNotOneGivenUp() throws Exception {
+        for (int i = 1; i <= limits.linesPerMember() + 1; i++) {
+            answer(sent(i, "a"), "a", "failed");
+            assertEquals(i, ((Input.Answered) next()).attempt());
+        }
+        for (int i = 1; i <= limits.linesPerMember(); i++) {
+            sent(100 + i, "b");
+            quit(100 + i);
+            got.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        }
+        onLoop(() -> lines.ask(ask(200, "b")));
+        assertEquals(new Input.Crowded(200), next());
+    }
+
     @Test
     void anIdIsForgottenOnceNobodyCanAskForItAnyMore() throws Exception {
         Got first = sent(1, "a");
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -501,6 +501,16 @@
         assertEquals(Long.MAX_VALUE, reducer.nextDue());
     }
 
+    @Test
+    void anAttemptWithoutRoomAtTheMemberNeverRanAndTheMemberDidNotFail() {
+        fetchOnArrival(0, 0);
+        request(1, "segment", Bytes.NONE);
+        take(new Input.Crowded(ask().attempt()));
+        assertEquals(List.of(Outcome.FULL), of(events, AttemptEnded.class).stream().map(AttemptEnded::outcome)
+                .toList());
+        assertTrue(Outcome.FULL.provesNotRun);
+    }
+
     @Test
     void theIdOfAnOpenRequestForAnotherObjectIsNotPassedOn() {
         fetchOnArrival(0, 0);
