--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -361,7 +361,7 @@
             a.body().release();
         }
         end(attempt, outcome, a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
-                a.load());
+                Vocabulary.load(a.load()));
     }
 
     private void end(Attempt attempt, Outcome outcome) {
