--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -49,8 +49,6 @@
     private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
     private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
     private static final double CREW_SPAN = 700 * MILLI;  // a fellow router; its load is ours over so long
-    private static final double CREW_GONE = 0.7;  // of what the crew would hold, below which some of it is gone
-    private static final double REPORT_GAIN = 0.01;  // weight of the newest report in what tells that
     private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
     private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
@@ -92,7 +90,7 @@
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
-    private double meanPriority, retryTokens, held, ours = 1;  // that caches report, and of ours
+    private double meanPriority, retryTokens;
     private boolean ticking;
     private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE;
     private Consumer<Action> out;
@@ -102,9 +100,10 @@
         Member member;
         boolean listed;  // ready by the list
         double load, limit, lateShare;  // what it has of ours, may have of all, and the share that came late
+        double meanLoad;  // what it has of ours, over a while, as of loadAt
         long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
         int open, strikes;  // attempts that are out, failures in a row
-        double failShare, meanLoad;  // share of failures, lately; what it has of ours, as of loadAt
+        double failShare;  // share of failures, lately
         long lastAnswer, struckAt, downUntil, downFor, coldFrom;
         double flow, credit;  // work served lately, in transfers, as of flowAt; budget left while cold
         long flowAt, creditAt;
@@ -118,7 +117,8 @@
         double work, priority;  // time to send it at full pace, worth for that
         long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
-        boolean mayHaveRun, closed, streaming, missed, parentMissed;  // missed: a look has found no copy here, at the parent
+        boolean mayHaveRun, closed, streaming;
+        boolean missed, parentMissed;  // a look has found no copy here, at the parent
         boolean stale, retry;  // an old copy will do now; the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
@@ -129,15 +129,17 @@
         int number;
         Node target, source, blamed;  // blamed: for being late, so far
         long sent, lateFrom, due;  // due: silence counts from here
-        boolean overdue, cancelled, expectHit, look, lookAtParent;
+        boolean overdue, cancelled;
+        boolean expectHit, look, lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
     /** What is remembered of an object (or part): who holds it, how often it was asked for. */
     private static final class Entry {
         final List<Holder> holders = new ArrayList<>();
-        int seen, notes;
+        int seen;
         long noteMinute;
+        int notes;
     }
 
     private record Holder(Node node, long started, long since, long until) {
@@ -148,7 +150,6 @@
         this.random = new Random(salt);
         this.crew = settings.routersByLocation().isEmpty() ? settings.routers()
                 : Math.max(1, settings.routersByLocation().get(settings.location()));
-        this.held = crew;  // until reports tell
         this.retryTokens = Math.max(1, RETRY_BURST / crew);
         this.weighted = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
         this.tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(0);
@@ -313,7 +314,8 @@
      * parent, holds a copy, and only then waits for its turn to fill.
      */
     private void fetch(Job job, Node edge) {
-        Node found = source(job, edge), source = found == null ? edge : found;
+        Node found = source(job, edge);
+        Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
         boolean originFull = source.member.role() == Role.PARENT && origin != null
                 && (settings.fills().notes() == Notes.ALL || origin.lateShare > LATE_BORNE)
@@ -405,8 +407,10 @@
         a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
                 + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
-        retryTokens -= job.retry ? 1 : 0;
-        job.retry = false;
+        if (job.retry) {
+            retryTokens--;
+            job.retry = false;
+        }
         job.mayHaveRun = true;
         job.open.put(a.number, a);
         target.open++;
@@ -422,14 +426,13 @@
 
     /**
      * What the routers of this location have at a member, as far as ours shows it: at once where it is alone,
-     * else over a while, since one request of ours doesn't mean that each of the others has one too. Where the
-     * caches report far less than all would hold, some routers are gone, and what is ours is more of all.
+     * else over a while, since one request of ours doesn't mean that each of the others has one too.
      */
     private double crewLoad(Node n) {
         n.meanLoad += (n.load - n.meanLoad) * (crew == 1 ? 1
                 : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
         n.loadAt = now;
-        return (held < CREW_GONE * crew * ours ? Math.max(1, held / ours) : crew) * n.meanLoad;
+        return crew * n.meanLoad;
     }
 
     private void charge(Job job, Attempt a, Node n, double share) {
@@ -454,11 +457,6 @@
             return;
         }
         a.target.open--;
-        Double report = a.target.member.role() == Role.CACHE ? e.load().get(LoadReports.HELD) : null;
-        if (report != null) {
-            held += REPORT_GAIN * (report - held);
-            ours += REPORT_GAIN * (a.target.open - ours);
-        }
         a.charges.forEach((n, share) -> {
             crewLoad(n);
             n.load = Math.max(0, n.load - share);
@@ -532,7 +530,8 @@
             int type = job.request.requestClass();
             if (job.request.sizeKb() <= 0 && a.target.lateShare < LATE_BORNE) {
                 double slow = weighted ? Math.max(1, crewLoad(a.target) / a.target.member.weight()) : 1;
-                meanWork[type] += (meanWork[type] == 0 ? 1 : MEAN_GAIN) * (e.latency() / slow - meanWork[type]);
+                double gain = meanWork[type] == 0 ? 1 : MEAN_GAIN;
+                meanWork[type] += gain * (e.latency() / slow - meanWork[type]);
             }
             paced(a.target, a, late);
         } else if (a.source != a.target) {
@@ -649,8 +648,9 @@
                 || now >= job.deadline || job.closed ? null : edge(job);
         if (edge != null) {
             job.stale = true;
-            Node found = source(job, edge), source = found == null ? edge : found;
-            send(job, edge, source, get(job, edge, source, true));
+            Node parent = source(job, edge);
+            send(job, edge, parent == null ? edge : parent, get(job, edge, parent == null ? edge : parent,
+                    true));
             return;
         }
         boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
@@ -810,8 +810,9 @@
     }
 
     private boolean warm(Node n) {
-        return n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom >= (n.member.role()
-                == Role.PARENT ? settings.rules().parent() : settings.rules().cache()).warmAfter();
+        Rules rules = settings.rules();
+        return n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom
+                >= (n.member.role() == Role.PARENT ? rules.parent() : rules.cache()).warmAfter();
     }
 
     /** What a warm member of this kind serves this router, in transfers, lately. */
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -79,9 +79,6 @@
 
     /** Load reports and what their two free fields mean. */
     record LoadReports(ReportBy by, List<String> fields) {
-
-        /** The name, in a load, of the requests that a member holds, whoever sent them. */
-        public static final String HELD = "held";
     }
 
     // ---- members --------------------------------------------------------------------------------------
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -361,7 +361,7 @@
             a.body().release();
         }
         end(attempt, outcome, a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
-                Vocabulary.load(a.load()));
+                a.load());
     }
 
     private void end(Attempt attempt, Outcome outcome) {
--- a/src/main/java/pumicemoor/wire/Drill.java
+++ b/src/main/java/pumicemoor/wire/Drill.java
@@ -173,10 +173,10 @@
                     m.integer("lag-us"));
             case "Verdict" -> new AttemptEnded(m.text("id"), (int) m.integer("trial"), m.integer("server"),
                     words.outcome(m.integer("rc")), m.integer("lag-us"), m.flag("settled"), note(m),
-                    m.integer("waited-us", 0), Vocabulary.load(m.objectOrEmpty("load").numbersByName()));
+                    m.integer("waited-us", 0), m.objectOrEmpty("load").numbersByName());
             case "Lapsed" -> new RequestGone(m.text("id"));
             case "Checked" -> new ProbeEnded(m.integer("server"), words.outcome(m.integer("rc")),
-                    m.integer("lag-us"), Vocabulary.load(m.objectOrEmpty("load").numbersByName()));
+                    m.integer("lag-us"), m.objectOrEmpty("load").numbersByName());
             case "TickDue" -> new TimerDue(m.integer("cookie"));
             case "Invalidated" -> new Purged(m.text("asset", null), (int) m.integer("set-no", -1),
                     m.integer("how-old-us", 0));
--- a/src/main/java/pumicemoor/wire/Vocabulary.java
+++ b/src/main/java/pumicemoor/wire/Vocabulary.java
@@ -1,7 +1,6 @@
 package pumicemoor.wire;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import pumicemoor.RouterApi.ColdStart;
@@ -45,9 +44,6 @@
             Outcome.FULL, 408L, Outcome.TIMEOUT, 521L, Outcome.CONNECT_FAILED, 520L, Outcome.RESET, 444L,
             Outcome.CANCELLED, 409L, Outcome.MOOT, 204L, Outcome.MISS);
 
-    /** Requests that a member holds, in a simulated load report and in one on a line. */
-    private static final List<String> HELD = List.of("busy_reqs", "inflight");
-
     private final Settings settings;
     private final List<String> classes = new ArrayList<>();
     private final List<String> zones;
@@ -112,17 +108,6 @@
         return index(classes, name, "class");
     }
 
-    /** A load report with the module's name for the requests that a member holds; the rest keeps its name. */
-    public static Map<String, Double> load(Map<String, Double> told) {
-        Map<String, Double> load = new HashMap<>(told);
-        HELD.forEach(name -> {
-            if (told.containsKey(name)) {
-                load.put(LoadReports.HELD, load.remove(name));
-            }
-        });
-        return load;
-    }
-
     Outcome outcome(long code) throws WireException {
         return word(OUTCOMES, code, "rc");
     }
