Leave a member warm that is out for resets alone; tell idle clients that make way

A process that has ended refuses connections, so only a refused one, or silence, now makes it cold (Logic.judge). Idle clients that lose their place at the bound were sent an error on stream 0; they are told type 3 in its place (NodeServer.makeRoom).

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -509,7 +509,7 @@
             forget(entry(job), a.target);
             if (a.sent >= a.target.struckAt) {  // what was out when one broke tells of the same trouble
                 a.target.struckAt = now;
-                strike(a.target, true);
+                strike(a.target, e.outcome() == Outcome.CONNECT_FAILED);  // who resets is there, warm
             }
         } else if (e.outcome() == Outcome.TIMEOUT  // a client that left early tells nothing of the member
                 || e.outcome() == Outcome.CANCELLED && (!job.closed || now >= a.lateFrom)) {
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -176,6 +176,14 @@
         context.close();
     }
 
+    /** An idle client in good standing gives its place to another: told to bring nothing new here, then closed. */
+    void makeWay() {
+        counters.add(Name.TURNED_OUT);
+        drain();
+        loop.closed(number);
+        context.close();
+    }
+
     /** Whether it has asked for nothing that can be used so far. */
     boolean silent() {
         return !asked;
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -23,6 +23,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -125,13 +126,13 @@
         if (clients.size() < limits.clients()) {
             return true;
         }
-        ClientConnection least = clients.values().stream().filter(ClientConnection::silent).findFirst()
-                .or(() -> clients.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
-                        .min(Comparator.comparingLong(ClientConnection::idleSince))).orElse(null);
-        if (least != null) {
-            least.turnAway("its place is needed");
-        }
-        return least != null;
+        Optional<ClientConnection> silent = clients.values().stream().filter(ClientConnection::silent).findFirst();
+        silent.ifPresent(c -> c.turnAway("it said nothing, and its place is needed"));
+        Optional<ClientConnection> idle = silent.isPresent() ? Optional.empty() : clients.values().stream()
+                .filter(c -> c.idleSince() < Long.MAX_VALUE)
+                .min(Comparator.comparingLong(ClientConnection::idleSince));
+        idle.ifPresent(ClientConnection::makeWay);
+        return silent.isPresent() || idle.isPresent();
     }
 
     private void sweep() {
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -155,6 +155,24 @@
         assertEquals(1, only(Log.class, r.end(next, 0, Outcome.RESET, FillNote.NONE)).size(), "but after another");
     }
 
+    @Test
+    void aCacheLeftForResetsAloneIsAsWarmAsBeforeWhenItIsBack() {
+        RouterHarness r = new RouterHarness().fleet(2, 2).start();
+        long home = r.serve("a", FillNote.FILLED).member();
+        for (int i = 0; i < 2; i++) {
+            Fetch sent = fetch(r.ask("a"));
+            assertEquals(home, sent.member());
+            r.now += 10 * MILLI;
+            r.end(sent, 0, Outcome.RESET, FillNote.NONE);
+            r.now += 10 * MILLI;
+        }
+        assertNotEquals(home, fetch(r.ask("a")).member(), "out");
+        r.now += 2 * SECOND;
+        for (int i = 0; i < 4; i++) {
+            assertEquals(home, r.serve("a", FillNote.HIT).member(), "no share of a cold budget is waited for");
+        }
+    }
+
     @Test
     void cacheThatRefusesConnectionsTwiceIsLeftForAWhileAndTriedAgain() {
         RouterHarness r = new RouterHarness().fleet(2, 2).start();
