--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -75,7 +75,7 @@
     private final int crew;  // routers of this location; they act alike, so ours times crew stands for all
     private final Random random;
     private final Map<Long, Node> nodes = new TreeMap<>();
-    private List<Node> caches = List.of(), farCaches = List.of(), parents = List.of();  // listed; far: elsewhere
+    private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
     private Node origin;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
@@ -216,7 +216,6 @@
         }
         nodes.values().removeIf(n -> !n.listed && n.member.state() != State.DRAINING);
         caches = listed(Role.CACHE).filter(n -> n.member.zone() == settings.location()).toList();
-        farCaches = listed(Role.CACHE).filter(n -> n.member.zone() != settings.location()).toList();
         parents = listed(Role.PARENT).toList();
         origin = listed(Role.ORIGIN).findFirst().orElse(null);
     }
@@ -297,18 +296,10 @@
         }
     }
 
-    /**
-     * With no cache that has room, to one of another location that is half idle (Coral's next larger cluster),
-     * else past the caches, where allowed, to a parent or the origin with room.
-     */
+    /** With no cache that has room, past the caches, where allowed, to a parent or the origin with room. */
     private void passBy(Job job) {
-        Node far = ranked(farCaches, job.key).stream().filter(n -> up(n) && !job.failed.contains(n.member.id())
-                && n.lateShare <= LATE_BORNE / 2 && !full(n, n.limit / 2, job) && coldRoom(n, job)).findFirst()
-                .orElse(null);
         Node source = settings.fills().direct() ? source(job, null) : null;
-        if (far != null) {
-            fetch(job, far);
-        } else if (source == null || full(source, 1, job)) {
+        if (source == null || full(source, 1, job)) {
             hold(job);
         } else if (source.member.role() == Role.ORIGIN) {
             send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
@@ -323,7 +314,8 @@
      * parent, holds a copy, and only then waits for its turn to fill.
      */
     private void fetch(Job job, Node edge) {
-        Node found = source(job, edge), source = found == null ? edge : found;
+        Node found = source(job, edge);
+        Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
         boolean originFull = source.member.role() == Role.PARENT && origin != null
                 && (settings.fills().notes() == Notes.ALL || origin.lateShare > LATE_BORNE)
@@ -415,8 +407,10 @@
         a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
                 + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
-        retryTokens -= job.retry ? 1 : 0;
-        job.retry = false;
+        if (job.retry) {
+            retryTokens--;
+            job.retry = false;
+        }
         job.mayHaveRun = true;
         job.open.put(a.number, a);
         target.open++;
@@ -654,8 +648,9 @@
                 || now >= job.deadline || job.closed ? null : edge(job);
         if (edge != null) {
             job.stale = true;
-            Node found = source(job, edge), source = found == null ? edge : found;
-            send(job, edge, source, get(job, edge, source, true));
+            Node parent = source(job, edge);
+            send(job, edge, parent == null ? edge : parent, get(job, edge, parent == null ? edge : parent,
+                    true));
             return;
         }
         boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
