--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -3,9 +3,11 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -66,6 +68,7 @@
     private static final double COLD_WIDTH = 3;  // transfers that a member of unknown size is taken for
     private static final double COLD_SMALLER = 0.5;  // such a member against the mean of the warm ones
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
+    private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
 
     // ---- state ----------------------------------------------------------------------------------------
@@ -77,6 +80,7 @@
     private final Map<Long, Node> nodes = new TreeMap<>();
     private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
     private Node origin;
+    private Map<Long, SourceList> given = Map.of();  // who may be filled from whom; empty: by the list alone
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -187,6 +191,8 @@
             jobs.get(e.id()).streaming = true;
         } else if (event instanceof PeerNote e) {
             peerNote(e);
+        } else if (event instanceof SourcesGiven e) {
+            given = e.lists();
         }
     }
 
@@ -304,7 +310,8 @@
         } else if (source.member.role() == Role.ORIGIN) {
             send(job, source, source, new Lookup(job.request.id(), source.member.id(), 0));
         } else {
-            Node behind = origin == null ? source : origin;
+            List<Node> way = way(job, source, null);
+            Node behind = !way.isEmpty() ? way.get(0) : origin == null ? source : origin;
             send(job, source, behind, get(job, source, behind, false));
         }
     }
@@ -338,12 +345,14 @@
         return new Fetch(job.request.id(), target.member.id(), source.member.id(),
                 !kept ? 0 : job.type.parts() ? 1 : Math.min(2, entry(job).seen), oldest(job),
                 settings.fills().joins(), onlyIfHeld, false,
-                job.type.fresh() > 0 && source != target && !onlyIfHeld, 0);
+                job.type.fresh() > 0 && source != target && !onlyIfHeld, 0,
+                source == target || onlyIfHeld ? List.of()
+                        : way(job, source, target).stream().map(n -> n.member.id()).toList());
     }
 
     /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
     private Node edge(Job job) {
-        List<Node> order = ranked(caches, job.key);
+        List<Node> order = ranked(caches, job.key, Map.of());
         order.removeIf(n -> !up(n) || !coldRoom(n, job));
         if (order.stream().anyMatch(n -> !job.failed.contains(n.member.id()))) {
             order.removeIf(n -> job.failed.contains(n.member.id()));
@@ -364,17 +373,74 @@
         Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         if (edge != null && settings.fills().siblings() != SiblingSources.NONE) {
             for (Holder h : entry(job).holders) {
-                if (h.node != edge && alive(h, job) && usable.test(h.node)) {
+                if (h.node != edge && alive(h, job) && usable.test(h.node) && mayWait(job, edge, h)) {
                     return h.node;
                 }
             }
         }
-        List<Node> order = ranked(parents, job.request.object()).stream().filter(usable).toList();
+        List<Node> order = parents(edge, job.request.object()).stream().filter(usable).toList();
         Node home = order.isEmpty() ? origin : order.get(0);
         return order.isEmpty() || home.lateShare <= LATE_BORNE || !full(home, 1, job) ? home : order.stream()
                 .filter(n -> n.lateShare <= LATE_BORNE / 2 && !full(n, 1, job)).findFirst().orElse(home);
     }
 
+    /** The parents of a cache in the order of the object: all listed, or those given, as its move has come. */
+    private List<Node> parents(Node child, String object) {
+        SourceList list = list(child);
+        if (list == null) {
+            return ranked(parents, object, Map.of());
+        }
+        List<Node> to = ranked(list.now(), object), from = ranked(list.before(), object);
+        boolean moved = from.isEmpty() || !to.isEmpty() && moved(list, to.get(0), object);
+        Set<Node> order = new LinkedHashSet<>(moved ? to : from);
+        order.addAll(moved ? from : to);
+        return new ArrayList<>(order);
+    }
+
+    private SourceList list(Node child) {
+        SourceList own = child == null ? null : given.get(child.member.id());
+        return own != null || child != null && child.member.role() != Role.CACHE ? own
+                : given.get(SourcesGiven.LOCATION);
+    }
+
+    private List<Node> ranked(List<Source> sources, String object) {
+        Map<Node, Double> weights = new LinkedHashMap<>();
+        sources.stream().filter(s -> nodes.containsKey(s.member()) && nodes.get(s.member()).listed)
+                .forEach(s -> weights.put(nodes.get(s.member()), s.weight()));
+        return ranked(weights.keySet(), object, weights);
+    }
+
+    /** Whether an object has moved to its new home; it does once, at its own place in the rising share. */
+    private boolean moved(SourceList list, Node home, String object) {
+        Source s = list.now().stream().filter(n -> n.member() == home.member.id()).findFirst().orElseThrow();
+        double place = (mix(~hash(object)) >>> 11) * 0x1.0p-53;
+        double passed = s.fullAt() <= s.opensAt() ? 1 : (now - s.opensAt()) / (double) (s.fullAt() - s.opensAt());
+        return (list.back() ? 1 - place : place) < s.share() + (1 - s.share()) * Math.max(0, passed);
+    }
+
+    /** What a source is to fill from on its way to the origin; at first, for a moved object, its old home. */
+    private List<Node> way(Job job, Node source, Node child) {
+        List<Node> way = new ArrayList<>();
+        Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
+        SourceList moving = source.member.role() == Role.PARENT ? list(child) : null;
+        List<Node> old = moving == null ? List.of() : ranked(moving.before(), job.request.object());
+        for (Node at = source; at != null && given.containsKey(at.member.id()) && way.size() < LONGEST_WAY;) {
+            Node home = at != source || old.isEmpty() ? null : old.get(0);
+            at = home != null && given.get(at.member.id()).seeds().contains(home.member.id()) && usable.test(home)
+                    ? home : parents(at, job.request.object()).stream().filter(usable).findFirst().orElse(null);
+            if (at != null && at.member.role() != Role.ORIGIN) {
+                way.add(at);
+            }
+        }
+        return way;
+    }
+
+    /** Whether a fill may wait for this one's: where sources are given, only in the object's order, never round. */
+    private boolean mayWait(Job job, Node edge, Holder h) {
+        List<Node> order = given.isEmpty() || h.since >= 0 ? List.of() : ranked(caches, job.key, Map.of());
+        return order.indexOf(h.node) <= order.indexOf(edge);
+    }
+
     /**
      * Whether a member has as much of ours as it can serve in time. The more work a request is for its worth,
      * the sooner it finds a member full: a few large ones fill a link that would serve many small ones.
@@ -420,6 +486,9 @@
             if (source.member.role() == Role.PARENT && !a.lookAtParent && origin != null) {
                 charge(job, a, origin, a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
             }
+            if (action instanceof Fetch f) {
+                f.way().forEach(n -> charge(job, a, nodes.get(n), a.expectHit ? 0 : ORIGIN_PART));
+            }
         }
         out.accept(action);
     }
@@ -757,19 +826,25 @@
     }
 
     /** These members in the key's rendezvous order. */
-    private List<Node> ranked(List<Node> members, String key) {
-        long hash = 0xcbf29ce484222325L;  // FNV-1a
-        for (int i = 0; i < key.length(); i++) {
-            hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
-        }
+    private List<Node> ranked(Collection<Node> members, String key, Map<Node, Double> weights) {
+        long hash = hash(key);
         TreeMap<Double, Node> ranked = new TreeMap<>(Comparator.reverseOrder());
         for (Node n : members) {
             double draw = ((mix(hash ^ mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
-            ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1), n);
+            ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1)
+                    / weights.getOrDefault(n, 1.0), n);
         }
         return new ArrayList<>(ranked.values());
     }
 
+    private static long hash(String key) {
+        long hash = 0xcbf29ce484222325L;  // FNV-1a
+        for (int i = 0; i < key.length(); i++) {
+            hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
     private static long mix(long z) {
         long y = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
         y = (y ^ (y >>> 27)) * 0x94d049bb133111ebL;
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -96,8 +96,8 @@
     // ---- events ---------------------------------------------------------------------------------------
 
     /** What a router may see. */
-    sealed interface Event permits MembersListed, RequestArrived, AnswerStarted, AttemptEnded, RequestGone,
-            ProbeEnded, TimerDue, Purged, PeerNote {
+    sealed interface Event permits MembersListed, SourcesGiven, RequestArrived, AnswerStarted, AttemptEnded,
+            RequestGone, ProbeEnded, TimerDue, Purged, PeerNote {
     }
 
     /** How a list has come: as changes, whole, as last held before a start, or not at all. */
@@ -107,6 +107,30 @@
     record MembersListed(ListKind kind, long version, List<Member> members) implements Event {
     }
 
+    /**
+     * A member that may be filled from, with the weight of its part of the objects. While objects move to it,
+     * they come as a share that rises evenly, from the given one at opensAt to all of them at fullAt.
+     */
+    record Source(long member, double weight, double share, long opensAt, long fullAt) {
+    }
+
+    /**
+     * What a member may be filled from, and what it was filled from until its objects have moved; back means
+     * that those which moved last return first. Seeds are the members that this one may fill from instead, for
+     * objects that were theirs before.
+     */
+    record SourceList(List<Source> now, List<Source> before, boolean back, List<Long> seeds) {
+    }
+
+    /**
+     * What members may be filled from, by member, in place of the listed parents and the origin; under LOCATION
+     * for caches of this location without a list of their own. Who has no list is filled as before, as all are
+     * where there are none.
+     */
+    record SourcesGiven(long version, Map<Long, SourceList> lists) implements Event {
+        public static final long LOCATION = 0;
+    }
+
     /** A request; sizeKb 0 means not told, tenant and group as given. */
     record RequestArrived(String id, int requestClass, String object, int part, int group, double sizeKb,
             long timeLeft, boolean repeat) implements Event {
@@ -175,11 +199,18 @@
 
     /**
      * An attempt that names the source of a fill (the member itself for none), the rank at which the copy is
-     * kept (0 for not at all) and the oldest copy that will do (0 for the class's own bound).
+     * kept (0 for not at all) and the oldest copy that will do (0 for the class's own bound). The way names, in
+     * order, what the source itself fills from; empty leaves that to it.
      */
     record Fetch(String id, long member, long source, int keepRank, long oldest, boolean join,
             boolean onlyIfHeld,
-            boolean passParent, boolean renew, long timeout) implements Action {
+            boolean passParent, boolean renew, long timeout, List<Long> way) implements Action {
+
+        /** One whose source fills as it always does. */
+        public Fetch(String id, long member, long source, int keepRank, long oldest, boolean join,
+                boolean onlyIfHeld, boolean passParent, boolean renew, long timeout) {
+            this(id, member, source, keepRank, oldest, join, onlyIfHeld, passParent, renew, timeout, List.of());
+        }
     }
 
     /** Final answer: turned away, trying again is harmless; retryAfter 0 gives no advice. */
