--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -423,7 +423,7 @@
         List<Node> way = new ArrayList<>();
         Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         SourceList moving = source.member.role() == Role.PARENT ? list(child) : null;
-        List<Node> old = moving == null ? List.of() : ranked(moving.before(), job.request.object());
+        List<Node> old = moving == null ? List.of() : ranked(moving.earlier(), job.request.object());
         for (Node at = source; at != null && given.containsKey(at.member.id()) && way.size() < LONGEST_WAY;) {
             Node home = at != source || old.isEmpty() ? null : old.get(0);
             at = home != null && given.get(at.member.id()).seeds().contains(home.member.id()) && usable.test(home)
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -116,10 +116,11 @@
 
     /**
      * What a member may be filled from, and what it was filled from until its objects have moved; back means
-     * that those which moved last return first. Seeds are the members that this one may fill from instead, for
-     * objects that were theirs before.
+     * that those which moved last return first. Earlier is what it was filled from before the last change, for
+     * as long as that is remembered. Seeds are the members that this one may fill from instead, for objects
+     * that were theirs.
      */
-    record SourceList(List<Source> now, List<Source> before, boolean back, List<Long> seeds) {
+    record SourceList(List<Source> now, List<Source> before, List<Source> earlier, boolean back, List<Long> seeds) {
     }
 
     /**
--- /dev/null
+++ b/src/main/java/pumicemoor/cli/HierarchyCommand.java
@@ -0,0 +1,88 @@
+package pumicemoor.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import pumicemoor.hierarchy.MovePlan;
+import pumicemoor.operator.HierarchySection;
+import pumicemoor.operator.OperatorException;
+import pumicemoor.operator.OperatorFile;
+import pumicemoor.wire.WireException;
+
+/** Says of a hierarchy what a router would, before any router is told; it must never reach a router. */
+@Usage.Text("checks a hierarchy, or shows the steps from one to another: hierarchy check FILE, hierarchy plan OLD NEW")
+public final class HierarchyCommand extends Command {
+
+    @Argument(handler = SubCommandHandler.class, metaVar = "check|plan", required = true)
+    @SubCommands({@SubCommand(name = "check", impl = Check.class), @SubCommand(name = "plan", impl = Plan.class)})
+    private Command command;
+
+    @Override
+    Command innermost() {
+        return command == null ? this : command.innermost();
+    }
+
+    @Override
+    void run() throws IOException, WireException, OperatorException, InterruptedException {
+        command.run();
+    }
+
+    /** Validates the hierarchy of an operator's file. */
+    @Usage.Text("checks the hierarchy of an operator's file; exits 1 with the file, line and key of the first trouble")
+    public static final class Check extends Command {
+        @Argument(metaVar = "FILE", required = true, usage = "an operator's file with a section 'hierarchy'")
+        private String file;
+
+        @Override
+        void run() throws OperatorException {
+            HierarchySection section = OperatorFile.readHierarchy(Path.of(file));
+            System.out.println("usable: version " + section.shape().version() + ", " + section.shape().units().size()
+                    + " units, " + section.shape().links() + " links");
+        }
+    }
+
+    /** Prints the steps from one hierarchy to the next. */
+    @Usage.Text("shows the steps from the hierarchy in OLD to that in NEW with the times of NEW, and what each moves;"
+            + " exits 1 where NEW would be refused")
+    public static final class Plan extends Command {
+        @Argument(index = 0, metaVar = "OLD", required = true, usage = "the operator's file that is in force")
+        private String old;
+        @Argument(index = 1, metaVar = "NEW", required = true, usage = "the operator's file that is to follow it")
+        private String next;
+
+        @Override
+        void run() throws OperatorException, WireException {
+            HierarchySection to = OperatorFile.readHierarchy(Path.of(next));
+            HierarchySection from = OperatorFile.readHierarchy(Path.of(old));
+            if (to.shape().version() <= from.shape().version()) {
+                throw new WireException(next + ": version " + to.shape().version() + " is not above version "
+                        + from.shape().version() + " of " + old);
+            }
+            MovePlan plan = MovePlan.between(from.shape(), to.shape(), to.timing());
+            if (!plan.usable()) {
+                throw new WireException(next + ": refused: " + (plan.problems().isEmpty()
+                        ? "the change would not come to its end" : plan.problems().get(0)));
+            }
+            System.out.println("version " + from.shape().version() + " to " + to.shape().version() + ", "
+                    + plan.steps().size() + " steps; times count from the announcement");
+            for (MovePlan.Step step : plan.steps()) {
+                System.out.printf("at %.1f s%n", step.after() / 1e6);
+                print("begins to fill from", step.begin());
+                print("leaves by a rising share", step.leave());
+                print("may fill from the one before", step.seeds());
+                print("out of use", step.end());
+                print("held back, it would close a loop", step.held());
+            }
+        }
+
+        private static void print(String what, List<String> links) {
+            if (!links.isEmpty()) {
+                System.out.println("  " + what + ": " + String.join(", ", links));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -0,0 +1,49 @@
+package pumicemoor.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import pumicemoor.lab.LabRun;
+import pumicemoor.lab.Report;
+import pumicemoor.operator.OperatorException;
+import pumicemoor.wire.WireException;
+
+/** The way into the lab; it must never be needed by serving. */
+@Usage.Text("plays scenarios with stand-ins on loopback against the real program: lab run FILE")
+public final class LabCommand extends Command {
+
+    @Argument(handler = SubCommandHandler.class, metaVar = "run", required = true)
+    @SubCommands(@SubCommand(name = "run", impl = Run.class))
+    private Command command;
+
+    @Override
+    Command innermost() {
+        return command == null ? this : command.innermost();
+    }
+
+    @Override
+    void run() throws IOException, WireException, OperatorException, InterruptedException {
+        command.run();
+    }
+
+    /** Plays one scenario. */
+    @Usage.Text("plays a scenario and prints what was measured; report.md, report.csv and asked.csv stay in the folder")
+    public static final class Run extends Command {
+        @Argument(metaVar = "FILE", required = true, usage = "the scenario, as YAML (docs/lab.md)")
+        private String file;
+
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where reports and logs go (default: logs/lab)")
+        private String folder = "logs/lab";
+
+        @Override
+        void run() throws IOException, InterruptedException {
+            Report report = LabRun.play(Path.of(file), Path.of(folder), System.out);
+            System.out.println();
+            System.out.print(report.markdown());
+        }
+    }
+}
--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -6,12 +6,14 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
@@ -19,6 +21,9 @@
 import org.slf4j.LoggerFactory;
 import pumicemoor.net.NodeServer;
 import pumicemoor.node.NodeConfig;
+import pumicemoor.operator.OperatorConfig;
+import pumicemoor.operator.OperatorException;
+import pumicemoor.operator.OperatorFile;
 import pumicemoor.wire.Drill;
 import pumicemoor.wire.WireException;
 import sun.misc.Signal;
@@ -29,44 +34,48 @@
  */
 public final class Main {
 
-    private static final String USAGE = """
-            usage: java -jar pumicemoor.jar COMMAND
-              serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
-              drill          decide for the simulator: events on standard input, actions on standard output
-              status         ask a running router for its state and counters: status HOST:PORT
-              self-check     start a router on loopback, have it serve one request, end it
-              check-config   read a configuration and say whether it can be used: check-config [FILE]
-              version        print the version""";
-
-    /** A subcommand; it exits 0 when done, 1 on bad input. */
-    interface Command {
-        void run() throws IOException, WireException, InterruptedException;
-    }
-
     @Argument(handler = SubCommandHandler.class, metaVar = "COMMAND", required = true)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "drill", impl = Replay.class),
             @SubCommand(name = "status", impl = Status.class),
             @SubCommand(name = "self-check", impl = SelfCheck.class),
             @SubCommand(name = "check-config", impl = CheckConfig.class),
+            @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
+            @SubCommand(name = "lab", impl = LabCommand.class),
             @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
+    @Option(name = "--help", aliases = "-h", help = true, usage = "print this")
+    private boolean help;
+
     private Main() {
     }
 
     /** Runs the subcommand; exits 0 at its end, 1 on bad input, 2 on bad usage. */
     public static void main(String[] args) throws InterruptedException {
         Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
         try {
-            new CmdLineParser(main).parseArgument(args);
+            parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("pumicemoor: " + e.getMessage().lines().findFirst().orElse(""));
-            System.err.println(USAGE);
+            System.err.println(Usage.OF_ALL);
             System.exit(2);
         }
+        if (main.help) {
+            System.out.println(Usage.OF_ALL);
+            return;
+        }
+        Command asked = main.command.innermost();
+        if (asked.help) {
+            System.out.print(Usage.of(asked));
+            return;
+        }
         try {
-            main.command.run();
-        } catch (WireException | IOException e) {
+            asked.run();
+        } catch (NoSuchFileException e) {
+            System.err.println("pumicemoor: there is no file '" + e.getMessage() + "'");
+            System.exit(1);
+        } catch (WireException | IOException | OperatorException e) {
             System.err.println("pumicemoor: " + e.getMessage());
             System.exit(1);
         }
@@ -80,13 +89,21 @@
         return NodeConfig.parse(Files.readString(Path.of(file)));
     }
 
+    private static OperatorConfig operator(String file) throws OperatorException {
+        return file == null ? OperatorConfig.NONE : OperatorFile.read(Path.of(file));
+    }
+
     /** Routes requests until the process is asked to end. */
-    public static final class Serve implements Command {
+    @Usage.Text("routes requests on sockets, as the JSON file that RELAY_CONFIG names says, until SIGTERM")
+    public static final class Serve extends Command {
         private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
         private static final long LONGEST_END = 10_000;
 
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; none: all as the platform has it")
+        private String operatorFile;
+
         @Override
-        public void run() throws IOException, WireException, InterruptedException {
+        void run() throws IOException, WireException, OperatorException, InterruptedException {
             String file = System.getenv("RELAY_CONFIG");
             // from here on SIGHUP ends nothing; a signal that comes before the server can take it waits for that
             Semaphore reload = new Semaphore(0);
@@ -94,32 +111,38 @@
             Signal.handle(new Signal("HUP"), signal -> reload.release());
             Signal.handle(new Signal("TERM"), signal -> end.countDown());
             Signal.handle(new Signal("INT"), signal -> end.countDown());
-            NodeServer server = new NodeServer(config(file));
+            NodeServer server = new NodeServer(config(file), operator(operatorFile));
             server.start();
-            Thread reloading = new Thread(() -> reload(server, file, reload), "reload");
+            Thread reloading = new Thread(() -> reload(server, file, operatorFile, reload), "reload");
             reloading.setDaemon(true);
             reloading.start();
             end.await();
             server.terminate();
             server.awaitEnd(LONGEST_END);
             LOG.info("counters: {}", server.counters());
+            if (operatorFile != null) {
+                LOG.info("state: {}", server.state());
+            }
             System.exit(0);
         }
 
         /** Reads the file once for all the signals that have come by then, and hands over what it found. */
-        private static void reload(NodeServer server, String file, Semaphore asked) {
+        private static void reload(NodeServer server, String file, String operatorFile, Semaphore asked) {
             try {
                 while (true) {
                     asked.acquire();
                     asked.drainPermits();
                     NodeConfig next = null;
+                    OperatorConfig nextOperator = null;
                     String problem = null;
                     try {
                         next = config(file);
-                    } catch (WireException | IOException | RuntimeException e) {
+                        nextOperator = operator(operatorFile);
+                    } catch (WireException | IOException | OperatorException | RuntimeException e) {
+                        next = null;
                         problem = e.toString();
                     }
-                    server.reload(next, problem);
+                    server.reload(next, nextOperator, problem);
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -128,9 +151,10 @@
     }
 
     /** Decides for the simulator. */
-    public static final class Replay implements Command {
+    @Usage.Text("decides for the simulator: events on standard input, actions on standard output")
+    public static final class Replay extends Command {
         @Override
-        public void run() throws IOException, WireException {
+        void run() throws IOException, WireException {
             try (FileInputStream in = new FileInputStream(FileDescriptor.in);
                     BufferedOutputStream out =
                             new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
@@ -140,12 +164,24 @@
     }
 
     /** Reads a configuration and says what it found. */
-    public static final class CheckConfig implements Command {
+    @Usage.Text("reads a configuration, and the operator's file where one is named, and says whether they can be used")
+    public static final class CheckConfig extends Command {
         @Argument(metaVar = "FILE", usage = "the configuration; RELAY_CONFIG names it otherwise")
         private String file = System.getenv("RELAY_CONFIG");
 
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file")
+        private String operatorFile;
+
         @Override
-        public void run() throws IOException, WireException {
+        void run() throws IOException, WireException, OperatorException {
+            if (operatorFile != null) {
+                OperatorConfig operator = operator(operatorFile);
+                System.out.println("usable: " + operatorFile + operator.hierarchy().map(h -> ", hierarchy of version "
+                        + h.shape().version() + " with " + h.shape().units().size() + " units").orElse(", all off"));
+                if (file == null) {
+                    return;
+                }
+            }
             NodeConfig config = config(file);
             System.out.println("usable: router '" + config.name() + "' on " + config.listen() + ", "
                     + config.words().settings().classes().size() + " classes, " + config.known().size()
@@ -154,9 +190,10 @@
     }
 
     /** Prints the version. */
-    public static final class Version implements Command {
+    @Usage.Text("prints the version")
+    public static final class Version extends Command {
         @Override
-        public void run() {
+        void run() {
             String version = Main.class.getPackage().getImplementationVersion();
             System.out.println("pumicemoor " + (version == null ? "(not packaged)" : version));
         }
--- a/src/main/java/pumicemoor/cli/SelfCheck.java
+++ b/src/main/java/pumicemoor/cli/SelfCheck.java
@@ -9,8 +9,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
+import pumicemoor.client.FrameClient;
 import pumicemoor.net.NodeServer;
 import pumicemoor.node.NodeConfig;
+import pumicemoor.operator.OperatorConfig;
 import pumicemoor.wire.WireException;
 
 /**
@@ -18,7 +20,8 @@
  * ends it: a first look at an installation, and what the build records for quicker starts. It must never
  * reach anything outside this process.
  */
-public final class SelfCheck implements Main.Command {
+@Usage.Text("starts a router on loopback, has it serve one request, prints its state and ends it")
+public final class SelfCheck extends Command {
 
     private static final int REQUEST = 7;
     private static final int ANSWER = 8;
@@ -35,14 +38,14 @@
             """;
 
     @Override
-    public void run() throws IOException, WireException, InterruptedException {
+    void run() throws IOException, WireException, InterruptedException {
         try (ServerSocket cache = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             Thread answering = new Thread(() -> answer(cache));
             answering.setDaemon(true);
             answering.start();
             // the coordinator's address is one where nothing answers as a coordinator does
             NodeServer server = new NodeServer(NodeConfig.parse(
-                    CONFIG.formatted(cache.getLocalPort(), cache.getLocalPort())));
+                    CONFIG.formatted(cache.getLocalPort(), cache.getLocalPort())), OperatorConfig.NONE);
             server.start();
             try (FrameClient client = new FrameClient("127.0.0.1", server.address().getPort())) {
                 FrameClient.Answer answer = client.ask(REQUEST, Map.of("op", "any", "call", "0123456789abcdef",
--- a/src/main/java/pumicemoor/cli/Status.java
+++ b/src/main/java/pumicemoor/cli/Status.java
@@ -3,13 +3,15 @@
 import java.io.IOException;
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
+import pumicemoor.client.FrameClient;
 import pumicemoor.wire.WireException;
 
 /**
  * Asks a running router whether it is ready and what it has counted, with the frame that clients use to ask.
  * It must never send a request.
  */
-public final class Status implements Main.Command {
+@Usage.Text("asks a running router whether it is ready and prints its counters and state")
+public final class Status extends Command {
 
     private static final int READY_ASKED = 1;
     private static final int READY = 2;
@@ -18,7 +20,7 @@
     private String address;
 
     @Override
-    public void run() throws IOException, WireException {
+    void run() throws IOException, WireException {
         int colon = address.lastIndexOf(':');
         if (colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}")) {
             throw new WireException("no address: '" + address + "'");
@@ -26,8 +28,16 @@
         print(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    private static FrameClient connect(String host, int port) throws IOException {
+        try {
+            return new FrameClient(host, port);
+        } catch (IOException e) {
+            throw new IOException(host + ":" + port + ": " + e.getMessage(), e);
+        }
+    }
+
     static void print(String host, int port) throws IOException {
-        try (FrameClient client = new FrameClient(host, port)) {
+        try (FrameClient client = connect(host, port)) {
             FrameClient.Answer answer = client.ask(READY_ASKED, Map.of("counters", "1"), READY);
             System.out.println("ready " + (answer.code() == 1 ? "yes" : "no"));
             answer.fields().forEach((name, value) -> System.out.println(name + " " + value));
--- /dev/null
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -0,0 +1,43 @@
+package pumicemoor.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.nio.charset.StandardCharsets;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** What the command line says of itself; it must never do anything else. */
+final class Usage {
+
+    /** What a command does, in one line. */
+    @Retention(RetentionPolicy.RUNTIME)
+    @interface Text {
+        String value();
+    }
+
+    static final String OF_ALL = """
+            usage: java -jar pumicemoor.jar COMMAND
+              serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
+              drill          decide for the simulator: events on standard input, actions on standard output
+              status         ask a running router for its state and counters: status HOST:PORT
+              self-check     start a router on loopback, have it serve one request, end it
+              check-config   read a configuration and say whether it can be used: check-config [FILE]
+              hierarchy      check a hierarchy, or plan the change from one to another: hierarchy check|plan
+              lab            play a scenario with stand-ins on loopback: lab run FILE
+              version        print the version
+            COMMAND --help says more of each""";
+
+    private static final int WIDTH = 110;
+
+    private Usage() {
+    }
+
+    static String of(Command command) {
+        CmdLineParser parser = new CmdLineParser(command);
+        parser.getProperties().withUsageWidth(WIDTH);
+        ByteArrayOutputStream options = new ByteArrayOutputStream();
+        parser.printUsage(options);
+        Text text = command.getClass().getAnnotation(Text.class);
+        return (text == null ? "" : text.value() + "\n") + options.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/pumicemoor/cli/FrameClient.java
+++ b/src/main/java/pumicemoor/client/FrameClient.java
@@ -1,4 +1,4 @@
-package pumicemoor.cli;
+package pumicemoor.client;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -13,10 +13,10 @@
 import java.util.Map;
 
 /**
- * A client of a router for the command line: one connection, one frame at a time. It must never serve as
+ * A plain client of a router: one connection, one frame at a time. It must never serve as
  * part of the router itself.
  */
-final class FrameClient implements Closeable {
+public final class FrameClient implements Closeable {
 
     private static final int PATIENCE = 3_000;  // milliseconds
     private static final int LONGEST = 262_144;
@@ -26,10 +26,11 @@
     private final DataOutputStream out;
 
     /** An answer: its code, its fields, what follows them. */
-    record Answer(int code, Map<String, String> fields, byte[] body) {
+    public record Answer(int code, Map<String, String> fields, byte[] body) {
     }
 
-    FrameClient(String host, int port) throws IOException {
+    /** Connects; an address that does not answer is an exception. */
+    public FrameClient(String host, int port) throws IOException {
         socket.connect(new InetSocketAddress(host, port), PATIENCE);
         socket.setSoTimeout(PATIENCE);
         in = new DataInputStream(socket.getInputStream());
@@ -37,7 +38,7 @@
     }
 
     /** Sends a frame with these fields and waits for one of the wanted type; others are skipped. */
-    Answer ask(int type, Map<String, String> fields, int wanted) throws IOException {
+    public Answer ask(int type, Map<String, String> fields, int wanted) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream frame = new DataOutputStream(bytes);
         frame.writeByte(type);
--- a/src/main/java/pumicemoor/hierarchy/FillOrder.java
+++ b/src/main/java/pumicemoor/hierarchy/FillOrder.java
@@ -82,6 +82,10 @@
         return looked;
     }
 
+    int links() {
+        return Arrays.stream(aboveCount).sum();
+    }
+
     /** How many units have a link. */
     int units() {
         return numbers.size();
--- a/src/main/java/pumicemoor/hierarchy/Hierarchy.java
+++ b/src/main/java/pumicemoor/hierarchy/Hierarchy.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -49,6 +52,32 @@
             long pieces, long piecesTwice, long piecesLate, long piecesEarly, long piecesRefused, long loopsHeld,
             long moves, long movesBack, long seeds, long shapesTaken, long shapesRefused, long timesTooOld,
             String lastRefusal) {
+
+        /** By name, as status prints them. */
+        public Map<String, String> fields() {
+            Map<String, String> fields = new LinkedHashMap<>();
+            fields.put("version", Long.toString(version));
+            fields.put("stage", stage.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+            fields.put("share-moved", String.format(Locale.ROOT, "%.3f", shareMoved));
+            fields.put("units-moving", Integer.toString(unitsMoving));
+            fields.put("links-held", Integer.toString(linksHeld));
+            fields.put("pieces", Long.toString(pieces));
+            fields.put("pieces-twice", Long.toString(piecesTwice));
+            fields.put("pieces-late", Long.toString(piecesLate));
+            fields.put("pieces-early", Long.toString(piecesEarly));
+            fields.put("pieces-refused", Long.toString(piecesRefused));
+            fields.put("loops-held", Long.toString(loopsHeld));
+            fields.put("moves", Long.toString(moves));
+            fields.put("moves-back", Long.toString(movesBack));
+            fields.put("seeds", Long.toString(seeds));
+            fields.put("shapes-taken", Long.toString(shapesTaken));
+            fields.put("shapes-refused", Long.toString(shapesRefused));
+            fields.put("times-too-old", Long.toString(timesTooOld));
+            fields.put("last-refusal", lastRefusal);
+            Map<String, String> named = new LinkedHashMap<>();
+            fields.forEach((name, value) -> named.put("hierarchy-" + name, value));
+            return named;
+        }
     }
 
     private final Setup setup;
@@ -62,6 +91,7 @@
     private long version;
     private long number;  // of the last piece taken
     private long certain;  // all pieces announced until then have come
+    private long silentUntil;  // a change that this router can't know may be under way
     private boolean tooOld;
     private boolean changed = true;
     private long twice, earlyCount, refused, shapesTaken, shapesRefused, timesTooOld;
@@ -82,6 +112,28 @@
         this.timeline = new Timeline(first, now, setup.timing(), this::told);
     }
 
+    /**
+     * Begins with a shape and, while some router may still follow it, the one before. Without that a change may
+     * be under way that this router cannot know: it stays silent until any such change is over.
+     */
+    public static Hierarchy start(Shape shape, Optional<Shape> before, long number, long now, Setup setup,
+            Consumer<String> log) {
+        if (before.isPresent()) {
+            Hierarchy h = new Hierarchy(before.get(), number, Math.min(now, shape.announced()), setup, log);
+            pieces(before.get().units(), shape, h.number + 1).forEach(h::apply);
+            h.number = number;
+            h.version = shape.version();
+            h.advance(now);
+            return h;
+        }
+        Hierarchy h = new Hierarchy(shape, number, now, setup, log);
+        long hubs = shape.units().values().stream().filter(u -> u.kind() == Kind.HUB).count();
+        Timing timing = setup.timing();
+        h.silentUntil = shape.announced() == 0 ? 0
+                : shape.announced() + timing.lead() + (hubs + 1) * (timing.move() + timing.gap());
+        return h;
+    }
+
     /** Which units and members there are must be the same at all routers, so starts only steer shares. */
     public void members(Map<String, Long> startedByName) {
         if (!started.equals(startedByName)) {
@@ -269,7 +321,8 @@
             certain = Math.max(certain, now);
         }
         timeline.advance(Math.min(now, certain + setup.timing().lead()));
-        boolean old = now - certain > setup.timing().lead() + setup.timing().gap() / 2;  // half is for clocks
+        boolean old = now < silentUntil
+                || now - certain > setup.timing().lead() + setup.timing().gap() / 2;  // half is for clocks
         if (old != tooOld) {
             tooOld = old;
             changed = true;
@@ -281,7 +334,7 @@
 
     /** When advance wants to be called next; Long.MAX_VALUE for never. */
     public long nextDue() {
-        long next = timeline.nextChange();
+        long next = Math.min(timeline.nextChange(), tooOld && silentUntil > certain ? silentUntil : Long.MAX_VALUE);
         if (setup.news() == News.FILE) {
             return next;
         }
@@ -315,8 +368,8 @@
                 boolean own = b.kind != Kind.DEPOT;
                 if ((own || b.name.equals(setup.depot())) && !b.current.isEmpty()) {
                     lists.put(own ? memberId.applyAsLong(b.name) : SourcesGiven.LOCATION,
-                            new SourceList(list(b, b.current, memberId), list(b, b.before, memberId), b.flipped,
-                                    seeds.getOrDefault(b.name, List.of())));
+                            new SourceList(list(b, b.current, memberId), list(b, b.before, memberId), list(b, b.earlier, memberId),
+                                    b.flipped, seeds.getOrDefault(b.name, List.of())));
                 }
             }
         }
--- a/src/main/java/pumicemoor/hierarchy/Timeline.java
+++ b/src/main/java/pumicemoor/hierarchy/Timeline.java
@@ -44,6 +44,7 @@
         Map<String, Double> wanted = Map.of();
         Map<String, Double> current = Map.of();
         Map<String, Double> before = Map.of();
+        Map<String, Double> earlier = Map.of();  // the same, remembered when the move is over
         Set<String> held = Set.of();  // wanted parents that would close a loop
         Piece next;  // waits for the end of the move
         long from = Long.MIN_VALUE;  // when the move began
@@ -51,6 +52,7 @@
         double startShare;  // share of the objects at the new parents when the move began
         boolean flipped;  // the move goes back: the objects that had moved last return first
         boolean removed;
+        boolean waits;  // for seeds that run the other way
 
         Branch(String name) {
             this.name = name;
@@ -77,6 +79,8 @@
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : a.link().compareTo(b.link()));
     private final PriorityQueue<Timer> moveEnds = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : a.link().compareTo(b.link()));
+    private final PriorityQueue<Timer> seedEnds = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : a.link().compareTo(b.link()));
     private final Queue<Coming> coming = new ArrayDeque<>();
     private final TreeSet<String> unmet = new TreeSet<>();  // units with held links or a piece that waits
     private final long[] counts = new long[Count.values().length];
@@ -134,6 +138,9 @@
         if (!moveEnds.isEmpty()) {
             at = Math.min(at, moveEnds.peek().at());
         }
+        if (!seedEnds.isEmpty()) {
+            at = Math.min(at, seedEnds.peek().at());
+        }
         return coming.isEmpty() ? at : Math.min(at, coming.peek().at());
     }
 
@@ -147,7 +154,13 @@
             }
         }
         while (!moveEnds.isEmpty() && moveEnds.peek().at() <= now) {
-            endMove(moveEnds.poll().link());
+            endMove(branches.get(moveEnds.poll().link().unit()));
+        }
+        while (!seedEnds.isEmpty() && seedEnds.peek().at() <= now) {
+            Link link = seedEnds.poll().link();
+            if (seeds.getOrDefault(link, Long.MAX_VALUE) <= now) {
+                endSeed(link);
+            }
         }
         List<String> touched = new ArrayList<>(unmet);
         while (!coming.isEmpty() && coming.peek().at() <= now) {
@@ -170,7 +183,7 @@
         for (String name : touched) {
             Branch branch = branch(name);
             enter(branch);
-            if (branch.held.isEmpty() && branch.next == null) {
+            if (branch.held.isEmpty() && branch.next == null && !branch.waits) {
                 unmet.remove(name);
             } else {
                 unmet.add(name);
@@ -191,7 +204,10 @@
         Map<String, Double> wanted = piece.removed() ? Map.of() : piece.parents();
         boolean back = branch.moving() && wanted.equals(branch.before);
         if (branch.moving() && !back && !wanted.equals(branch.wanted)
-                || piece.removed() && !order.below(branch.name).isEmpty()) {  // others may still follow it
+                || piece.removed() && followed(branch.name)) {
+            return;
+        }
+        if (back && waitsForSeeds(branch.before, branch.current)) {
             return;
         }
         branch.next = null;
@@ -209,8 +225,18 @@
         }
     }
 
+    /** Whether others may still fill from a unit that is to go; what it only holds from before does not keep it. */
+    private boolean followed(String unit) {
+        List<Link> links = order.below(unit).stream().map(b -> new Link(b, unit)).toList();
+        if (seeds.keySet().containsAll(links)) {
+            links.forEach(this::endSeed);
+        }
+        return !links.isEmpty();
+    }
+
     /** Lets those wanted parents in that close no loop; what is new is taken over by a move. */
     private void enter(Branch branch) {
+        branch.waits = false;
         if (branch.moving()) {
             return;
         }
@@ -232,6 +258,11 @@
         }
         branch.held = held;
         if (!entering.isEmpty() && !entering.equals(branch.current)) {  // else what was is kept
+            if (!branch.current.isEmpty() && waitsForSeeds(entering, branch.current)) {
+                branch.waits = true;
+                entering.keySet().forEach(parent -> release(new Link(branch.name, parent)));
+                return;
+            }
             branch.startShare = 0;
             begin(branch, entering, branch.current);
         }
@@ -249,13 +280,10 @@
         }
         counts[Count.MOVES.ordinal()]++;
         moveEnds.add(new Timer(branch.until, new Link(branch.name, "")));
-        from.keySet().stream().filter(p -> !to.containsKey(p)).sorted().forEach(p -> {
-            tell(Change.What.LEAVING, new Link(branch.name, p));
-            to.keySet().stream().sorted().forEach(fresh -> seed(new Link(fresh, p), branch.until));
-        });
-        to.keySet().stream().filter(p -> !from.containsKey(p)).sorted().forEach(fresh ->
-                from.keySet().stream().filter(to::containsKey).sorted()
-                        .forEach(old -> seed(new Link(fresh, old), branch.until)));
+        from.keySet().stream().filter(p -> !to.containsKey(p)).sorted()
+                .forEach(p -> tell(Change.What.LEAVING, new Link(branch.name, p)));
+        branch.earlier = branch.before;
+        seedsFor(to, from).forEach(l -> seed(l, branch.until + timing.remember()));
     }
 
     private void use(Branch branch, String parent) {
@@ -267,19 +295,44 @@
         }
     }
 
-    /** Lets a new parent fill from the one that held the objects before, where that closes no loop. */
-    private void seed(Link link, long until) {
-        Branch fresh = branches.get(link.unit());
-        Branch old = branches.get(link.parent());
-        if (fresh == null || old == null || fresh.kind != Kind.HUB || old.kind != Kind.HUB
-                || inUse(fresh, link.parent())) {
-            return;
+    /** The links by which new parents would fill from those before, which held the objects. */
+    private List<Link> seedsFor(Map<String, Double> to, Map<String, Double> from) {
+        List<Link> links = new ArrayList<>();
+        for (String fresh : new TreeSet<>(to.keySet())) {
+            for (String old : new TreeSet<>(from.keySet())) {
+                Branch above = branches.get(fresh);
+                Branch below = branches.get(old);
+                if (!fresh.equals(old) && !(from.containsKey(fresh) && to.containsKey(old)) && above != null
+                        && below != null && above.kind == Kind.HUB && below.kind == Kind.HUB
+                        && !inUse(above, old)) {
+                    links.add(new Link(fresh, old));
+                }
+            }
+        }
+        return links;
+    }
+
+    /** Whether seeds from an earlier move run the other way; they are ended, and a gap later there is room. */
+    private boolean waitsForSeeds(Map<String, Double> to, Map<String, Double> from) {
+        boolean waits = false;
+        for (Link link : seedsFor(to, from)) {
+            Link other = new Link(link.parent(), link.unit());
+            if (seeds.containsKey(other)) {
+                endSeed(other);
+                waits = true;
+            } else if (lingering.containsKey(other) && !inUse(branches.get(other.unit()), other.parent())) {
+                waits = true;
+            }
         }
+        return waits;
+    }
+
+    private void seed(Link link, long until) {
         boolean known = seeds.containsKey(link);
         if (known || order.add(link.unit(), link.parent())) {
             lingering.remove(link);
             seeds.merge(link, until, Math::max);
-            moveEnds.add(new Timer(until, link));
+            seedEnds.add(new Timer(until, link));
             if (!known) {
                 counts[Count.SEEDS.ordinal()]++;
                 tell(Change.What.SEED, link);
@@ -289,14 +342,7 @@
         }
     }
 
-    private void endMove(Link link) {
-        if (!link.parent().isEmpty()) {
-            if (seeds.getOrDefault(link, Long.MAX_VALUE) <= now) {
-                endSeed(link);
-            }
-            return;
-        }
-        Branch branch = branches.get(link.unit());
+    private void endMove(Branch branch) {
         if (branch != null && branch.moving() && branch.until <= now) {
             Map<String, Double> left = branch.before;
             branch.before = Map.of();
@@ -313,6 +359,13 @@
         }
     }
 
+    /** A link that was let into the order and is not used after all. */
+    private void release(Link link) {
+        if (!inUse(branch(link.unit()), link.parent()) && !seeds.containsKey(link) && !lingering.containsKey(link)) {
+            order.remove(link.unit(), link.parent());
+        }
+    }
+
     /** Out of use here, but others may still follow it. */
     private void linger(Link link) {
         lingering.put(link, now + timing.gap());
@@ -378,6 +431,20 @@
         return coming.isEmpty() && unmet.isEmpty() && moveEnds.isEmpty() && lingering.isEmpty();
     }
 
+    /** How many links the order holds: those in use and those that linger. */
+    int linksInOrder() {
+        return order.links();
+    }
+
+    /** Everything of a unit, for tests that fail. */
+    String describe(String unit) {
+        Branch b = branches.get(unit);
+        return b == null ? unit + " is not there" : unit + " wants " + b.wanted + " has " + b.current + " leaves "
+                + b.before + " until " + b.until + " held " + b.held + " next " + b.next + " removed " + b.removed
+                + " waits " + b.waits + "; below " + order.below(unit) + "; now " + now + ", seeds " + seeds
+                + ", lingering " + lingering + ", unmet " + unmet;
+    }
+
     int held() {
         return (int) unmet.stream().map(branches::get).filter(b -> b != null).mapToInt(b -> b.held.size()).sum();
     }
--- /dev/null
+++ b/src/main/java/pumicemoor/lab/Scenario.java
@@ -0,0 +1,69 @@
+package pumicemoor.lab;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What is to be played, as a YAML file tells it. Times are seconds from when clients begin, rates a second. An
+ * absent key takes the default that docs/lab.md names.
+ */
+record Scenario(String name, long seed, double seconds, double rate, int objects, int routers, int caches,
+        @JsonProperty("cache-holds") int cacheHolds, @JsonProperty("fill-ms") int fillMillis,
+        @JsonProperty("deadline-ms") int deadlineMillis, Change change, Map<String, Map<String, Double>> hubs,
+        Map<String, Double> depot, List<Happening> happenings) {
+
+    /** How changes of the hierarchy reach the routers. */
+    enum Way {
+        @JsonProperty("feed") FEED, @JsonProperty("file") FILE, @JsonProperty("restart") RESTART
+    }
+
+    /** The times of a change in milliseconds, and how it is told; jitter delays each piece at random, to each router. */
+    record Change(Way by, @JsonProperty("lead-ms") int lead, @JsonProperty("move-ms") int move,
+            @JsonProperty("gap-ms") int gap, @JsonProperty("cold-ms") int cold,
+            @JsonProperty("jitter-ms") int jitter) {
+    }
+
+    /** One thing that happens: a new hierarchy, a hub that restarts cold, or a fault of a member for a while. */
+    record Happening(double at, Map<String, Map<String, Double>> hubs, Map<String, Double> depot, String restart,
+            String drain, String purge, Fault fault, @JsonProperty("kill-router") Integer killRouter) {
+    }
+
+    /** A member's fault: silent, slow (by so many milliseconds), refusing or breaking off. */
+    record Fault(String member, String kind, double seconds, int millis) {
+    }
+
+    Scenario {
+        name = name == null ? "scenario" : name;
+        seconds = seconds <= 0 ? 20 : seconds;
+        rate = rate <= 0 ? 200 : rate;
+        objects = objects <= 0 ? 200 : objects;
+        routers = routers <= 0 ? 1 : routers;
+        caches = caches <= 0 ? 2 : caches;
+        cacheHolds = cacheHolds <= 0 ? 50 : cacheHolds;
+        fillMillis = fillMillis <= 0 ? 10 : fillMillis;
+        deadlineMillis = deadlineMillis <= 0 ? 2_000 : deadlineMillis;
+        change = change == null ? new Change(Way.FEED, 500, 1_500, 500, 1_500, 0) : change;
+        hubs = hubs == null ? Map.of() : hubs;
+        depot = depot == null ? Map.of() : depot;
+        happenings = happenings == null ? List.of() : happenings;
+    }
+
+    static Scenario read(Path file) throws IOException {
+        YAMLMapper yaml = YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).build();
+        try {
+            return yaml.readValue(Files.readString(file), Scenario.class);
+        } catch (JsonProcessingException e) {
+            throw new IOException(file + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
+                    + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+        }
+    }
+}
--- a/src/main/java/pumicemoor/net/CacheLine.java
+++ b/src/main/java/pumicemoor/net/CacheLine.java
@@ -65,6 +65,9 @@
         if (ask.tag() != null) {
             line.append(",mine=").append(ask.tag());
         }
+        if (!ask.way().isEmpty()) {
+            line.append(",way=").append(String.join("+", ask.way()));
+        }
         line.append(' ').append(ask.body().size()).append("\r\n");
         return text(allocator, line);
     }
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -111,8 +112,12 @@
 
     private void answerReady(int stream, ByteBuf frame) {
         asked = true;
-        context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(),
-                ClientFrame.asksForCounters(frame) ? counters.all() : Map.of()), context.voidPromise());
+        Map<String, String> fields = new LinkedHashMap<>();
+        if (ClientFrame.asksForCounters(frame)) {
+            fields.putAll(counters.all());
+            fields.putAll(loop.state());
+        }
+        context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(), fields), context.voidPromise());
     }
 
     private void request(int stream, ByteBuf frame) {
--- a/src/main/java/pumicemoor/net/Loop.java
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -1,5 +1,6 @@
 package pumicemoor.net;
 
+import java.util.Map;
 import pumicemoor.node.Input;
 
 /** What connections may ask of the loop they run on; none of it may be called from another thread. */
@@ -17,6 +18,9 @@
     /** Whether new requests are wanted. */
     boolean ready();
 
+    /** What can be seen of the parts that are switched on, by name. */
+    Map<String, String> state();
+
     void opened(long number, ClientConnection client);
 
     void closed(long number);
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -38,6 +38,7 @@
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.Reducer;
 import pumicemoor.node.ResourceLimits;
+import pumicemoor.operator.OperatorConfig;
 
 /**
  * The router on sockets: one event loop that hands every input to the reducer, one after the other, and
@@ -51,6 +52,7 @@
     private static final long WAKE_GRAIN = 1_000;
 
     private final NodeConfig config;
+    private final OperatorConfig operator;
     private final ResourceLimits limits;
     private final Counters counters = new Counters();
     private final Reducer reducer;
@@ -70,8 +72,10 @@
     private boolean draining;
     private long wakeAt = Long.MAX_VALUE;
 
-    public NodeServer(NodeConfig config) {
+    /** A router with the platform's configuration, and what the operator has set beyond it. */
+    public NodeServer(NodeConfig config, OperatorConfig operator) {
         this.config = config;
+        this.operator = operator;
         this.limits = ResourceLimits.of(config.words().settings(), config.figures());
         this.reducer = new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits,
                 counters);
@@ -90,6 +94,7 @@
         LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
         loop.submit(() -> {
+            reducer.operate(clock(), operator, config.location());
             reducer.known(clock(), config, effects::add);
             work();
             loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
@@ -149,9 +154,9 @@
     }
 
     /** Takes over what it can of a configuration read anew; null with the problem where it can't be used. */
-    public void reload(NodeConfig next, String problem) {
+    public void reload(NodeConfig next, OperatorConfig nextOperator, String problem) {
         if (!group.isShuttingDown()) {
-            loop.execute(() -> submit(new Input.Reload(next, problem)));
+            loop.execute(() -> submit(new Input.Reload(next, nextOperator, problem)));
         }
     }
 
@@ -169,6 +174,12 @@
         return counters;
     }
 
+    /** What can be seen of the parts that the operator has switched on, by name; only on the loop's thread or after its end. */
+    @Override
+    public Map<String, String> state() {
+        return reducer.state();
+    }
+
     /** Unix time in microseconds. */
     @Override
     public long clock() {
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import pumicemoor.Logic;
@@ -149,6 +150,11 @@
         // nothing here is anybody's fault
     }
 
+    @Override
+    public Map<String, String> state() {
+        return Map.of();
+    }
+
     @Override
     public void opened(long number, ClientConnection connection) {
         // the one client is held above
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -1,5 +1,7 @@
 package pumicemoor.node;
 
+import java.util.List;
+
 /**
  * Everything that the reducer may ask of the network. An effect is an order, complete in itself; it must
  * never need a look into the reducer to be carried out, nor leave anything to be decided. Bodies pass into
@@ -12,11 +14,12 @@
 
     /**
      * Write this request to a member; source null names none, within 0 leaves the class's bound. The answer to a
-     * cacheable one says which copy it is.
+     * cacheable one says which copy it is. The way names what the source is to fill from in turn; on the
+     * platform it is always empty.
      */
     record Ask(long attempt, String instance, String address, String id, String requestClass, String object,
             int part, long limitMillis, String source, int keepRank, long withinMillis, boolean join,
-            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, boolean cacheable, Bytes body) implements Effect {
+            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, boolean cacheable, List<String> way, Bytes body) implements Effect {
     }
 
     /** Give an attempt up: take it back where it was not written whole, else tell the cache if that is told. */
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -1,6 +1,7 @@
 package pumicemoor.node;
 
 import java.util.Map;
+import pumicemoor.operator.OperatorConfig;
 
 /**
  * Everything that can happen to a router, as the reducer sees it. These are plain facts with no reading of
@@ -50,8 +51,8 @@
     record Update(String json) implements Input {
     }
 
-    /** The configuration was read anew; null with the problem where it cannot be used. */
-    record Reload(NodeConfig config, String problem) implements Input {
+    /** The configuration and the operator's file were read anew; null with the problem where they cannot be used. */
+    record Reload(NodeConfig config, OperatorConfig operator, String problem) implements Input {
     }
 
     /** The time that the reducer asked to be called at has come. */
--- a/src/main/java/pumicemoor/node/NodeConfig.java
+++ b/src/main/java/pumicemoor/node/NodeConfig.java
@@ -40,6 +40,11 @@
                 new Vocabulary(settings), known.integer("index", 0), new ArrayList<>(known.objects("updates")), all);
     }
 
+    /** The name of the location that this router serves. */
+    public String location() {
+        return words.locationName();
+    }
+
     /** The first field by which this configuration differs from another that a running router cannot follow. */
     public Optional<String> unfollowable(NodeConfig other) {
         return FIXED.stream().filter(f -> !Objects.equals(whole.value(f), other.whole.value(f))).findFirst();
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
@@ -37,10 +39,15 @@
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
 import pumicemoor.RouterApi;
+import pumicemoor.hierarchy.Hierarchy;
+import pumicemoor.hierarchy.ShapeCheck.Problem;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.Word;
+import pumicemoor.operator.HierarchySection;
+import pumicemoor.operator.OperatorConfig;
 import pumicemoor.wire.Message;
+import pumicemoor.wire.ShapeNews;
 import pumicemoor.wire.Vocabulary;
 import pumicemoor.wire.WireException;
 
@@ -86,6 +93,9 @@
     private long lastUpdate;
     private long gapAt = -1;  // the last event taken when an event was found missing behind it
     private NodeConfig config;
+    private OperatorConfig operator = OperatorConfig.NONE;
+    private Optional<Hierarchy> hierarchy = Optional.empty();
+    private long hierarchyDue = Long.MAX_VALUE;
     private long terminatedAt = -1;
     private boolean exited;
 
@@ -97,7 +107,7 @@
     private record Endpoint(String instance, String address, long started) {
     }
 
-    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, EXIT_IF_QUIET, EXIT }
+    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, EXIT_IF_QUIET, EXIT }
 
     private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
         @Override
@@ -183,6 +193,7 @@
             terminate();
         }
         drive();
+        followHierarchy();
         if (terminatedAt >= 0 && !exited && unanswered.isEmpty()
                 && now >= terminatedAt + limits.quietAfterTerm()) {
             exited = true;
@@ -337,6 +348,7 @@
                 f.source() == f.member() ? null : source.instance(), f.keepRank(),
                 f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0, f.join(), f.onlyIfHeld(), f.passParent(),
                 f.renew(), asked.tag(), !settings.classes().get(request.requestClass).uncacheable(),
+                f.way().stream().map(endpoints::get).filter(Objects::nonNull).map(Endpoint::instance).toList(),
                 asked.body().retain()));
     }
 
@@ -393,6 +405,7 @@
             case ATTEMPT -> !attempts.containsKey(timer.about());
             case UNWRITTEN -> !attempts.containsKey(timer.about()) || attempts.get(timer.about()).written;
             case OVERDUE -> !requests.containsKey(Long.toString(timer.about()));
+            case HIERARCHY -> timer.at() != hierarchyDue;
             default -> false;
         };
     }
@@ -417,8 +430,8 @@
                 }
                 case OVERDUE -> overdue(requests.get(Long.toString(timer.about())));
                 case EXIT -> List.copyOf(unanswered.values()).forEach(this::overdue);
-                case EXIT_IF_QUIET -> {
-                    // the check after each input does it
+                case HIERARCHY, EXIT_IF_QUIET -> {
+                    // what follows each input does it
                 }
             }
             drive();
@@ -473,6 +486,79 @@
         }
         lastUpdate = Math.max(lastUpdate, config.knownIndex());
         this.config = config;
+        followHierarchy();
+    }
+
+    // ---- the hierarchy --------------------------------------------------------------------------------
+
+    /** Takes what the operator has set, once, before anything that is known; without it all is as before. */
+    public void operate(long time, OperatorConfig set, String location) {
+        operator = set;
+        set.hierarchy().ifPresent(h -> {
+            long coldTime = settings.rules().parent().warmAfter();
+            Hierarchy.Setup setup = new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(),
+                    h.timing(), coldTime);
+            hierarchy = Optional.of(Hierarchy.start(h.shape(), h.before(), h.lastPiece(), time, setup,
+                    text -> complaints.warn(now, text)));
+        });
+    }
+
+    /** Lets the hierarchy live up to now, and tells the decisions what may be filled from where that is new. */
+    private void followHierarchy() {
+        if (hierarchy.isEmpty()) {
+            return;
+        }
+        Hierarchy h = hierarchy.get();
+        h.advance(now);
+        if (h.changed()) {
+            events.add(h.sources(Reducer::memberId));
+            drive();
+        }
+        long due = h.nextDue();
+        if (due != hierarchyDue && due < Long.MAX_VALUE) {
+            timer(due, Kind.HIERARCHY, 0);
+        }
+        hierarchyDue = due;
+    }
+
+    private void shapeTold(ShapeNews news) {
+        if (hierarchy.isEmpty()) {
+            return;  // this installation has none
+        }
+        if (news instanceof ShapeNews.Told t) {
+            hierarchy.get().take(now, t.piece());
+        } else if (news instanceof ShapeNews.Certain c) {
+            hierarchy.get().certain(now, c.asOf(), c.lastNumber());
+        }
+    }
+
+    /** What can be seen of the parts that the operator has switched on, by name. */
+    public Map<String, String> state() {
+        return hierarchy.map(h -> h.snapshot().fields()).orElse(Map.of());
+    }
+
+    /** Takes over a new shape; anything else that is new in the operator's file can't be followed while running. */
+    private String operateAnew(OperatorConfig next) {
+        if (next.equals(operator)) {
+            return null;
+        }
+        if (next.hierarchy().isEmpty() || operator.hierarchy().isEmpty()) {
+            return "the section 'hierarchy' can't come or go while running";
+        }
+        HierarchySection old = operator.hierarchy().get();
+        HierarchySection fresh = next.hierarchy().get();
+        if (old.news() != fresh.news() || !old.timing().equals(fresh.timing()) || !old.depot().equals(fresh.depot())) {
+            return "news, depot and times of the hierarchy can't be changed while running";
+        }
+        if (!old.shape().equals(fresh.shape())) {
+            List<Problem> problems = hierarchy.get().take(now, fresh.shape(),
+                    endpoints.values().stream().map(Endpoint::instance).collect(Collectors.toSet()));
+            if (!problems.isEmpty()) {
+                return "the shape of version " + fresh.shape().version() + ": " + problems.get(0).text();
+            }
+        }
+        operator = next;
+        return null;
     }
 
     /**
@@ -482,6 +568,7 @@
     private void reload(Input.Reload r) {
         String problem = r.config() == null ? r.problem() : config.unfollowable(r.config())
                 .map(f -> "field '" + f + "' can't be changed while running").orElse(null);
+        problem = problem == null ? operateAnew(r.operator()) : problem;
         counters.add(problem == null ? Name.RELOADS : Name.RELOADS_REFUSED);
         if (problem != null) {
             LOG.error("the new configuration is not used: {}", problem);
@@ -513,6 +600,9 @@
         if (update.has("endpoints")) {
             listed(update.object("endpoints"));
         }
+        if (update.has("shape")) {
+            shapeTold(ShapeNews.read(update.object("shape")));
+        }
         if (update.has("evict")) {
             counters.add(Name.PURGES);
             Message purge = update.object("evict");
@@ -546,6 +636,8 @@
             Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
             endpoints.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::gone);
         }
+        hierarchy.ifPresent(h -> h.members(endpoints.values().stream()
+                .collect(Collectors.toMap(Endpoint::instance, Endpoint::started, Math::max))));
         events.add(new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
                 list.integer("generation", 0), members));
     }
--- /dev/null
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -0,0 +1,236 @@
+package pumicemoor.operator;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.type.LogicalType;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import pumicemoor.hierarchy.Hierarchy.News;
+import pumicemoor.hierarchy.Shape;
+import pumicemoor.hierarchy.Shape.Kind;
+import pumicemoor.hierarchy.Shape.Unit;
+import pumicemoor.hierarchy.ShapeCheck;
+import pumicemoor.hierarchy.ShapeCheck.Problem;
+import pumicemoor.hierarchy.Timing;
+
+/**
+ * Reads an operator's file whole and checks it whole: unknown keys, wrong types, values out of range and
+ * contradictions, each with its line and key. It must never give back half of a file.
+ */
+public final class OperatorFile {
+
+    /** The largest file that is read, in bytes. */
+    static final long LONGEST = 16 << 20;
+
+    private static final long MILLI = 1_000;
+    private static final int LONGEST_TIME = 24 * 3_600_000;  // milliseconds
+    private static final YAMLMapper YAML = YAMLMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
+                    DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .withCoercionConfig(LogicalType.Textual, c -> c.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                    .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                    .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail))
+            .build();
+
+    // the form of the file, with its own names and units; absent keys are null
+    private record Root(HierarchyForm hierarchy) {
+    }
+
+    private record HierarchyForm(String news, String depot, @JsonProperty("lead-ms") Integer lead,
+            @JsonProperty("move-ms") Integer move, @JsonProperty("gap-ms") Integer gap,
+            @JsonProperty("remember-ms") Integer remember,
+            @JsonProperty("last-piece") Long lastPiece, ShapeForm shape, ShapeForm before) {
+    }
+
+    private record ShapeForm(Long version, String announced, @JsonProperty("allow-skips") Boolean allowSkips,
+            String origin, Map<String, UnitForm> hubs, Map<String, UnitForm> depots, Map<String, UnitForm> caches) {
+    }
+
+    private record UnitForm(@JsonProperty("fill-from") Map<String, Double> fillFrom) {
+    }
+
+    private final String name;
+    private final KeyLines lines;
+
+    private OperatorFile(String name, KeyLines lines) {
+        this.name = name;
+        this.lines = lines;
+    }
+
+    /** Reads a file; the exception's message is the one line to show. */
+    public static OperatorConfig read(Path file) throws OperatorException {
+        try {
+            if (Files.size(file) > LONGEST) {
+                throw new OperatorException(file + ": it has over " + LONGEST + " bytes");
+            }
+            return parse(file.toString(), Files.readString(file));
+        } catch (NoSuchFileException e) {
+            throw new OperatorException(file + ": there is no such file");
+        } catch (IOException e) {
+            throw new OperatorException(file + ": it can't be read: " + e);
+        }
+    }
+
+    /** Reads only the shape of a file: the section of a whole file, or a file that is a shape by itself. */
+    public static HierarchySection readHierarchy(Path file) throws OperatorException {
+        return read(file).hierarchy().orElseThrow(
+                () -> new OperatorException(file + ":1: hierarchy: the file has no such section"));
+    }
+
+    static OperatorConfig parse(String name, String yaml) throws OperatorException {
+        try {
+            OperatorFile file = new OperatorFile(name, new KeyLines(yaml));
+            Root root = yaml.isBlank() ? null : YAML.readValue(yaml, Root.class);
+            return root == null || root.hierarchy() == null ? OperatorConfig.NONE
+                    : new OperatorConfig(Optional.of(file.hierarchy(root.hierarchy())));
+        } catch (JsonMappingException e) {
+            String path = e.getPath().stream().map(JsonMappingException.Reference::getFieldName)
+                    .collect(Collectors.joining("."));
+            int line = e.getCause() instanceof JsonProcessingException ? e.getLocation().getLineNr()
+                    : new OperatorFile(name, linesOf(yaml)).lines.of(path);
+            String what = e instanceof UnrecognizedPropertyException u
+                    ? "unknown key; known here: " + u.getKnownPropertyIds().stream().map(Object::toString).sorted()
+                            .collect(Collectors.joining(", "))
+                    : e instanceof MismatchedInputException m && m.getTargetType() != null
+                    ? "wrong type, wanted is " + typeName(m.getTargetType())
+                    : e.getOriginalMessage().lines().findFirst().orElse("");
+            throw new OperatorException(name + ":" + line + ": " + path + ": " + what.replace('\n', ' '));
+        } catch (JsonProcessingException e) {
+            throw new OperatorException(name + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr())
+                    + ": not YAML: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new OperatorException(name + ":1: not YAML: " + e.getMessage());
+        }
+    }
+
+    private static KeyLines linesOf(String yaml) throws OperatorException {
+        try {
+            return new KeyLines(yaml);
+        } catch (IOException e) {
+            throw new OperatorException("not YAML: " + e.getMessage());
+        }
+    }
+
+    private static String typeName(Class<?> type) {
+        return type == Integer.class || type == Long.class ? "a whole number" : type == Double.class ? "a number"
+                : type == Boolean.class ? "true or false" : type == String.class ? "text (quote it)" : "a group of keys";
+    }
+
+    private OperatorException wrong(String key, String what) {
+        return new OperatorException(name + ":" + lines.of(key) + ": " + key + ": " + what);
+    }
+
+    private HierarchySection hierarchy(HierarchyForm form) throws OperatorException {
+        String news = form.news() == null ? "file" : form.news();
+        if (!Set.of("file", "feed").contains(news)) {
+            throw wrong("hierarchy.news", "'" + news + "' is neither file nor feed");
+        }
+        Timing timing = new Timing(MILLI * time(form.lead(), 5_000, 0, "hierarchy.lead-ms"),
+                MILLI * time(form.move(), 60_000, 0, "hierarchy.move-ms"),
+                MILLI * time(form.gap(), 10_000, 100, "hierarchy.gap-ms"),
+                MILLI * time(form.remember(), 600_000, 0, "hierarchy.remember-ms"));
+        if (form.shape() == null) {
+            throw wrong("hierarchy.shape", "it is missing");
+        }
+        Shape shape = shape("hierarchy.shape", form.shape());
+        Optional<Shape> before = form.before() == null ? Optional.empty()
+                : Optional.of(shape("hierarchy.before", form.before()));
+        if (before.isPresent() && before.get().version() >= shape.version()) {
+            throw wrong("hierarchy.before.version", "the version before is " + before.get().version()
+                    + ", and that of the shape is " + shape.version());
+        }
+        long last = form.lastPiece() == null ? 0 : form.lastPiece();
+        if (last < 0) {
+            throw wrong("hierarchy.last-piece", "it is under 0");
+        }
+        if (last > 0 && news.equals("file")) {
+            throw wrong("hierarchy.last-piece", "pieces come with news: feed only");
+        }
+        return new HierarchySection(news.equals("file") ? News.FILE : News.FEED,
+                form.depot() == null ? "" : form.depot(), timing, shape, before, last);
+    }
+
+    private long time(Integer value, int absent, int least, String key) throws OperatorException {
+        int time = value == null ? absent : value;
+        if (time < least || time > LONGEST_TIME) {
+            throw wrong(key, time + " is out of range: " + least + " to " + LONGEST_TIME + " milliseconds");
+        }
+        return time;
+    }
+
+    private Shape shape(String path, ShapeForm form) throws OperatorException {
+        if (form.version() == null || form.version() < 1) {
+            throw wrong(path + ".version", form.version() == null ? "it is missing" : "it is under 1");
+        }
+        if (form.origin() == null) {
+            throw wrong(path + ".origin", "it is missing");
+        }
+        Map<String, Unit> units = new TreeMap<>();
+        units.put(form.origin(), new Unit(form.origin(), Kind.ORIGIN, Map.of()));
+        addAll(units, path + ".hubs", Kind.HUB, form.hubs());
+        addAll(units, path + ".depots", Kind.DEPOT, form.depots());
+        addAll(units, path + ".caches", Kind.CACHE, form.caches());
+        Shape shape = new Shape(form.version(), announced(path, form.announced()),
+                Boolean.TRUE.equals(form.allowSkips()), units);
+        List<Problem> problems = ShapeCheck.problems(shape, Set.of());
+        if (!problems.isEmpty()) {
+            Problem first = problems.get(0);
+            Unit unit = units.get(first.unit());
+            String group = unit == null || unit.kind() == Kind.ORIGIN ? ".origin"
+                    : "." + unit.kind().name().toLowerCase(java.util.Locale.ROOT) + "s." + unit.name();
+            throw wrong(path + group, first.text()
+                    + (problems.size() > 1 ? " (and " + (problems.size() - 1) + " more)" : ""));
+        }
+        return shape;
+    }
+
+    private void addAll(Map<String, Unit> units, String path, Kind kind, Map<String, UnitForm> forms)
+            throws OperatorException {
+        for (Map.Entry<String, UnitForm> e : (forms == null ? Map.<String, UnitForm>of() : forms).entrySet()) {
+            Map<String, Double> parents = new LinkedHashMap<>();
+            if (e.getValue() != null && e.getValue().fillFrom() != null) {
+                parents.putAll(e.getValue().fillFrom());
+            }
+            if (parents.containsValue(null)) {
+                throw wrong(path + "." + e.getKey() + ".fill-from", "a parent without a weight");
+            }
+            if (units.put(e.getKey(), new Unit(e.getKey(), kind, parents)) != null) {
+                throw wrong(path + "." + e.getKey(), "there is another unit of that name");
+            }
+        }
+    }
+
+    private long announced(String path, String text) throws OperatorException {
+        if (text == null) {
+            return 0;
+        }
+        try {
+            return Instant.parse(text).toEpochMilli() * MILLI;
+        } catch (DateTimeException e) {
+            throw wrong(path + ".announced", "'" + text + "' is no time such as 2026-12-01T16:00:00Z");
+        }
+    }
+}
--- a/src/main/java/pumicemoor/wire/Vocabulary.java
+++ b/src/main/java/pumicemoor/wire/Vocabulary.java
@@ -104,6 +104,11 @@
         return settings;
     }
 
+    /** The name of this router's location. */
+    public String locationName() {
+        return zones.get(settings.location());
+    }
+
     public int requestClass(String name) throws WireException {
         return index(classes, name, "class");
     }
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pumicemoor.client.FrameClient;
 import pumicemoor.node.NodeTestConfig;
 
 /** The command line as a user meets it: output and exit code of a process of its own. */
--- a/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
+++ b/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
@@ -28,7 +28,7 @@
 class ManyRoutersTest {
 
     private static final long SECOND = 1_000_000;
-    private static final Timing TIMING = new Timing(4 * SECOND, 6 * SECOND, 4 * SECOND);
+    private static final Timing TIMING = new Timing(4 * SECOND, 6 * SECOND, 4 * SECOND, 5 * SECOND);
     private static final int ROUTERS = 5;
     private static final int HUBS = 5;
     private static final long STEP = SECOND / 2;
@@ -182,8 +182,8 @@
             day.deliver(now);
             day.check(now);
         }
-        long end = now + 40 * SECOND + (HUBS + 2) * 2 * (TIMING.move() + TIMING.gap());
-        for (; now < end; now += STEP) {
+        long end = now + 40 * SECOND + (HUBS + 2) * 3 * (TIMING.move() + 2 * TIMING.gap() + TIMING.remember());
+        for (; now < end; now += 4 * STEP) {
             day.heartbeat(now);
             day.deliver(now);
             day.check(now);
@@ -194,10 +194,12 @@
         for (Hierarchy h : day.routers) {
             assertEquals(first, h.timeline().linksInUse(), "all follow the same links in the end");
             assertEquals(day.target, h.wanted());
+            assertEquals(first.size(), h.timeline().linksInOrder(), "no link is left behind in the order");
         }
         boolean allThere = wanted.stream().allMatch(l -> day.target.containsKey(l.parent()));
         if (!Shapes.hasLoop(wanted) && allThere) {
-            assertEquals(wanted, first, "the last shape is reached");
+            assertEquals(wanted, first, () -> "the last shape is reached; "
+                    + first.stream().map(l -> day.routers.get(0).timeline().describe(l.unit())).toList());
         }
     }
 
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -15,6 +15,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -100,7 +101,7 @@
 
     private Effect.Ask ask(long attempt, String id) {
         return new Effect.Ask(attempt, "s-1", "127.0.0.1:" + listener.getLocalPort(), id, "segment", "o", 0, 100,
-                null, 0, 0, false, false, false, false, null, true, Bytes.NONE);
+                null, 0, 0, false, false, false, false, null, true, List.of(), Bytes.NONE);
     }
 
     private Got sent(long attempt, String id) throws Exception {
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.NodeTestConfig;
+import pumicemoor.operator.OperatorConfig;
 
 /** The whole router on loopback, with small stand-ins for members, coordinator and clients. */
 class NodeServerTest {
@@ -49,7 +50,8 @@
     }
 
     private void start(String coordinator, String... updates) throws Exception {
-        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", coordinator, updates)));
+        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", coordinator, updates)),
+                OperatorConfig.NONE);
         server.start();
     }
 
@@ -468,7 +470,7 @@
     /** A router that may hold no more than 16 connections of clients. */
     private void startSmall(String... updates) throws Exception {
         server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "", updates)
-                .replace("\"sockets\":1024", "\"sockets\":32")));
+                .replace("\"sockets\":1024", "\"sockets\":32")), OperatorConfig.NONE);
         server.start();
     }
 
@@ -506,7 +508,7 @@
         while (server.counters().get(Name.UPDATES) < 2) {
             Thread.onSpinWait();
         }
-        server.reload(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)), null);
+        server.reload(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)), OperatorConfig.NONE, null);
         assertEquals("2", after.lastEventIds.poll(PATIENCE, TimeUnit.MILLISECONDS));
         before.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
         after.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
--- a/src/test/java/pumicemoor/net/TestLoop.java
+++ b/src/test/java/pumicemoor/net/TestLoop.java
@@ -1,5 +1,6 @@
 package pumicemoor.net;
 
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import pumicemoor.node.Input;
@@ -34,6 +35,11 @@
         complaints.add(text);
     }
 
+    @Override
+    public Map<String, String> state() {
+        return Map.of();
+    }
+
     @Override
     public void opened(long number, ClientConnection client) {
         // a test holds its own
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -31,6 +31,7 @@
 import pumicemoor.RouterApi;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.Word;
+import pumicemoor.operator.OperatorConfig;
 
 /** The reducer by inputs, with decisions that a test scripts. */
 class ReducerTest {
@@ -549,13 +550,13 @@
     void aReloadFollowsTheNewCoordinatorAndNothingElse() throws Exception {
         String json = NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:3", 1_000,
                 NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0)));
-        take(new Input.Reload(null, "no such file"));
-        take(new Input.Reload(NodeConfig.parse(json.replace("127.0.0.1:1\"", "127.0.0.1:9\"")), null));
-        take(new Input.Reload(NodeConfig.parse(json.replace("\"max-open\":1000", "\"max-open\":9")), null));
+        take(new Input.Reload(null, null, "no such file"));
+        take(new Input.Reload(NodeConfig.parse(json.replace("127.0.0.1:1\"", "127.0.0.1:9\"")), OperatorConfig.NONE, null));
+        take(new Input.Reload(NodeConfig.parse(json.replace("\"max-open\":1000", "\"max-open\":9")), OperatorConfig.NONE, null));
         assertEquals(List.of(), effects);
         assertEquals(3, counters.get(Counters.Name.RELOADS_REFUSED));
-        take(new Input.Reload(NodeConfig.parse(json), null));
-        take(new Input.Reload(NodeConfig.parse(json), null));
+        take(new Input.Reload(NodeConfig.parse(json), OperatorConfig.NONE, null));
+        take(new Input.Reload(NodeConfig.parse(json), OperatorConfig.NONE, null));
         assertEquals(List.of(new Effect.Follow("127.0.0.1:3")), effects);
         assertEquals(2, counters.get(Counters.Name.RELOADS));
         assertEquals(List.of(), of(events, MembersListed.class));
