--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -39,9 +39,12 @@
         @Option(name = "--out", metaVar = "FOLDER", usage = "where reports and logs go (default: logs/lab)")
         private String folder = "logs/lab";
 
+        @Option(name = "--by", metaVar = "feed|file|restart", usage = "how changes are told, in place of the scenario's way")
+        private String by;
+
         @Override
         void run() throws IOException, InterruptedException {
-            Report report = LabRun.play(Path.of(file), Path.of(folder), System.out);
+            Report report = LabRun.play(Path.of(file), by, Path.of(folder), System.out);
             System.out.println();
             System.out.print(report.markdown());
         }
--- a/src/main/java/pumicemoor/lab/LabRun.java
+++ b/src/main/java/pumicemoor/lab/LabRun.java
@@ -54,9 +54,11 @@
         this.depot = scenario.depot();
     }
 
-    /** Plays the scenario of a file; all that it writes goes to the folder. */
-    public static Report play(Path scenario, Path folder, PrintStream progress) throws IOException, InterruptedException {
-        return play(Scenario.read(scenario), folder, progress);
+    /** Plays the scenario of a file, told in that way or, where null, in its own; all that it writes goes to the folder. */
+    public static Report play(Path scenario, String by, Path folder, PrintStream progress)
+            throws IOException, InterruptedException {
+        Scenario read = Scenario.read(scenario);
+        return play(by == null ? read : read.told(by), folder, progress);
     }
 
     static Report play(Scenario scenario, Path folder, PrintStream progress) throws IOException, InterruptedException {
@@ -202,11 +204,24 @@
             }
             case RESTART -> {
                 announced = 0;
-                for (int i = 0; i < routers.size(); i++) {
-                    routers.get(i).terminate();
-                    routers.get(i).start(config(i), operator());
-                }
+                String shape = operator();
+                work.execute(() -> roll(shape));
+            }
+        }
+    }
+
+    /** Restarts one router after the other with a new shape, as an operator without a plan would. */
+    private void roll(String operator) {
+        try {
+            for (int i = 0; i < routers.size(); i++) {
+                routers.get(i).terminate();
+                routers.get(i).start(config(i), operator);
+                routers.get(i).awaitReady();
             }
+        } catch (IOException e) {
+            progress.println("  a restart failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/src/main/java/pumicemoor/lab/Report.java
+++ b/src/main/java/pumicemoor/lab/Report.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import pumicemoor.lab.LoadClients.Done;
 import pumicemoor.lab.LoadClients.End;
@@ -78,6 +79,12 @@
         asked.forEach(a -> events.append(a.at()).append(',').append(a.member()).append(',').append(a.from()).append(',')
                 .append(a.object()).append('\n'));
         Files.writeString(folder.resolve("asked.csv"), events);
+        TreeMap<String, Long> bySecond = new TreeMap<>();
+        asked.forEach(a -> bySecond.merge(String.format(Locale.ROOT, "%05d,%s,%s", a.at() / 1_000, a.member(), a.from()),
+                1L, Long::sum));
+        StringBuilder seconds = new StringBuilder("second,member,from,asked\n");
+        bySecond.forEach((key, count) -> seconds.append(key).append(',').append(count).append('\n'));
+        Files.writeString(folder.resolve("seconds.csv"), seconds);
         return report;
     }
 
--- a/src/main/java/pumicemoor/lab/Scenario.java
+++ b/src/main/java/pumicemoor/lab/Scenario.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -56,6 +57,18 @@
         happenings = happenings == null ? List.of() : happenings;
     }
 
+    /** The same, with changes told in another way: feed, file or restart. */
+    Scenario told(String by) throws IOException {
+        try {
+            Change c = new Change(Way.valueOf(by.toUpperCase(Locale.ROOT)), change.lead(), change.move(), change.gap(),
+                    change.cold(), change.jitter());
+            return new Scenario(name + ", by " + by, seed, seconds, rate, objects, routers, caches, cacheHolds, fillMillis,
+                    deadlineMillis, c, hubs, depot, happenings);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("'" + by + "' is none of feed, file and restart", e);
+        }
+    }
+
     static Scenario read(Path file) throws IOException {
         YAMLMapper yaml = YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).build();
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -161,6 +161,7 @@
             Ended ended = run(null, words);
             assertEquals(1, ended.code());
             assertEquals(1, ended.err().lines().count(), ended.err());
+            assertTrue(ended.err().contains(words[1]), ended.err());
         }
     }
 
@@ -190,4 +191,44 @@
         }
         assertEquals(1, run(null, "serve").code());
     }
+
+    private static final String SHAPE = """
+            hierarchy:
+              shape:
+                version: %d
+                origin: o
+                hubs: {hub-a: {fill-from: {%s: 1}}, hub-b: {fill-from: {%s: 1}}}
+                depots: {west: {fill-from: {hub-a: 1}}}
+            """;
+
+    private String file(String name, int version, String aboveA, String aboveB) throws IOException {
+        return Files.writeString(folder.resolve(name), SHAPE.formatted(version, aboveA, aboveB)).toString();
+    }
+
+    @Test
+    void aChangeOfTheHierarchyIsPlannedBeforeAnyoneIsTold() throws Exception {
+        String old = file("old.yaml", 1, "hub-b", "o");
+        Ended plan = run(null, "hierarchy", "plan", old, file("new.yaml", 2, "o", "hub-a"));
+        assertEquals(0, plan.code(), plan.err());
+        assertTrue(plan.out().contains("held back, it would close a loop: hub-b <- hub-a"), plan.out());
+        assertTrue(plan.out().contains("at 75.0 s\n  begins to fill from: hub-b <- hub-a"), plan.out());
+        Ended refused = run(null, "hierarchy", "plan", old, file("bad.yaml", 2, "hub-b", "hub-a"));
+        assertEquals(1, refused.code());
+        assertTrue(refused.err().contains("bad.yaml:5: hierarchy.shape.hubs.hub-a: a loop"), refused.err());
+        assertEquals(1, run(null, "hierarchy", "plan", old, old).code());
+        assertTrue(run(null, "hierarchy", "check", old).out().startsWith("usable: version 1, 4 units"), old);
+        assertTrue(run(null, "check-config", "--operator", old).out().contains("hierarchy of version 1"));
+        assertEquals(1, run(null, "check-config", "--operator", "nowhere.yaml").code());
+    }
+
+    @Test
+    void everyCommandTellsItsUsage() throws Exception {
+        for (String words : List.of("serve", "drill", "status", "self-check", "check-config", "version", "hierarchy",
+                "hierarchy check", "hierarchy plan", "lab", "lab run")) {
+            Ended ended = run(null, (words + " --help").split(" "));
+            assertEquals(0, ended.code(), words + ended.err());
+            assertTrue(ended.out().contains("--help"), words);
+        }
+        assertEquals(0, run(null, "--help").code());
+    }
 }
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -5,12 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
 import pumicemoor.RouterApi.Cancel;
@@ -26,12 +29,14 @@
 import pumicemoor.RouterApi.RequestArrived;
 import pumicemoor.RouterApi.RequestGone;
 import pumicemoor.RouterApi.SetTimer;
+import pumicemoor.RouterApi.SourcesGiven;
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
 import pumicemoor.RouterApi;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.Word;
 import pumicemoor.operator.OperatorConfig;
+import pumicemoor.operator.OperatorFile;
 
 /** The reducer by inputs, with decisions that a test scripts. */
 class ReducerTest {
@@ -42,6 +47,9 @@
     private static final long CACHE = Reducer.memberId("s-1");
     private static final long PARENT = Reducer.memberId("p-1");
 
+    @TempDir
+    Path folder;
+
     private final List<Event> events = new ArrayList<>();
     private final List<Effect> effects = new ArrayList<>();
     private final Counters counters = new Counters();
@@ -561,4 +569,98 @@
         assertEquals(2, counters.get(Counters.Name.RELOADS));
         assertEquals(List.of(), of(events, MembersListed.class));
     }
+
+    private static final String OPERATOR = """
+            hierarchy:
+              news: %s
+              lead-ms: 1000
+              move-ms: 2000
+              gap-ms: 1000
+              shape:
+                version: %d
+                announced: 2025-12-01T08:00:00Z
+                origin: o-1
+                hubs: {p-1: {fill-from: {o-1: 1}}, p-2: {fill-from: {o-1: 1}}}
+                depots: {here: {fill-from: {%s: 1}}}
+            """;
+
+    private OperatorConfig operator(String news, int version, String hub) throws Exception {
+        Path file = Files.writeString(folder.resolve("operator.yaml"), OPERATOR.formatted(news, version, hub));
+        return OperatorFile.read(file);
+    }
+
+    private void operate(OperatorConfig operator) {
+        reducer = new Reducer((time, event, sink) -> {
+            events.add(event);
+            act = sink::accept;
+        }, config.words(), limits, counters);
+        reducer.operate(now, operator, "here");
+        reducer.known(now, config, effects::add);
+        take(new Input.Update(NodeTestConfig.list(2, false,
+                NodeTestConfig.member("p-2", "127.0.0.1:13", "shield", "active", 0),
+                NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
+    }
+
+    /** The member that the last sources given name for this location; 0 where none are given. */
+    private long lastGiven() {
+        SourcesGiven last = of(events, SourcesGiven.class).get(of(events, SourcesGiven.class).size() - 1);
+        return last.lists().isEmpty() ? 0 : last.lists().get(SourcesGiven.LOCATION).now().get(0).member();
+    }
+
+    @Test
+    void theHierarchyOfTheOperatorReachesTheDecisionsAndAReloadMovesIt() throws Exception {
+        now = START + 1_000 * SECOND;
+        operate(operator("file", 1, "p-1"));
+        assertEquals(PARENT, lastGiven());
+        OperatorConfig next = operator("file", 2, "p-2");
+        take(new Input.Reload(config, next, null));
+        assertEquals(Reducer.memberId("p-2"), lastGiven(), "announced long ago, it acts at once");
+        assertEquals("2", reducer.state().get("hierarchy-version"));
+        assertEquals("moving", reducer.state().get("hierarchy-stage"));
+        now += 10 * SECOND;
+        take(new Input.Due());
+        assertEquals("1.000", reducer.state().get("hierarchy-share-moved"));
+        take(new Input.Reload(config, operator("file", 1, "p-1"), null));
+        take(new Input.Reload(config, operator("feed", 3, "p-1"), null));
+        take(new Input.Reload(config, OperatorConfig.NONE, null));
+        assertEquals(3, counters.get(Counters.Name.RELOADS_REFUSED));
+        assertEquals("2", reducer.state().get("hierarchy-version"));
+        assertEquals(Reducer.memberId("p-2"), lastGiven());
+    }
+
+    @Test
+    void piecesOfTheHierarchyComeAsEventsAndTheirTimersAreKept() throws Exception {
+        now = START + 1_000 * SECOND;
+        operate(operator("feed", 1, "p-1"));
+        long millis = now / MILLI;
+        take(new Input.Update("{\"index\":3,\"shape\":{\"piece\":1,\"version\":2,\"announced_ms\":" + millis
+                + ",\"unit\":\"here\",\"kind\":\"depot\",\"parents\":{\"p-2\":1}}}"));
+        assertEquals(PARENT, lastGiven());
+        now += 500 * MILLI;
+        take(new Input.Update("{\"index\":4,\"shape\":{\"certain_ms\":" + (millis + 500) + ",\"piece\":1}}"));
+        assertTrue(reducer.nextDue() <= now + 500 * MILLI, "it wants to be called when the piece acts");
+        now += 500 * MILLI;
+        take(new Input.Due());
+        assertEquals(Reducer.memberId("p-2"), lastGiven());
+        now += 10 * SECOND;
+        take(new Input.Due());
+        assertEquals(0, lastGiven(), "nothing was certain for long: the ordinary path decides");
+        take(new Input.Update("{\"index\":5,\"shape\":{\"piece\":2,\"unit\":\"here\"}}"));
+        assertEquals(1, counters.get(Counters.Name.BAD_INPUT));
+    }
+
+    @Test
+    void withoutAnOperatorsFileNewsOfAHierarchyIsNoMatter() {
+        take(new Input.Update("{\"index\":2,\"shape\":{\"certain_ms\":1,\"piece\":1}}"));
+        assertEquals(Map.of(), reducer.state());
+        assertEquals(List.of(), of(events, SourcesGiven.class));
+        assertEquals(2, reducer.lastUpdate());
+    }
+
+    @Test
+    void theWayOfAFillIsHandedOnByName() {
+        onArrival(r -> act.accept(new Fetch(r.id(), CACHE, PARENT, 2, 0, true, false, false, false, 0, List.of(PARENT))));
+        request(1, "segment", new Counted());
+        assertEquals(List.of("p-1"), of(effects, Effect.Ask.class).get(0).way());
+    }
 }
