Log notices with figures by name, as JSON lines where the operator's file says so

Need: programs that read the log want figures apart; the platform's plain text stays the default.

Change: Notice and BoundedLog carry figures; log.format in the operator's file; Logback is loaded for JSON only.

Result: MainTest reads each line of a JSON log; the text log is unchanged.

--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -22,6 +22,7 @@
 import pumicemoor.net.NodeServer;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.operator.OperatorConfig;
+import pumicemoor.operator.OperatorConfig.LogFormat;
 import pumicemoor.operator.OperatorException;
 import pumicemoor.operator.OperatorFile;
 import pumicemoor.wire.Drill;
@@ -66,6 +67,9 @@
             return;
         }
         Command asked = main.command.innermost();
+        if (!(asked instanceof Serve)) {
+            Logging.choose(LogFormat.TEXT);
+        }
         if (asked.help) {
             System.out.print(Usage.of(asked));
             return;
@@ -96,7 +100,6 @@
     /** Routes requests until the process is asked to end. */
     @Usage.Text("routes requests on sockets, as the JSON file that RELAY_CONFIG names says, until SIGTERM")
     public static final class Serve extends Command {
-        private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
         private static final long LONGEST_END = 10_000;
 
         @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; none: all as the platform has it")
@@ -111,7 +114,10 @@
             Signal.handle(new Signal("HUP"), signal -> reload.release());
             Signal.handle(new Signal("TERM"), signal -> end.countDown());
             Signal.handle(new Signal("INT"), signal -> end.countDown());
-            NodeServer server = new NodeServer(config(file), operator(operatorFile));
+            OperatorConfig operator = operator(operatorFile);
+            Logging.choose(operator.log());
+            Logger log = LoggerFactory.getLogger(Serve.class);
+            NodeServer server = new NodeServer(config(file), operator);
             server.start();
             Thread reloading = new Thread(() -> reload(server, file, operatorFile, reload), "reload");
             reloading.setDaemon(true);
@@ -119,9 +125,9 @@
             end.await();
             server.terminate();
             server.awaitEnd(LONGEST_END);
-            LOG.info("counters: {}", server.counters());
+            log.info("counters: {}", server.counters());
             if (operatorFile != null) {
-                LOG.info("state: {}", server.state());
+                log.info("state: {}", server.state());
             }
             System.exit(0);
         }
--- a/src/main/java/pumicemoor/node/BoundedLog.java
+++ b/src/main/java/pumicemoor/node/BoundedLog.java
@@ -1,6 +1,9 @@
 package pumicemoor.node;
 
+import java.util.Map;
+import java.util.TreeMap;
 import org.slf4j.Logger;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * Log lines about what others did wrong, so many a second at most: whoever sends bad input must not be able
@@ -24,6 +27,11 @@
 
     /** Writes a line at this time (microseconds), or counts it as left out. */
     public void warn(long now, String text) {
+        warn(now, text, Map.of());
+    }
+
+    /** The same with figures by name, which a log of lines for programs keeps apart. */
+    public void warn(long now, String text, Map<String, Object> figures) {
         if (now / SECOND != second) {
             second = now / SECOND;
             written = 0;
@@ -33,7 +41,16 @@
             return;
         }
         written++;
-        log.warn(leftOut == 0 ? "{}" : "{} ({} such lines were left out before)", text, leftOut);
+        String form = leftOut == 0 ? "{}" : "{} ({} such lines were left out before)";
+        if (figures.isEmpty()) {
+            log.warn(form, text, leftOut);
+        } else {
+            LoggingEventBuilder line = log.atWarn();
+            for (Map.Entry<String, Object> figure : new TreeMap<>(figures).entrySet()) {
+                line = line.addKeyValue(figure.getKey(), figure.getValue());
+            }
+            line.log(form, text, leftOut);
+        }
         leftOut = 0;
     }
 }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -499,7 +499,7 @@
             Hierarchy.Setup setup = new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(),
                     h.timing(), coldTime);
             hierarchy = Optional.of(Hierarchy.start(h.shape(), h.before(), h.lastPiece(), time, setup,
-                    text -> complaints.warn(now, text)));
+                    notice -> complaints.warn(now, notice.text(), notice.figures())));
         });
     }
 
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -32,6 +32,7 @@
 import pumicemoor.hierarchy.ShapeCheck;
 import pumicemoor.hierarchy.ShapeCheck.Problem;
 import pumicemoor.hierarchy.Timing;
+import pumicemoor.operator.OperatorConfig.LogFormat;
 
 /**
  * Reads an operator's file whole and checks it whole: unknown keys, wrong types, values out of range and
@@ -56,7 +57,10 @@
             .build();
 
     // the form of the file, with its own names and units; absent keys are null
-    private record Root(HierarchyForm hierarchy) {
+    private record Root(LogForm log, HierarchyForm hierarchy) {
+    }
+
+    private record LogForm(String format) {
     }
 
     private record HierarchyForm(String news, String depot, @JsonProperty("lead-ms") Integer lead,
@@ -104,8 +108,7 @@
         try {
             OperatorFile file = new OperatorFile(name, new KeyLines(yaml));
             Root root = yaml.isBlank() ? null : YAML.readValue(yaml, Root.class);
-            return root == null || root.hierarchy() == null ? OperatorConfig.NONE
-                    : new OperatorConfig(Optional.of(file.hierarchy(root.hierarchy())));
+            return root == null ? OperatorConfig.NONE : file.config(root);
         } catch (JsonMappingException e) {
             String path = e.getPath().stream().map(JsonMappingException.Reference::getFieldName)
                     .collect(Collectors.joining("."));
@@ -143,6 +146,15 @@
         return new OperatorException(name + ":" + lines.of(key) + ": " + key + ": " + what);
     }
 
+    private OperatorConfig config(Root root) throws OperatorException {
+        String format = root.log() == null || root.log().format() == null ? "text" : root.log().format();
+        if (!Set.of("text", "json").contains(format)) {
+            throw wrong("log.format", "'" + format + "' is neither text nor json");
+        }
+        return new OperatorConfig(format.equals("json") ? LogFormat.JSON : LogFormat.TEXT,
+                root.hierarchy() == null ? Optional.empty() : Optional.of(hierarchy(root.hierarchy())));
+    }
+
     private HierarchySection hierarchy(HierarchyForm form) throws OperatorException {
         String news = form.news() == null ? "file" : form.news();
         if (!Set.of("file", "feed").contains(news)) {
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -77,6 +77,23 @@
         }
     }
 
+    @Test
+    void theLogIsJsonWhereTheOperatorSaysSo() throws Exception {
+        String operator = Files.writeString(folder.resolve("operator.yaml"), "log: {format: json}\n").toString();
+        Process router = start(NodeTestConfig.json("127.0.0.1:0", ""), "serve", "--operator", operator);
+        try {
+            while (router.isAlive() && !Files.readString(folder.resolve("err")).contains("listens on")) {
+                Thread.sleep(20);
+            }
+        } finally {
+            router.destroy();
+        }
+        assertEquals(0, router.waitFor());
+        for (String line : Files.readAllLines(folder.resolve("err"))) {
+            assertTrue(line.startsWith("{") && line.endsWith("}") && line.contains("\"level\":\"INFO\""), line);
+        }
+    }
+
     /** Sends SIGHUP and waits for the counter that must grow by it; fails when the router ends instead. */
     private void reload(Process router, int port, String counter, String count) throws Exception {
         assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + router.pid()).start().waitFor());
--- a/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
+++ b/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
@@ -27,7 +27,7 @@
     private static final Timing TIMING = new Timing(2 * SECOND, 10 * SECOND, 3 * SECOND, 20 * SECOND);
     private static final long T0 = 1_000 * SECOND;
 
-    private final List<String> log = new ArrayList<>();
+    private final List<Notice> log = new ArrayList<>();
 
     private Hierarchy at(News news, String... lines) {
         return new Hierarchy(Shapes.shape(1, 0, lines), 0, T0, new Setup("d", news, TIMING, 5 * SECOND), log::add);
@@ -80,7 +80,8 @@
         h.advance(T0 + 3 * SECOND);
         assertEquals(Stage.HELD, h.snapshot().stage());
         assertEquals(1, h.snapshot().linksHeld());
-        assertTrue(log.stream().anyMatch(l -> l.contains("h2 <- h1 would close a loop")), log.toString());
+        assertTrue(log.stream().anyMatch(l -> l.text().contains("would close a loop")
+                && "h2".equals(l.figures().get("unit")) && "h1".equals(l.figures().get("parent"))), log.toString());
         assertTrue(h.timeline().linksInUse().contains(new Shape.Link("h2", "o")), "service goes on the old way");
         h.advance(T0 + 14 * SECOND);
         assertFalse(h.timeline().linksInUse().contains(new Shape.Link("h2", "h1")), "others may still follow h1 <- h2");
--- a/src/test/java/pumicemoor/operator/OperatorFileTest.java
+++ b/src/test/java/pumicemoor/operator/OperatorFileTest.java
@@ -64,6 +64,7 @@
         "{hub-a: 2}|{}|10|fills from nobody",
         "hub-a: 1, hub-b: 0.5|origin-1: 1|12|past the hubs",
         "west:|hub-a:|12|another unit",
+        "hierarchy:|'log: {format: xml}\nhierarchy:'|1|neither text nor json",
         "hierarchy:|'hierarchy: ['|1|not YAML"})
     void aBadFileIsToldWithFileLineAndKey(String good, String bad, int line, String words) {
         String text = GOOD.replace(good, bad);
