--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -187,6 +187,13 @@
         assertEquals(new Ended(0, "", ""), run(null, "drill"));
     }
 
+    @Test
+    void theExamplesThatAreShippedAreUsable() throws Exception {
+        Ended ended = run(null, "check-config", "deploy/serve.example.json", "--operator", "deploy/operator.example.yaml");
+        assertEquals(0, ended.code(), ended.err());
+        assertTrue(ended.out().contains("router 'router-1' on 127.0.0.1:9090, 2 classes"), ended.out());
+    }
+
     @Test
     void aConfigurationThatCanBeUsedIsSummedUp() throws Exception {
         Ended ended = run(NodeTestConfig.json("127.0.0.1:9090", "127.0.0.1:7070"), "check-config");
