Let nobody fill through a hub that has no way of its own yet

Change: a parent must be in use itself (or the origin) before it is used; a step goes on until nothing more enters.

--- a/src/main/java/pumicemoor/hierarchy/Timeline.java
+++ b/src/main/java/pumicemoor/hierarchy/Timeline.java
@@ -180,9 +180,18 @@
         for (String name : touched) {
             adopt(branch(name));
         }
+        boolean more = true;
+        while (more) {  // who was let in may be what another waits for
+            more = false;
+            for (String name : touched) {
+                Branch branch = branch(name);
+                Map<String, Double> had = branch.current;
+                enter(branch);
+                more |= !branch.current.equals(had);
+            }
+        }
         for (String name : touched) {
             Branch branch = branch(name);
-            enter(branch);
             if (branch.held.isEmpty() && branch.next == null && !branch.waits) {
                 unmet.remove(name);
             } else {
@@ -244,8 +253,9 @@
         Set<String> held = new TreeSet<>();
         for (String parent : new TreeSet<>(branch.wanted.keySet())) {
             Branch above = branches.get(parent);
-            if (above == null || above.removed || above.next != null && above.next.removed()) {
-                held.add(parent);  // not there yet, or about to go
+            if (above == null || above.removed || above.next != null && above.next.removed()
+                    || above.kind != Kind.ORIGIN && above.current.isEmpty()) {
+                held.add(parent);  // not there yet, without a way of its own yet, or about to go
             } else if (order.add(branch.name, parent)) {
                 entering.put(parent, branch.wanted.get(parent));
             } else {
--- a/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
+++ b/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import pumicemoor.hierarchy.Hierarchy.News;
@@ -212,4 +213,10 @@
     void wholeShapesNeverMakeALoopNorCutADepotOff(@ForAll long seed) {
         play(seed, true);
     }
+
+    /** Found by ten thousand days: a hub that was told anew had children before it had a way of its own. */
+    @Example
+    void aHubThatComesBackHasAWayBeforeAnyoneFillsThroughIt() {
+        play(-19076687409169L, true);
+    }
 }
