--- a/src/main/java/pumicemoor/calls/CallState.java
+++ b/src/main/java/pumicemoor/calls/CallState.java
@@ -110,14 +110,32 @@
         return List.of(new Act.GoOn());
     }
 
+    /** The request comes again for an attempt that the decisions hold ready: it is named at once. */
+    public List<Act> adopt(int number) {
+        if (phase != Phase.NEW) {
+            return abort("a second request on a stream");
+        }
+        phase = Phase.DECIDING;
+        asked = true;
+        return named(number);
+    }
+
+    /** The decisions hold an attempt ready for the caller's next try; this stream has no part in it. */
+    public void detach() {
+        asked = false;
+    }
+
     /** How the attempt of that number ended; -1 for the one that was named last. */
     public List<Act> response(int number, boolean neverRan) {
         if (phase == Phase.NEW || phase == Phase.DECIDING) {
             return abort("a response before a member was named");
         }
+        if (phase == Phase.OVER) {
+            return List.of();
+        }
         if (phase == Phase.RESPONDED || attempt < 0 || number >= 0 && number != attempt) {
             // the decisions have given this attempt up meanwhile, or the call passes untouched
-            return phase == Phase.OVER || style == Style.REPORTER ? List.of() : List.of(new Act.GoOn());
+            return style == Style.REPORTER ? List.of() : List.of(new Act.GoOn());
         }
         int ended = attempt;
         attempt = -1;
@@ -176,13 +194,11 @@
     /** They have given their final answer; the request is no longer theirs. */
     public List<Act> decided(Code code, long stayAway) {
         asked = false;
+        attempt = -1;  // where one is out its time is up: a response that still comes goes on untouched
         if (phase == Phase.DECIDING || phase == Phase.NAMED && style == Style.REPORTER) {
             phase = Phase.OVER;
             return List.of(new Act.TellFinal(code, stayAway), new Act.Complete());
         }
-        if (phase == Phase.NAMED) {
-            attempt = -1;  // its time is up: a response that still comes goes on untouched
-        }
         return List.of();
     }
 
--- a/src/main/java/pumicemoor/calls/FairAdmission.java
+++ b/src/main/java/pumicemoor/calls/FairAdmission.java
@@ -20,6 +20,8 @@
     private static final double ACTIVE = 1 * SECOND;  // who asked within this has a part of the rate
     private static final double RESERVE_LEFT = 0.5;  // share of the reserve that is not lent to who had its part
 
+    private static final int LOOKED_AT = 16;  // of the quietest, for one to forget: some may have calls open
+
     /** The bounds: open calls in all and of one caller, new calls a second in all. */
     public record Limits(int open, int openPerCaller, double rate, boolean fair) {
     }
@@ -56,6 +58,9 @@
 
     /** Asks for room for a call of this caller; a call that is admitted must be ended. */
     public Verdict admit(long now, String caller) {
+        if (open >= limits.open()) {
+            return new Verdict(false, "open calls", (long) SECOND);
+        }
         Account account = accounts.get(caller);
         if (account == null) {
             account = new Account();
@@ -66,9 +71,6 @@
         }
         account.lastAsked = now;
         forget(now);
-        if (open >= limits.open()) {
-            return new Verdict(false, "open calls", (long) SECOND);
-        }
         if (account.open >= limits.openPerCaller()) {
             return new Verdict(false, "open calls of the caller", (long) SECOND);
         }
@@ -129,10 +131,13 @@
     }
 
     private void forget(long now) {
-        Iterator<Account> oldest = accounts.values().iterator();
-        Account first = oldest.next();
-        if (first.open == 0 && (now - first.lastAsked > QUIET || accounts.size() > MOST_CALLERS)) {
-            oldest.remove();
+        Iterator<Account> quietest = accounts.values().iterator();
+        for (int i = 0; i < LOOKED_AT && quietest.hasNext(); i++) {
+            Account account = quietest.next();
+            if (account.open == 0 && (now - account.lastAsked > QUIET || accounts.size() > MOST_CALLERS)) {
+                quietest.remove();
+                return;
+            }
         }
     }
 
--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -19,6 +19,7 @@
 import org.kohsuke.args4j.spi.SubCommands;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pumicemoor.extproc.ProcessorFront;
 import pumicemoor.net.NodeServer;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.operator.OperatorConfig;
@@ -37,7 +38,7 @@
 
     @Argument(handler = SubCommandHandler.class, metaVar = "COMMAND", required = true)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "drill", impl = Replay.class),
-            @SubCommand(name = "status", impl = Status.class),
+            @SubCommand(name = "processor", impl = Processor.class), @SubCommand(name = "status", impl = Status.class),
             @SubCommand(name = "self-check", impl = SelfCheck.class),
             @SubCommand(name = "check-config", impl = CheckConfig.class),
             @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
@@ -99,7 +100,7 @@
 
     /** Routes requests until the process is asked to end. */
     @Usage.Text("routes requests on sockets, as the JSON file that RELAY_CONFIG names says, until SIGTERM")
-    public static final class Serve extends Command {
+    public static class Serve extends Command {
         private static final long LONGEST_END = 10_000;
 
         @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; none: all as the platform has it")
@@ -117,8 +118,13 @@
             OperatorConfig operator = operator(operatorFile);
             Logging.choose(operator.log());
             Logger log = LoggerFactory.getLogger(Serve.class);
-            NodeServer server = new NodeServer(config(file), operator);
-            server.start();
+            NodeConfig config = config(file);
+            NodeServer server = new NodeServer(config, operator);
+            if (operator.processor().isPresent()) {
+                ProcessorFront.check(operator.processor().get(), config.words());
+                server.attach(new ProcessorFront(operator.processor().get(), config.words()));
+            }
+            server.start(clientsWanted());
             Thread reloading = new Thread(() -> reload(server, file, operatorFile, reload), "reload");
             reloading.setDaemon(true);
             reloading.start();
@@ -132,6 +138,10 @@
             System.exit(0);
         }
 
+        boolean clientsWanted() {
+            return true;
+        }
+
         /** Reads the file once for all the signals that have come by then, and hands over what it found. */
         private static void reload(NodeServer server, String file, String operatorFile, Semaphore asked) {
             try {
@@ -156,6 +166,15 @@
         }
     }
 
+    /** Decides for proxies alone. */
+    @Usage.Text("decides for proxies that call, as 'processor' in the operator's file says; clients are not listened to")
+    public static final class Processor extends Serve {
+        @Override
+        boolean clientsWanted() {
+            return false;
+        }
+    }
+
     /** Decides for the simulator. */
     @Usage.Text("decides for the simulator: events on standard input, actions on standard output")
     public static final class Replay extends Command {
--- a/src/main/java/pumicemoor/cli/Usage.java
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -18,6 +18,7 @@
     static final String OF_ALL = """
             usage: java -jar pumicemoor.jar COMMAND
               serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
+              processor      decide for proxies that call, and listen to no clients
               drill          decide for the simulator: events on standard input, actions on standard output
               status         ask a running router for its state and counters: status HOST:PORT
               self-check     start a router on loopback, have it serve one request, end it
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Promise;
 import io.netty.util.concurrent.PromiseCombiner;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -26,11 +27,15 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.Logic;
 import pumicemoor.node.BoundedLog;
+import pumicemoor.node.CallFront;
+import pumicemoor.node.CallLoop;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
@@ -45,7 +50,7 @@
  * carries out its effects. It owns the listening socket, the clock and the loop's one timer, and must never
  * decide anything about a request.
  */
-public final class NodeServer implements Loop {
+public final class NodeServer implements Loop, CallLoop {
 
     private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
 
@@ -66,6 +71,7 @@
     private final Queue<Input> inbox = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private Optional<CallFront> front = Optional.empty();
     private Channel listener;
     private long lastClient;
     private boolean working;
@@ -87,8 +93,18 @@
         this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, this);
     }
 
+    /** Has proxies call through this front too; before the start. */
+    public void attach(CallFront calls) {
+        front = Optional.of(calls);
+    }
+
     /** Listens and follows the coordinator; returns when both have begun. */
-    public void start() throws InterruptedException {
+    public void start() throws InterruptedException, IOException {
+        start(true);
+    }
+
+    /** The same, without clients where none are wanted. */
+    public void start(boolean clientsWanted) throws InterruptedException, IOException {
         long began = System.nanoTime();
         long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime());
         LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
@@ -100,6 +116,12 @@
             loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
             coordinator.follow(config.coordinator());
         }).sync();
+        if (front.isPresent()) {
+            front.get().start(this);
+        }
+        if (!clientsWanted) {
+            return;
+        }
         int colon = config.listen().lastIndexOf(':');
         listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
@@ -177,7 +199,25 @@
     /** What can be seen of the parts that the operator has switched on, by name; only on the loop's thread or after its end. */
     @Override
     public Map<String, String> state() {
-        return reducer.state();
+        Map<String, String> state = new LinkedHashMap<>(reducer.state());
+        front.ifPresent(f -> state.putAll(f.state()));
+        return state;
+    }
+
+    @Override
+    public boolean execute(Runnable what) {
+        try {
+            loop.execute(what);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public Runnable later(long micros, Runnable what) {
+        Future<?> due = loop.schedule(what, micros, TimeUnit.MICROSECONDS);
+        return () -> due.cancel(false);
     }
 
     /** Unix time in microseconds. */
@@ -258,6 +298,13 @@
             lines.ask(ask);
         } else if (effect instanceof Effect.Quit quit) {
             lines.quit(quit);
+        } else if (effect instanceof Effect.Name name) {
+            front.ifPresent(f -> f.named(name));
+        } else if (effect instanceof Effect.Answer answer && answer.connection() < 0) {
+            answer.body().release();
+            front.ifPresent(f -> f.answered(answer.connection(), answer.code(), answer.pushbackMillis()));
+        } else if (effect instanceof Effect.Operate operate) {
+            front.ifPresent(f -> f.operate(operate.operator()));
         } else if (effect instanceof Effect.Answer answer) {
             ClientConnection client = clients.get(answer.connection());
             if (client == null) {
@@ -278,6 +325,7 @@
         } else if (effect instanceof Effect.Drain) {
             draining = true;
             clients.values().forEach(ClientConnection::drain);
+            front.ifPresent(CallFront::drain);
         } else if (effect instanceof Effect.Follow follow) {
             coordinator.follow(follow.coordinator());
         } else if (effect instanceof Effect.Exit) {
@@ -286,7 +334,10 @@
     }
 
     private void end() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
+        front.ifPresent(CallFront::close);
         coordinator.close();
         lines.closeAll();
         // answers still on their way to a slow client are given the time that they take
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -1,6 +1,7 @@
 package pumicemoor.node;
 
 import java.util.List;
+import pumicemoor.operator.OperatorConfig;
 
 /**
  * Everything that the reducer may ask of the network. An effect is an order, complete in itself; it must
@@ -22,6 +23,19 @@
             boolean onlyIfHeld, boolean passParent, boolean renew, String tag, boolean cacheable, List<String> way, Bytes body) implements Effect {
     }
 
+    /**
+     * Name this attempt to the proxy that called under this number: the member and how it is to be asked. Source
+     * null names none; within 0 leaves the class's bound. The key is told with the attempt's end.
+     */
+    record Name(long call, long key, int attempt, String instance, String address, long limitMillis, String source,
+            List<String> way, int keepRank, long withinMillis, boolean join, boolean onlyIfHeld, boolean renew)
+            implements Effect {
+    }
+
+    /** The operator's file was read anew and is taken over. */
+    record Operate(OperatorConfig operator) implements Effect {
+    }
+
     /** Give an attempt up: take it back where it was not written whole, else tell the cache if that is told. */
     record Quit(long attempt, boolean tellCache) implements Effect {
     }
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -15,6 +15,14 @@
             int group, String tag, long ttlMillis, boolean repeat, Bytes body) implements Input {
     }
 
+    /**
+     * A request that another proxy has and that it will send itself: its attempts are named, not sent. The number
+     * is under 0 and stands for its connection; the id is unique among callers.
+     */
+    record Call(long number, String id, String requestClass, String object, int part, int group, long ttlMillis,
+            boolean repeat) implements Input {
+    }
+
     /** The client no longer waits for this stream. */
     record Withdrawn(long connection, int stream) implements Input {
     }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -123,6 +123,7 @@
         Stream stream;
         long deadline;
         boolean over;
+        boolean named;  // its attempts are named to another proxy, which sends them
         int sent, requestClass;
         final Map<Integer, Attempt> out = new LinkedHashMap<>();
     }
@@ -165,7 +166,10 @@
         now = Math.max(now, time);
         out = effects;
         if (input instanceof Input.Request r) {
-            arrived(r);
+            arrived(r, false);
+        } else if (input instanceof Input.Call c) {
+            arrived(new Input.Request(c.number(), 0, c.id(), c.requestClass(), c.object(), c.part(), c.group(), null,
+                    c.ttlMillis(), c.repeat(), Bytes.NONE), true);
         } else if (input instanceof Input.Answered a) {
             answered(a);
         } else if (input instanceof Input.Written w) {
@@ -215,12 +219,13 @@
 
     // ---- requests -------------------------------------------------------------------------------------
 
-    private void arrived(Input.Request asked) {
+    private void arrived(Input.Request asked, boolean named) {
         counters.add(Name.REQUESTS);
         Stream stream = new Stream(asked.connection(), asked.stream());
         Request request = new Request();
         request.asked = asked;
         request.stream = stream;
+        request.named = named;
         request.id = Long.toString(++numbers);
         request.deadline = now + Math.max(0, asked.ttlMillis()) * MILLI;
         unanswered.put(stream, request);
@@ -231,7 +236,9 @@
             complaints.warn(now, requestClass < 0 ? "a request was failed: unknown class '" + asked.requestClass()
                     + "'" : "a request was failed: its id is that of an open request for another object");
             answer(request, Code.FAILED, false, 0, Bytes.NONE);
-            out.accept(new Effect.Misused(asked.connection()));
+            if (!named) {
+                out.accept(new Effect.Misused(asked.connection()));
+            }
         } else if (unanswered.size() > limits.openRequests()) {
             counters.add(Name.TURNED_AWAY);
             answer(request, Code.REFUSED, false, limits.pushback(), Bytes.NONE);
@@ -341,19 +348,29 @@
         }
         counters.add(Name.ATTEMPTS);
         timer(until, Kind.ATTEMPT, attempt.key);
-        timer(now + limits.unwritten(), Kind.UNWRITTEN, attempt.key);
         Input.Request asked = request.asked;
+        List<String> way = f.way().stream().map(endpoints::get).filter(Objects::nonNull).map(Endpoint::instance).toList();
+        String sourceName = f.source() == f.member() ? null : source.instance();
+        long within = f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0;
+        if (request.named) {
+            attempt.written = true;  // once it is named, it may run
+            out.accept(new Effect.Name(request.stream.connection(), attempt.key, attempt.number, target.instance(),
+                    target.address(), Math.max(1, (until - now) / MILLI), sourceName, way, f.keepRank(), within, f.join(),
+                    f.onlyIfHeld(), f.renew()));
+            return;
+        }
+        timer(now + limits.unwritten(), Kind.UNWRITTEN, attempt.key);
         out.accept(new Effect.Ask(attempt.key, target.instance(), target.address(), asked.call(),
                 asked.requestClass(), asked.object(), asked.part(), Math.max(1, (until - now) / MILLI),
-                f.source() == f.member() ? null : source.instance(), f.keepRank(),
-                f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0, f.join(), f.onlyIfHeld(), f.passParent(),
-                f.renew(), asked.tag(), !settings.classes().get(request.requestClass).uncacheable(),
-                f.way().stream().map(endpoints::get).filter(Objects::nonNull).map(Endpoint::instance).toList(),
-                asked.body().retain()));
+                sourceName, f.keepRank(), within, f.join(), f.onlyIfHeld(), f.passParent(), f.renew(), asked.tag(),
+                !settings.classes().get(request.requestClass).uncacheable(), way, asked.body().retain()));
     }
 
     private void quit(Attempt attempt) {
         counters.add(Name.QUITS);
+        if (attempt.request.named) {
+            return;  // whoever sends it is told of the next attempt, or of the end
+        }
         out.accept(new Effect.Quit(attempt.key, settings.limits().cancel()));
     }
 
@@ -540,6 +557,18 @@
     /** Takes over a new shape; anything else that is new in the operator's file can't be followed while running. */
     private String operateAnew(OperatorConfig next) {
         if (next.equals(operator)) {
+            if (next.processor().isPresent()) {
+                out.accept(new Effect.Operate(next));  // the certificates that it names may be new all the same
+            }
+            return null;
+        }
+        if (next.processor().isPresent() != operator.processor().isPresent()
+                || next.processor().isPresent() && !next.processor().get().follows(operator.processor().get())) {
+            return "the section 'processor' can't come or go, and its listen and tls can't change, while running";
+        }
+        if (next.hierarchy().isEmpty() && operator.hierarchy().isEmpty()) {
+            operator = next;
+            out.accept(new Effect.Operate(next));
             return null;
         }
         if (next.hierarchy().isEmpty() || operator.hierarchy().isEmpty()) {
@@ -558,6 +587,7 @@
             }
         }
         operator = next;
+        out.accept(new Effect.Operate(next));
         return null;
     }
 
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -18,6 +18,7 @@
 import java.nio.file.Path;
 import java.time.DateTimeException;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import pumicemoor.calls.CallRules;
+import pumicemoor.calls.FairAdmission;
 import pumicemoor.hierarchy.Hierarchy.News;
 import pumicemoor.hierarchy.Shape;
 import pumicemoor.hierarchy.Shape.Kind;
@@ -57,7 +60,23 @@
             .build();
 
     // the form of the file, with its own names and units; absent keys are null
-    private record Root(LogForm log, HierarchyForm hierarchy) {
+    private record Root(LogForm log, HierarchyForm hierarchy, ProcessorForm processor) {
+    }
+
+    private record ProcessorForm(String listen, @JsonProperty("plain-anywhere") Boolean plainAnywhere, TlsForm tls,
+            @JsonProperty("message-timeout-ms") Integer messageTimeout,
+            @JsonProperty("retry-wait-ms") Integer retryWait, @JsonProperty("header-bytes") Integer headerBytes,
+            @JsonProperty("calls-per-connection") Integer callsPerConnection,
+            @JsonProperty("open-calls") Integer openCalls, @JsonProperty("open-calls-per-caller") Integer openPerCaller,
+            @JsonProperty("calls-per-second") Integer rate, @JsonProperty("fair-shares") Boolean fair,
+            @JsonProperty("no-rule") String noRule, List<RuleForm> rules) {
+    }
+
+    private record TlsForm(String certificate, String key, String callers) {
+    }
+
+    private record RuleForm(String method, String path, Map<String, String> headers,
+            @JsonProperty("class") String requestClass, @JsonProperty("group-header") String groupHeader) {
     }
 
     private record LogForm(String format) {
@@ -152,7 +171,64 @@
             throw wrong("log.format", "'" + format + "' is neither text nor json");
         }
         return new OperatorConfig(format.equals("json") ? LogFormat.JSON : LogFormat.TEXT,
-                root.hierarchy() == null ? Optional.empty() : Optional.of(hierarchy(root.hierarchy())));
+                root.hierarchy() == null ? Optional.empty() : Optional.of(hierarchy(root.hierarchy())),
+                root.processor() == null ? Optional.empty() : Optional.of(processor(root.processor())));
+    }
+
+    private ProcessorSection processor(ProcessorForm form) throws OperatorException {
+        String listen = form.listen() == null ? "" : form.listen();
+        if (!listen.matches("[^:\\s]+:\\d{1,5}")) {
+            throw wrong("processor.listen", "'" + listen + "' is no address such as 127.0.0.1:9443");
+        }
+        if (form.tls() == null && !Boolean.TRUE.equals(form.plainAnywhere())
+                && !listen.matches("127\\.\\d+\\.\\d+\\.\\d+:.*|localhost:.*")) {
+            throw wrong("processor.listen", "without tls only on loopback, unless plain-anywhere is true");
+        }
+        Optional<ProcessorSection.Tls> tls = Optional.empty();
+        if (form.tls() != null) {
+            if (form.tls().certificate() == null || form.tls().key() == null) {
+                throw wrong("processor.tls", "certificate and key are needed");
+            }
+            tls = Optional.of(new ProcessorSection.Tls(form.tls().certificate(), form.tls().key(), form.tls().callers()));
+        }
+        String noRule = form.noRule() == null ? "refuse" : form.noRule();
+        if (!Set.of("pass", "refuse").contains(noRule)) {
+            throw wrong("processor.no-rule", "'" + noRule + "' is neither pass nor refuse");
+        }
+        if (form.rules() == null || form.rules().isEmpty() || form.rules().size() > CallRules.MOST_RULES) {
+            throw wrong("processor.rules", "between 1 and " + CallRules.MOST_RULES + " rules are needed");
+        }
+        List<ProcessorSection.RuleText> rules = new ArrayList<>();
+        for (RuleForm rule : form.rules()) {
+            if (rule.path() == null || rule.requestClass() == null) {
+                throw wrong("processor.rules", "a rule has a path and a class");
+            }
+            try {
+                CallRules.Rule.pattern(rule.path());
+            } catch (IllegalArgumentException e) {
+                throw wrong("processor.rules", "the path '" + rule.path() + "': " + e.getMessage());
+            }
+            rules.add(new ProcessorSection.RuleText(rule.method(), rule.path(),
+                    rule.headers() == null ? Map.of() : Map.copyOf(rule.headers()), rule.requestClass(),
+                    rule.groupHeader()));
+        }
+        int open = count(form.openCalls(), 10_000, "processor.open-calls");
+        return new ProcessorSection(listen, tls, MILLI * time(form.messageTimeout(), 200, 20, "processor.message-timeout-ms"),
+                MILLI * time(form.retryWait(), 0, 0, "processor.retry-wait-ms"),
+                count(form.headerBytes(), 16_384, "processor.header-bytes"),
+                count(form.callsPerConnection(), 1_000, "processor.calls-per-connection"),
+                new FairAdmission.Limits(open, form.openPerCaller() == null ? open
+                        : count(form.openPerCaller(), open, "processor.open-calls-per-caller"),
+                        count(form.rate(), 5_000, "processor.calls-per-second"), !Boolean.FALSE.equals(form.fair())),
+                noRule.equals("pass") ? CallRules.NoRule.PASS : CallRules.NoRule.REFUSE, List.copyOf(rules));
+    }
+
+    private int count(Integer value, int absent, String key) throws OperatorException {
+        int count = value == null ? absent : value;
+        if (count < 1 || count > 1_000_000) {
+            throw wrong(key, count + " is out of range: 1 to 1000000");
+        }
+        return count;
     }
 
     private HierarchySection hierarchy(HierarchyForm form) throws OperatorException {
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -13,15 +13,16 @@
 /** Holds the arrows between the floors of docs/architecture.md. */
 class ArchitectureTest {
 
-    private static final String[] DECIDING = {"pumicemoor", "pumicemoor.hierarchy.."};
-    private static final String[] LOWER = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.node.."};
+    private static final String[] DECIDING = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls.."};
+    private static final String[] LOWER = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..", "pumicemoor.node.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("pumicemoor");
 
     @Test
     void decisionsUseNothingButTheJdkAndWhatTheyDecide() {
         classes().that().resideInAnyPackage(DECIDING).should().onlyDependOnClassesThat()
-                .resideInAnyPackage("java..", "pumicemoor", "pumicemoor.hierarchy..").check(ALL);
+                .resideInAnyPackage("java..", "pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..",
+                        "com.google.re2j..").check(ALL);
         classes().that().resideInAPackage("pumicemoor").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("java..", "pumicemoor").check(ALL);
     }
@@ -39,7 +40,7 @@
     @Test
     void noArrowUpAndNoCircle() {
         noClasses().that().resideInAnyPackage("pumicemoor.wire..", "pumicemoor.operator..", "pumicemoor.node..")
-                .should().dependOnClassesThat().resideInAnyPackage("pumicemoor.net..", "pumicemoor.cli..",
+                .should().dependOnClassesThat().resideInAnyPackage("pumicemoor.net..", "pumicemoor.extproc..", "pumicemoor.cli..",
                         "pumicemoor.lab..").check(ALL);
         noClasses().that().resideOutsideOfPackages("pumicemoor.lab..", "pumicemoor.cli..")
                 .should().dependOnClassesThat().resideInAnyPackage("pumicemoor.lab..", "pumicemoor.cli..").check(ALL);
