--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -8,7 +8,6 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import pumicemoor.lab.LabRun;
-import pumicemoor.lab.Report;
 import pumicemoor.operator.OperatorException;
 import pumicemoor.wire.WireException;
 
@@ -44,9 +43,9 @@
 
         @Override
         void run() throws IOException, InterruptedException {
-            Report report = LabRun.play(Path.of(file), by, Path.of(folder), System.out);
+            String table = LabRun.table(Path.of(file), by, Path.of(folder), System.out);
             System.out.println();
-            System.out.print(report.markdown());
+            System.out.print(table);
         }
     }
 }
--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -122,7 +122,9 @@
             NodeServer server = new NodeServer(config, operator);
             if (operator.processor().isPresent()) {
                 ProcessorFront.check(operator.processor().get(), config.words());
-                server.attach(new ProcessorFront(operator.processor().get(), config.words()));
+                ProcessorFront front = new ProcessorFront(operator.processor().get(), config.words());
+                front.rehearse();
+                server.attach(front);
             }
             server.start(clientsWanted());
             Thread reloading = new Thread(() -> reload(server, file, operatorFile, reload), "reload");
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -150,8 +150,23 @@
         }
     }
 
+    /** Makes calls to itself first, so that its first callers find it quick; before the start. */
+    public void rehearse() throws IOException, InterruptedException {
+        long began = System.nanoTime();
+        int calls = FrontRehearsal.run(section, words);
+        LOG.info("{} calls of other proxies were rehearsed in {} ms", calls,
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
+    }
+
     @Override
     public void start(CallLoop on) throws IOException {
+        open(on);
+        LOG.info("calls of other proxies are taken on {}{}; no call is known from before", section.listen(),
+                tls == null ? " in plain text" : "");
+    }
+
+    /** Listens; what is heard goes to this loop. */
+    void open(CallLoop on) throws IOException {
         loop = on;
         int colon = section.listen().lastIndexOf(':');
         InetSocketAddress address = new InetSocketAddress(section.listen().substring(0, colon),
@@ -164,8 +179,6 @@
                 .maxConcurrentCallsPerConnection(section.callsPerConnection())
                 .addService(new ExtProcService(this)).addService(new DecisionsService(this))
                 .intercept(new NameCaller()).build().start();
-        LOG.info("calls of other proxies are taken on {}{}; no call is known from before", section.listen(),
-                tls == null ? " in plain text" : "");
     }
 
     /** Where it listens. */
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -21,10 +21,13 @@
     private final String name;
     private final Path folder;
     private final int port;
+    private final Integer cpu;
     private Process process;
 
-    RouterProcess(String name, Path folder) throws IOException {
+    /** The cpu is that core alone, where the system has taskset; null for any. */
+    RouterProcess(String name, Path folder, Integer cpu) throws IOException {
         this.name = name;
+        this.cpu = cpu;
         this.folder = folder;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             this.port = free.getLocalPort();
@@ -41,12 +44,17 @@
 
     /** Starts it and returns at once. */
     void start(String config, String operator) throws IOException {
+        start("serve", config, operator);
+    }
+
+    void start(String verb, String config, String operator) throws IOException {
         Path file = Files.writeString(folder.resolve(name + "-config.json"), config);
         Files.writeString(operatorFile(), operator);
-        List<String> command = new ArrayList<>(List.of(
+        List<String> command = new ArrayList<>(cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString()));
+        command.addAll(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xmx96m", "-cp", System.getProperty("java.class.path"),
-                "pumicemoor.cli.Main", "serve", "--operator", operatorFile().toString()));
+                "pumicemoor.cli.Main", verb, "--operator", operatorFile().toString()));
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
                 .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
@@ -83,6 +91,16 @@
         new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
     }
 
+    /** What it holds of the machine's memory, as the system counts it; 0 where that is not told. */
+    long residentMiB() {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                    .filter(l -> l.startsWith("VmRSS:")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum() / 1_024;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     void terminate() throws InterruptedException {
         process.destroy();
         if (!process.waitFor(10, TimeUnit.SECONDS)) {
--- a/src/main/java/pumicemoor/lab/Scenario.java
+++ b/src/main/java/pumicemoor/lab/Scenario.java
@@ -19,7 +19,7 @@
 record Scenario(String name, long seed, double seconds, double rate, int objects, int routers, int caches,
         @JsonProperty("cache-holds") int cacheHolds, @JsonProperty("fill-ms") int fillMillis,
         @JsonProperty("deadline-ms") int deadlineMillis, Change change, Map<String, Map<String, Double>> hubs,
-        Map<String, Double> depot, List<Happening> happenings) {
+        Map<String, Double> depot, List<Happening> happenings, Proxies proxies, Integer cpu) {
 
     /** How changes of the hierarchy reach the routers. */
     enum Way {
@@ -32,6 +32,23 @@
             @JsonProperty("jitter-ms") int jitter) {
     }
 
+    /**
+     * Proxies that call the program, in place of clients: how many, which share of the requests has an effect, their
+     * message time-out, the seconds at which the program is killed, asked to end, or has its file read again.
+     */
+    record Proxies(int count, @JsonProperty("effect-share") double effectShare,
+            @JsonProperty("message-timeout-ms") int messageTimeout, @JsonProperty("cache-ms") int cacheMillis,
+            @JsonProperty("kill-at") List<Double> killAt, @JsonProperty("end-at") List<Double> endAt,
+            @JsonProperty("reload-at") List<Double> reloadAt) {
+        Proxies {
+            count = Math.max(1, count);
+            messageTimeout = messageTimeout <= 0 ? 200 : messageTimeout;
+            killAt = killAt == null ? List.of() : killAt;
+            endAt = endAt == null ? List.of() : endAt;
+            reloadAt = reloadAt == null ? List.of() : reloadAt;
+        }
+    }
+
     /** One thing that happens: a new hierarchy, a hub that restarts cold, or a fault of a member for a while. */
     record Happening(double at, Map<String, Map<String, Double>> hubs, Map<String, Double> depot, String restart,
             String drain, String purge, Fault fault, @JsonProperty("kill-router") Integer killRouter) {
@@ -63,7 +80,7 @@
             Change c = new Change(Way.valueOf(by.toUpperCase(Locale.ROOT)), change.lead(), change.move(), change.gap(),
                     change.cold(), change.jitter());
             return new Scenario(name + ", by " + by, seed, seconds, rate, objects, routers, caches, cacheHolds, fillMillis,
-                    deadlineMillis, c, hubs, depot, happenings);
+                    deadlineMillis, c, hubs, depot, happenings, proxies, cpu);
         } catch (IllegalArgumentException e) {
             throw new IOException("'" + by + "' is none of feed, file and restart", e);
         }
