--- a/src/main/java/pumicemoor/lab/ProxyStandIn.java
+++ b/src/main/java/pumicemoor/lab/ProxyStandIn.java
@@ -31,8 +31,8 @@
     /** How a call ended for the proxy's own client. */
     public enum End { SERVED, REFUSED, FAILED, NOT_ANSWERED, BROKEN }
 
-    /** One call: its id, how it ended and after how long (microseconds) it was answered. */
-    public record Done(String id, End end, long micros) {
+    /** One call: its id, when it began (System.nanoTime), how it ended and after how long (microseconds). */
+    public record Done(String id, long began, End end, long micros) {
     }
 
     /** What a cache is asked for: by name, object and id; true where it served. */
@@ -209,7 +209,7 @@
             }
             over = true;
             synchronized (ProxyStandIn.this) {
-                Done d = new Done(id, end, (System.nanoTime() - began) / 1_000);
+                Done d = new Done(id, began, end, (System.nanoTime() - began) / 1_000);
                 done.add(d);
                 if (end == End.BROKEN || end == End.NOT_ANSWERED) {
                     unanswered.add(d);
