--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -384,7 +384,7 @@
                 .filter(n -> n.lateShare <= LATE_BORNE / 2 && !full(n, 1, job)).findFirst().orElse(home);
     }
 
-    /** The parents of a cache in the order of the object: all listed, or those given, as its move has come. */
+    /** A cache's parents in the order of the object: all listed, or those given, by how far it has moved. */
     private List<Node> parents(Node child, String object) {
         SourceList list = list(child);
         if (list == null) {
@@ -412,9 +412,11 @@
 
     /** Whether an object has moved to its new home; it does once, at its own place in the rising share. */
     private boolean moved(SourceList list, Node home, String object) {
-        Source s = list.now().stream().filter(n -> n.member() == home.member.id()).findFirst().orElseThrow();
+        long id = home.member.id();
+        Source s = list.now().stream().filter(n -> n.member() == id).findFirst().orElseThrow();
         double place = (mix(~hash(object)) >>> 11) * 0x1.0p-53;
-        double passed = s.fullAt() <= s.opensAt() ? 1 : (now - s.opensAt()) / (double) (s.fullAt() - s.opensAt());
+        double span = s.fullAt() - s.opensAt();
+        double passed = span <= 0 ? 1 : (now - s.opensAt()) / span;
         return (list.back() ? 1 - place : place) < s.share() + (1 - s.share()) * Math.max(0, passed);
     }
 
@@ -426,8 +428,10 @@
         List<Node> old = moving == null ? List.of() : ranked(moving.earlier(), job.request.object());
         for (Node at = source; at != null && given.containsKey(at.member.id()) && way.size() < LONGEST_WAY;) {
             Node home = at != source || old.isEmpty() ? null : old.get(0);
-            at = home != null && given.get(at.member.id()).seeds().contains(home.member.id()) && usable.test(home)
-                    ? home : parents(at, job.request.object()).stream().filter(usable).findFirst().orElse(null);
+            boolean seeded = home != null && usable.test(home)
+                    && given.get(at.member.id()).seeds().contains(home.member.id());
+            at = seeded ? home
+                    : parents(at, job.request.object()).stream().filter(usable).findFirst().orElse(null);
             if (at != null && at.member.role() != Role.ORIGIN) {
                 way.add(at);
             }
@@ -435,7 +439,7 @@
         return way;
     }
 
-    /** Whether a fill may wait for this one's: where sources are given, only in the object's order, never round. */
+    /** Whether a fill may wait for this one's: where sources are given, only in the object's order. */
     private boolean mayWait(Job job, Node edge, Holder h) {
         List<Node> order = given.isEmpty() || h.since >= 0 ? List.of() : ranked(caches, job.key, Map.of());
         return order.indexOf(h.node) <= order.indexOf(edge);
--- a/src/main/java/pumicemoor/cli/HierarchyCommand.java
+++ b/src/main/java/pumicemoor/cli/HierarchyCommand.java
@@ -1,6 +1,5 @@
 package pumicemoor.cli;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import org.kohsuke.args4j.Argument;
@@ -15,20 +14,15 @@
 
 /** Says of a hierarchy what a router would, before any router is told; it must never reach a router. */
 @Usage.Text("checks a hierarchy, or shows the steps from one to another: hierarchy check FILE, hierarchy plan OLD NEW")
-public final class HierarchyCommand extends Command {
+public final class HierarchyCommand extends NestedCommand {
 
     @Argument(handler = SubCommandHandler.class, metaVar = "check|plan", required = true)
     @SubCommands({@SubCommand(name = "check", impl = Check.class), @SubCommand(name = "plan", impl = Plan.class)})
     private Command command;
 
     @Override
-    Command innermost() {
-        return command == null ? this : command.innermost();
-    }
-
-    @Override
-    void run() throws IOException, WireException, OperatorException, InterruptedException {
-        command.run();
+    Command inner() {
+        return command;
     }
 
     /** Validates the hierarchy of an operator's file. */
--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -8,25 +8,18 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import pumicemoor.lab.LabRun;
-import pumicemoor.operator.OperatorException;
-import pumicemoor.wire.WireException;
 
 /** The way into the lab; it must never be needed by serving. */
 @Usage.Text("plays scenarios with stand-ins on loopback against the real program: lab run FILE")
-public final class LabCommand extends Command {
+public final class LabCommand extends NestedCommand {
 
     @Argument(handler = SubCommandHandler.class, metaVar = "run", required = true)
     @SubCommands(@SubCommand(name = "run", impl = Run.class))
     private Command command;
 
     @Override
-    Command innermost() {
-        return command == null ? this : command.innermost();
-    }
-
-    @Override
-    void run() throws IOException, WireException, OperatorException, InterruptedException {
-        command.run();
+    Command inner() {
+        return command;
     }
 
     /** Plays one scenario. */
--- a/src/main/java/pumicemoor/extproc/DecisionsService.java
+++ b/src/main/java/pumicemoor/extproc/DecisionsService.java
@@ -1,6 +1,5 @@
 package pumicemoor.extproc;
 
-import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import pumicemoor.calls.CallRules;
@@ -77,12 +76,12 @@
         private final ServerCallStreamObserver<ToCaller> out;
 
         ReporterStream(String caller, ServerCallStreamObserver<ToCaller> out) {
-            super(caller, Style.REPORTER);
+            super(caller, Style.REPORTER, out);
             this.out = out;
         }
 
         private void send(ToCaller.Builder message) {
-            if (!out.isCancelled()) {
+            if (heardBy()) {
                 out.onNext(message.build());
             }
         }
@@ -105,26 +104,5 @@
         void goOn() {
             // this service has nothing to let go on
         }
-
-        @Override
-        void complete() {
-            if (!out.isCancelled()) {
-                out.onCompleted();
-            }
-        }
-
-        @Override
-        void abort(Status status) {
-            if (!out.isCancelled()) {
-                out.onError(status.asRuntimeException());
-            }
-        }
-
-        @Override
-        void more() {
-            if (!ended) {
-                out.request(1);
-            }
-        }
     }
 }
--- a/src/main/java/pumicemoor/extproc/ExtProcService.java
+++ b/src/main/java/pumicemoor/extproc/ExtProcService.java
@@ -1,7 +1,6 @@
 package pumicemoor.extproc;
 
 import com.google.protobuf.ByteString;
-import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import java.util.Map;
@@ -68,12 +67,12 @@
         private final ServerCallStreamObserver<ProcessingResponse> out;
 
         ProxyStream(String caller, ServerCallStreamObserver<ProcessingResponse> out) {
-            super(caller, Style.PROXY);
+            super(caller, Style.PROXY, out);
             this.out = out;
         }
 
         private void send(ProcessingResponse.Builder response) {
-            if (!out.isCancelled()) {
+            if (heardBy()) {
                 out.onNext(response.build());
             }
         }
@@ -107,26 +106,5 @@
             }
             send(response);
         }
-
-        @Override
-        void complete() {
-            if (!out.isCancelled()) {
-                out.onCompleted();
-            }
-        }
-
-        @Override
-        void abort(Status status) {
-            if (!out.isCancelled()) {
-                out.onError(status.asRuntimeException());
-            }
-        }
-
-        @Override
-        void more() {
-            if (!ended) {
-                out.request(1);
-            }
-        }
     }
 }
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -112,9 +112,12 @@
         Object heard;  // the phase that GoOn answers
         final List<Runnable> timers = new ArrayList<>(2);  // to be taken back at its end
 
-        Stream(String caller, Style style) {
+        private final ServerCallStreamObserver<?> out;
+
+        Stream(String caller, Style style, ServerCallStreamObserver<?> out) {
             this.caller = caller;
             this.state = new CallState(style);
+            this.out = out;
         }
 
         abstract void tellName(Effect.Name attempt);
@@ -123,12 +126,29 @@
 
         abstract void goOn();
 
-        abstract void complete();
+        /** Whether anyone is there to be told. */
+        boolean heardBy() {
+            return !out.isCancelled();
+        }
 
-        abstract void abort(Status status);
+        void complete() {
+            if (heardBy()) {
+                out.onCompleted();
+            }
+        }
+
+        void abort(Status status) {
+            if (heardBy()) {
+                out.onError(status.asRuntimeException());
+            }
+        }
 
         /** Asks for the next message, once this one is done with. */
-        abstract void more();
+        void more() {
+            if (!ended) {
+                out.request(1);
+            }
+        }
     }
 
     public ProcessorFront(ProcessorSection section, Vocabulary words) throws IOException {
