Keep what is known of attempts held ready; mend two assertions that could not fail

Cause, on reading the change again: an attempt held ready that the decisions ended left its id open in the book for good, and one nobody fetched was noted as never run even where the attempt before it may have; a stream that took it over had no end of its own. Two assertions (FillOrderTest, HierarchyTest) were true whatever happened.

Change: Held carries whether the request may have run, both ways out of it end the id, a taken-over stream expires; the assertions say what they mean; an unused method is gone.

--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -93,7 +93,7 @@
     private boolean draining;
 
     /** An attempt that the decisions hold ready until the caller tries again by itself. */
-    private record Held(long number, Effect.Name name, String bookId, long until) {
+    private record Held(long number, Effect.Name name, String bookId, boolean mayHaveRun) {
     }
 
     /** One stream of a caller, whichever service it came by. */
@@ -318,6 +318,7 @@
             stream.bookId = ready.bookId();
             stream.name = ready.name();
             streams.put(stream.number, stream);
+            stream.timers.add(loop.later(type.deadline() + STREAM_GRACE, () -> expire(stream)));
             act(stream, stream.state.adopt(ready.name().attempt()));
             return;
         }
@@ -461,14 +462,12 @@
     private void holdReady(Stream stream, Effect.Name name) {
         stream.state.detach();
         streams.remove(name.call());
-        Held ready = new Held(name.call(), name, stream.bookId, loop.clock() + section.retryWait());
+        Held ready = new Held(name.call(), name, stream.bookId, stream.state.mayHaveRun());
         stream.bookId = null;
         held.put(stream.id, ready);
         loop.later(section.retryWait(), () -> {
             if (held.remove(stream.id, ready)) {
-                if (ready.bookId() != null) {
-                    book.ended(loop.clock(), ready.bookId(), false);
-                }
+                letGo(ready);
                 loop.submit(new Input.Withdrawn(ready.number(), 0));
             }
         });
@@ -481,7 +480,17 @@
             act(stream, stream.state.decided(CallState.Code.valueOf(code.name()), pushbackMillis * MILLI));
             return;
         }
-        held.values().removeIf(h -> h.number() == call);
+        held.values().stream().filter(h -> h.number() == call).findFirst().ifPresent(h -> {
+            held.values().remove(h);
+            letGo(h);
+        });
+    }
+
+    /** An attempt held ready that nobody came for: what is known of its request is kept. */
+    private void letGo(Held ready) {
+        if (ready.bookId() != null) {
+            book.ended(loop.clock(), ready.bookId(), ready.mayHaveRun());
+        }
     }
 
     @Override
--- a/src/main/java/pumicemoor/hierarchy/Hierarchy.java
+++ b/src/main/java/pumicemoor/hierarchy/Hierarchy.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -413,11 +412,6 @@
         return timeline;
     }
 
-    /** The names of all units that stand in the shape that is wanted. */
-    public Set<String> units() {
-        return new HashSet<>(wanted.keySet());
-    }
-
     /** The shape that is wanted, whether or not the timeline has got there. */
     public Map<String, Unit> wanted() {
         return Map.copyOf(wanted);
--- a/src/test/java/pumicemoor/SourcesTest.java
+++ b/src/test/java/pumicemoor/SourcesTest.java
@@ -158,7 +158,7 @@
         assertEquals(900, ask(r, 1).source());
     }
 
-    /** Found in the lab: two caches could each wait for the other's fill of one object. */
+    /** Else two caches could each wait for the other's fill of one object. */
     @Test
     void aFillWaitsForASiblingsOnlyInTheObjectsOrder() {
         RouterHarness r = given(Map.of(SourcesGiven.LOCATION, only(101)));
--- a/src/test/java/pumicemoor/extproc/ProcessorFrontTest.java
+++ b/src/test/java/pumicemoor/extproc/ProcessorFrontTest.java
@@ -253,6 +253,24 @@
         assertEquals(1, server.counters().get(pumicemoor.node.Counters.Name.SERVED));
     }
 
+    @Test
+    void whatIsHeldReadyAndNotFetchedIsLetGo() throws Exception {
+        end();
+        start(100);
+        Call first = new Call().request("POST", "/book/1", "b-1", 1);
+        told(first.next());
+        first.response("429");
+        assertEquals(ResponseCase.RESPONSE_HEADERS, first.next().getResponseCase());
+        first.out.onCompleted();
+        first.endCode();
+        while (state("held-ready") > 0) {
+            Thread.sleep(5);
+        }
+        Call later = new Call().request("POST", "/book/1", "b-1", 2);
+        assertEquals("0", told(later.next()).get("x-pumicemoor-attempt"), "it never ran, and is a new request now");
+        assertEquals(1, state("ids-kept"));
+    }
+
     @Test
     void badStreamsEndByThemselvesAndOthersGoOn() throws Exception {
         Call good = new Call().request("GET", "/video/aa/0", "r-1", 1);
--- a/src/test/java/pumicemoor/hierarchy/FillOrderTest.java
+++ b/src/test/java/pumicemoor/hierarchy/FillOrderTest.java
@@ -51,9 +51,8 @@
             order.add("u" + i, "u" + (i + 1));
         }
         long before = order.looked();
-        assertTrue(order.add("u0", "u1000") || true);
         assertTrue(order.add("u3", "u900"));
-        assertTrue(order.looked() - before <= 1_001);
+        assertEquals(before, order.looked(), "a comparison is enough");
         assertFalse(order.add("u900", "u3"));
     }
 }
--- a/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
+++ b/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
@@ -177,7 +177,7 @@
         Hierarchy h = at(News.FEED, "d:h1", "h1:o", "h2:o");
         h.take(T0, piece(1, T0, 0, "d:h2"));
         assertEquals(Set.of(id("h1")), now(home(h, T0 + SECOND)));
-        assertEquals(T0 + 3_500_001, h.nextDue() > T0 + 2 * SECOND ? h.nextDue() : T0 + 3_500_001);
+        assertEquals(T0 + 2 * SECOND, h.nextDue(), "it wants to be called when the piece acts");
         h.advance(T0 + 3 * SECOND);
         assertFalse(h.sources(HierarchyTest::id).lists().isEmpty(), "half a gap past the lead it still holds");
         h.advance(T0 + 4 * SECOND);
