Tell sibling notes to the routers of the own location once known, not the tier

Checked: Logic.tellPeers sends every note with TellPeer(-1), so each is delivered to all 91 to 150 routers, while peerNote keeps only notes on caches of the receiver's own location. Ruled out: the note's size (8 bytes and the key, far under 256). Lines at fault: tellPeers, the broadcast.

Change: a router remembers who has told it of a cache of its location (nearPeers, at most the tier's routers); while it knows fewer than its location's crew less one, it still tells all, after that only them.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -92,6 +92,7 @@
             .thenComparingLong(j -> j.number));
     private final Map<String, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
+    private final Set<Integer> nearPeers = new TreeSet<>();  // routers heard telling of caches of this location
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
@@ -792,8 +793,12 @@
             entry.notes = 0;
         }
         if (entry.notes++ < NOTES_A_MINUTE) {
-            ByteBuffer text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key);
-            out.accept(new TellPeer(-1, text.array()));
+            byte[] text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key).array();
+            if (nearPeers.size() < crew - 1) {  // a location's routers are found by what they tell
+                out.accept(new TellPeer(-1, text));
+            } else {  // only they can use it: each note to all routers costs as many as there are
+                nearPeers.forEach(peer -> out.accept(new TellPeer(peer, text)));
+            }
         }
     }
 
@@ -803,6 +808,7 @@
             Node node = nodes.get(text.getLong());
             String key = StandardCharsets.UTF_8.decode(text).toString();
             if (caches.contains(node)) {
+                nearPeers.add(e.from());
                 remember(table.computeIfAbsent(key, k -> new Entry()), node, now, now + HOLDING_LIFE);
             }
         }
