--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -70,7 +70,6 @@
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
-    private static final double UNTOLD_SPREAD = 3;  // an untold size may be so many times its class's mean
 
     // ---- state ----------------------------------------------------------------------------------------
     private final Settings settings;
@@ -477,7 +476,7 @@
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
         a.expectHit = a.look || holds(entry(job), job, target);
         a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
-                + (long) (job.type.aimStretch() * job.work * (job.request.sizeKb() > 0 ? 1 : UNTOLD_SPREAD));
+                + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         if (job.retry) {
             retryTokens--;
