Start a member of untold size at 48 attempts of a location, not 12

Checked: abay tells weights 'none', so each member starts at LIMIT_START, 12 attempts for all routers of a branch, against boxes of 4 to 10 cores; the limit only rises while it is pressed and all is on time, and falls by 0.8 when a fifth comes late. Ruled out: weighted sites (manos nominal, wadi rough) never read LIMIT_START, so their path is unchanged.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -52,7 +52,7 @@
     private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
     private static final double CREW_SPAN = 700 * MILLI;  // a fellow router; its load is ours over so long
     private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
-    private static final double LIMIT_START = 12;  // attempts a member may have of a location, a guess
+    private static final double LIMIT_START = 48;  // attempts a member of untold size may have of a location
     private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
     private static final double LIMIT_PARENT = 2;  // that guess for a parent, times, over all locations
     private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
