--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -120,7 +120,7 @@
         RequestClass type;
         String key;  // object and part
         double work, priority;  // time to send it at full pace, worth for that
-        long number, startBy, deadline, firstSent;  // startBy: after this it can't be on time
+        long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
         boolean mayHaveRun, closed, streaming;
         boolean missed, parentMissed;  // a look has found no copy here, at the parent
@@ -289,7 +289,7 @@
         Node edge = edge(job);
         if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
                 || job.quickFailures > QUICK_FAILURES + 1  // it fails wherever it is sent
-                || now >= job.deadline || job.mayHaveRun && !mayRepeat(job)) {
+                || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
         } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
             send(job, direct ? origin : edge, origin, direct
@@ -303,13 +303,6 @@
         }
     }
 
-    /** Whether the class lets a request that may have run be sent again: keyed ones within their window. */
-    private boolean mayRepeat(Job job) {
-        RequestClass type = job.type;
-        return type.effect() == Effect.SAFE || type.effect() == Effect.KEYED && type.group() == RepeatGroup.ALL
-                && now < job.firstSent + type.window();
-    }
-
     /** With no cache that has room, past the caches, where allowed, to a parent or the origin with room. */
     private void passBy(Job job) {
         Node source = settings.fills().direct() ? source(job, null) : null;
@@ -489,7 +482,6 @@
             retryTokens--;
             job.retry = false;
         }
-        job.firstSent = job.attempts == 1 ? now : job.firstSent;  // a repeat's window counts from here
         job.mayHaveRun = true;
         job.open.put(a.number, a);
         target.open++;
@@ -726,7 +718,7 @@
     /** Answers at once: refused where harmless, else failed; before that a copy within grace will do. */
     private void giveUp(Job job) {
         Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
-                && !mayRepeat(job) || job.attempts >= settings.limits().attempts()
+                && job.type.effect() != Effect.SAFE || job.attempts >= settings.limits().attempts()
                 || now >= job.deadline || job.closed ? null : edge(job);
         if (edge != null) {
             job.stale = true;
