--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -143,7 +143,7 @@
     private static final class Entry {
         final List<Holder> holders = new ArrayList<>();
         int seen;
-        long noteMinute, toldAt;
+        long noteMinute;
         int notes;
     }
 
@@ -620,9 +620,7 @@
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
             remember(entry(job), a.target, now, now + HOLDING_LIFE);
-            if (!hit || now - entry(job).toldAt >= HOLDING_LIFE / 2) {  // a hit tells only what is ageing
-                tellPeers(job, a.target);
-            }
+            tellPeers(job, a.target);
         }
     }
 
@@ -795,7 +793,6 @@
             entry.notes = 0;
         }
         if (entry.notes++ < NOTES_A_MINUTE) {
-            entry.toldAt = now;
             byte[] text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key).array();
             if (nearPeers.size() < crew - 1) {  // a location's routers are found by what they tell
                 out.accept(new TellPeer(-1, text));
