--- a/src/test/java/pumicemoor/RouterHarness.java
+++ b/src/test/java/pumicemoor/RouterHarness.java
@@ -54,6 +54,7 @@
     boolean probes;
     long fresh;
     int routersHere = 1;
+    int attempts = 8;
     Notes notes = Notes.ALL;
     Weights weights = Weights.NONE;
     long grace;
@@ -72,7 +73,7 @@
                 0, false,
                         true, false, 0, 0, 0));
         return new Settings(0, 2 * routersHere, HOME, List.of(routersHere, 0), List.of(HUB, HUB), classes,
-                new Limits(8, 1000, probes, peerNotes, cancel, secondCopies, retryAfter, 500 * MILLI,
+                new Limits(attempts, 1000, probes, peerNotes, cancel, secondCopies, retryAfter, 500 * MILLI,
                 400 * MILLI),
                 new Rules(8 * MILLI, 2 * SECOND, new ColdStart(0.2, 10 * SECOND, 2.5),
                         new ColdStart(0.1, 20 * SECOND, 2), SECOND, SECOND, 6 * SECOND, 10 * SECOND),
