--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -27,7 +27,6 @@
  */
 public final class Logic implements RouterApi {
 
-    // ---- tuned values ---------------------------------------------------------------------------------
     private static final long MILLI = 1_000;  // microseconds
     private static final long SECOND = 1_000_000;  // microseconds
     private static final long TICK = 20 * MILLI;  // sweep for overdue work; far below any aim
@@ -71,7 +70,6 @@
     private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
 
-    // ---- state ----------------------------------------------------------------------------------------
     private final Settings settings;
     private final boolean weighted;
     private final long tightestAim;
@@ -92,7 +90,7 @@
             .thenComparingLong(j -> j.number));
     private final Map<String, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
-    private final Set<Integer> nearPeers = new TreeSet<>();  // routers heard telling of caches of this location
+    private final Set<Integer> nearPeers = new TreeSet<>();  // routers that told of caches of this location
     private final double[] meanWork;
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
@@ -161,8 +159,6 @@
         this.meanWork = new double[settings.classes().size()];
     }
 
-    // ---- events ---------------------------------------------------------------------------------------
-
     @Override
     public void handle(long time, Event event, Consumer<Action> sink) {
         now = time;
@@ -277,8 +273,6 @@
         purgedGroups.values().removeIf(settled);
     }
 
-    // ---- the path of a request ------------------------------------------------------------------------
-
     /** Sends the next attempt, holds the request, or gives it up. Uncacheable classes run at the origin. */
     private void route(Job job) {
         waiting.remove(job);
@@ -522,8 +516,6 @@
         n.flowAt = now;
     }
 
-    // ---- outcomes -------------------------------------------------------------------------------------
-
     private void ended(AttemptEnded e) {
         Job job = jobs.get(e.id());
         Attempt a = job == null ? null : job.open.remove(e.attempt());
@@ -713,8 +705,6 @@
         }
     }
 
-    // ---- final answers --------------------------------------------------------------------------------
-
     /** Answers at once: refused where harmless, else failed; before that a copy within grace will do. */
     private void giveUp(Job job) {
         Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
@@ -754,8 +744,6 @@
         }
     }
 
-    // ---- the sibling table ----------------------------------------------------------------------------
-
     private Entry entry(Job job) {
         return table.computeIfAbsent(job.key, k -> new Entry());
     }
@@ -793,12 +781,10 @@
             entry.notes = 0;
         }
         if (entry.notes++ < NOTES_A_MINUTE) {
-            byte[] text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key).array();
-            if (nearPeers.size() < crew - 1) {  // a location's routers are found by what they tell
-                out.accept(new TellPeer(-1, text));
-            } else {  // only they can use it: each note to all routers costs as many as there are
-                nearPeers.forEach(peer -> out.accept(new TellPeer(peer, text)));
-            }
+            ByteBuffer text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key);
+            // only a location's routers, found by what they tell, use a note; one to a tier is paid by all
+            Stream<Integer> to = nearPeers.size() < crew - 1 ? Stream.of(-1) : nearPeers.stream();
+            to.forEach(peer -> out.accept(new TellPeer(peer, text.array())));
         }
     }
 
@@ -814,8 +800,6 @@
         }
     }
 
-    // ---- purges ---------------------------------------------------------------------------------------
-
     private long purgedAt(Job job) {
         return Math.max(purgedObjects.getOrDefault(job.request.object(), Long.MIN_VALUE),
                 purgedGroups.getOrDefault(job.request.group(), Long.MIN_VALUE));
@@ -829,8 +813,6 @@
         return fresh > 0 ? Math.min(fresh, since) : since;
     }
 
-    // ---- members --------------------------------------------------------------------------------------
-
     private boolean up(Node n) {
         return n.listed && now >= n.downUntil && (n.downFor == 0 || n.open == 0);
     }
