--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -96,8 +96,8 @@
     // ---- events ---------------------------------------------------------------------------------------
 
     /** What a router may see. */
-    sealed interface Event permits MembersListed, SourcesGiven, RequestArrived, AnswerStarted, AttemptEnded,
-            RequestGone, ProbeEnded, TimerDue, Purged, PeerNote {
+    sealed interface Event permits MembersListed, SourcesGiven, AllowancesGiven, VerdictsGiven, RequestArrived,
+            AnswerStarted, AttemptEnded, RequestGone, ProbeEnded, TimerDue, Purged, PeerNote {
     }
 
     /** How a list has come: as changes, whole, as last held before a start, or not at all. */
@@ -132,6 +132,34 @@
         public static final long LOCATION = 0;
     }
 
+    /** What an allowance counts: requests a second, those under way, or those under way while the member is cold. */
+    enum Measure {
+        PER_SECOND(false), IN_FLIGHT(true), COLD_IN_FLIGHT(true);
+
+        /** Whether parts of it are whole numbers. */
+        public final boolean whole;
+
+        Measure(boolean whole) {
+            this.whole = whole;
+        }
+    }
+
+    /** What this router may have of a member: so much until then, and so much afterwards where nothing else is told. */
+    record Allowance(long member, Measure measure, double share, long until, double after) {
+    }
+
+    /** All allowances that are in force, in place of those before; a member without one is not limited so. */
+    record AllowancesGiven(List<Allowance> allowances) implements Event {
+    }
+
+    /** A process of a member that all routers leave alone until then, on what some of them have seen of it. */
+    record MemberOut(long member, long started, long until) {
+    }
+
+    /** All that are out so, in place of those before. Where this is told, judgements of members are wanted. */
+    record VerdictsGiven(List<MemberOut> out) implements Event {
+    }
+
     /** A request; sizeKb 0 means not told, tenant and group as given. */
     record RequestArrived(String id, int requestClass, String object, int part, int group, double sizeKb,
             long timeLeft, boolean repeat) implements Event {
@@ -191,7 +219,7 @@
 
     /** What a router may ask for. */
     sealed interface Action permits Lookup, Fetch, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, TellPeer,
-            WatchList, AskList, Log {
+            WatchList, AskList, Wanted, Judged, Log {
     }
 
     /** An attempt that asks a member only for a fresh copy that it holds; the origin holds everything. */
@@ -250,6 +278,15 @@
     record AskList() implements Action {
     }
 
+    /** How much of an allowance was wanted lately, in its measure, and how much is in use. */
+    record Wanted(long member, Measure measure, double wanted, double inUse) implements Action {
+    }
+
+    /** This router has taken a member out until then, or found it good again; silent: it gave no sign of life. */
+    record Judged(long member, boolean failing, boolean silent, int strikes, double failShare, long until)
+            implements Action {
+    }
+
     /** A line for on-call staff. */
     record Log(String text) implements Action {
     }
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/Datagram.java
@@ -0,0 +1,5 @@
+package pumicemoor.fleet;
+
+/** A packet that is to be sent. */
+public record Datagram(String address, byte[] bytes) {
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -0,0 +1,618 @@
+package pumicemoor.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import pumicemoor.RouterApi.Allowance;
+import pumicemoor.RouterApi.AllowancesGiven;
+import pumicemoor.RouterApi.Event;
+import pumicemoor.RouterApi.Judged;
+import pumicemoor.RouterApi.MemberOut;
+import pumicemoor.RouterApi.Role;
+import pumicemoor.RouterApi.VerdictsGiven;
+import pumicemoor.RouterApi.Wanted;
+import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.FleetSetup.Scope;
+import pumicemoor.fleet.Packet.Ask;
+import pumicemoor.fleet.Packet.Body;
+import pumicemoor.fleet.Packet.Grant;
+import pumicemoor.fleet.Packet.News;
+import pumicemoor.fleet.Packet.Part;
+import pumicemoor.fleet.Packet.Want;
+import pumicemoor.fleet.limits.FleetLimit;
+import pumicemoor.fleet.limits.HeldLease;
+import pumicemoor.fleet.limits.LeaseBook;
+import pumicemoor.fleet.membership.Membership;
+import pumicemoor.fleet.membership.RouterNews;
+import pumicemoor.fleet.membership.Standing;
+import pumicemoor.fleet.verdicts.Accusation;
+import pumicemoor.fleet.verdicts.Accusation.Cause;
+import pumicemoor.fleet.verdicts.Bench;
+import pumicemoor.fleet.verdicts.Verdict;
+import pumicemoor.fleet.verdicts.VerdictTable;
+
+/**
+ * One router's part in its fleet: membership, leases and verdicts over the same packets. It owns the packets' numbers,
+ * what rides along with them, and who reports to whom: every router reports to the living one that the cluster's hash
+ * puts first. It takes time, packets, the list of members and what the decisions tell; packets, events for the
+ * decisions and lines for people are fetched from it.
+ */
+public final class Fleet {
+
+    private static final int ASKS_A_LEASE = 5;
+    private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
+
+    /** What is known of a listed member. */
+    public record Listed(String name, Role role, long started) {
+    }
+
+    private record Accused(Accusation accusation, long until) {
+    }
+
+    private final FleetSetup setup;
+    private final PacketCodec codec;
+    private final Membership membership;
+    private final Votes votes;
+    private final Rumours<RouterNews> routerNews = new Rumours<>();
+    private final Rumours<Long> verdictNews = new Rumours<>();  // the members meant; the verdict is told as it stands
+    private final Map<Long, HeldLease> leases = new TreeMap<>();
+    private final Map<Long, LeaseBook> books = new HashMap<>();
+    private final Map<Long, Want> wants = new HashMap<>();
+    private final VerdictTable verdicts = new VerdictTable();
+    private final Bench bench;
+    private final Map<Long, Accused> accused = new TreeMap<>();
+    private final Map<String, Long> dropped = new TreeMap<>();
+    private final List<Datagram> outbox = new ArrayList<>();
+    private final List<Event> events = new ArrayList<>();
+    private final List<Notice> notices = new ArrayList<>();
+    private final long startedAt;
+    private Map<Long, Listed> members = Map.of();
+    private long now;
+    private long numbers;
+    private long askAt;
+    private long askedAt;
+    private long gossipAt;
+    private long sent;
+    private long sentBytes;
+    private long heard;
+    private boolean inOffice;
+    private boolean allowancesNew = true;
+    private boolean verdictsNew = true;
+    private int routersTold;
+
+    /** Starts at this time (Unix microseconds). */
+    public Fleet(FleetSetup setup, long time, long seed) {
+        this.setup = setup;
+        this.now = time;
+        this.startedAt = time;
+        this.codec = new PacketCodec(setup.cluster());
+        this.votes = new Votes(setup.membership().name(), setup.times().lease(), time);
+        this.bench = new Bench(setup.verdicts().orElse(new Bench.Rules(0, 1, 1, 1)));
+        this.askAt = time + setup.membership().period();
+        this.gossipAt = askAt;
+        this.membership = new Membership(setup.membership(), time, seed, new Membership.Outlet() {
+            @Override
+            public long send(String address, Body body) {
+                return Fleet.this.send(address, body);
+            }
+
+            @Override
+            public void sendAll(String address) {
+                Fleet.this.sendAll(address);
+            }
+
+            @Override
+            public void spread(RouterNews news) {
+                routerNews.put(news.name(), news);
+            }
+
+            @Override
+            public void changed(RouterNews news, Standing before, String cause) {
+                notice("router " + news.name() + " is " + lower(news.standing()) + ": " + cause,
+                        Map.of("router", news.name(), "standing", lower(news.standing()),
+                                "before", before == null ? "unknown" : lower(before),
+                                "incarnation", news.incarnation(), "cause", cause));
+                if (news.standing().compareTo(Standing.DEAD) >= 0) {
+                    votes.forget(news.name());
+                }
+            }
+
+            @Override
+            public void dropped(String what) {
+                drop(what);
+            }
+        });
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private void notice(String text, Map<String, Object> figures) {
+        if (notices.size() < MOST_CHANGES) {
+            notices.add(new Notice(text, figures));
+        }
+    }
+
+    private void drop(String what) {
+        dropped.merge(what, 1L, Long::sum);
+    }
+
+    // ---- what comes in --------------------------------------------------------------------------------
+
+    /** Takes a packet, whatever it is. */
+    public void heard(long time, byte[] bytes) {
+        now = Math.max(now, time);
+        Packet packet;
+        try {
+            packet = codec.read(bytes, Membership.lastIncarnation(now));
+        } catch (BadPacketException e) {
+            drop(lower(e.reason));
+            return;
+        }
+        heard++;
+        if (membership.heard(now, packet)) {
+            packet.verdicts().forEach(this::take);
+            if (packet.body() instanceof Ask a) {
+                asked(packet, a);
+            } else if (packet.body() instanceof Grant g) {
+                granted(packet, g);
+            }
+        }
+    }
+
+    /** The members as they are listed now, by their number. */
+    public void members(long time, Map<Long, Listed> listed) {
+        now = Math.max(now, time);
+        if (listed.equals(members)) {
+            return;
+        }
+        members = Map.copyOf(listed);
+        Map<Long, FleetLimit> limits = new TreeMap<>();
+        members.forEach((id, m) -> setup.limits().stream().filter(r -> covers(r, m)).forEach(r -> limits
+                .put(Hashes.of(r.name() + "/" + m.name()), new FleetLimit(r.name(), id, r.measure(), r.amount()))));
+        leases.keySet().retainAll(limits.keySet());
+        books.keySet().retainAll(limits.keySet());
+        wants.keySet().retainAll(limits.keySet());
+        limits.forEach((id, limit) -> leases.computeIfAbsent(id, i -> new HeldLease(limit, setup.times(), startedAt)));
+        accused.entrySet().removeIf(e -> !members.containsKey(e.getKey())
+                || members.get(e.getKey()).started() != e.getValue().accusation().started());
+        allowancesNew = true;
+    }
+
+    private static boolean covers(LimitRule rule, Listed m) {
+        return switch (rule.scope()) {
+            case MEMBER -> rule.member().equals(m.name());
+            case EACH_CACHE -> m.role() == Role.CACHE;
+            case EACH_PARENT -> m.role() == Role.PARENT;
+            case ORIGIN -> m.role() == Role.ORIGIN;
+        };
+    }
+
+    /** What the decisions wanted of an allowance. */
+    public void wanted(Wanted w) {
+        leases.forEach((id, lease) -> {
+            if (lease.limit().member() == w.member() && lease.limit().measure() == w.measure()) {
+                wants.put(id, new Want(id, 0, w.wanted(), w.inUse()));
+            }
+        });
+    }
+
+    /** What the decisions hold of a member now. */
+    public void judged(long time, Judged j) {
+        now = Math.max(now, time);
+        Listed m = members.get(j.member());
+        if (m == null || setup.verdicts().isEmpty()) {
+            return;
+        }
+        if (j.failing()) {
+            accused.put(j.member(), new Accused(new Accusation(j.member(), m.started(),
+                    j.silent() ? Cause.SILENT : Cause.FAILING, j.strikes(), j.failShare()),
+                    j.until() + setup.verdicts().get().hold()));
+        } else {
+            accused.remove(j.member());
+        }
+        // who keeps the verdicts is told at once, but however often judgements come, no more than four times a period
+        askAt = Math.min(askAt, Math.max(now, askedAt + setup.membership().period() / 4));
+    }
+
+    /** Ends this router's part in good order. */
+    public void leave(long time) {
+        now = Math.max(now, time);
+        membership.leave();
+    }
+
+    // ---- time -----------------------------------------------------------------------------------------
+
+    public long nextDue() {
+        return Math.min(Math.min(membership.nextDue(), askAt), verdicts.nextEnd(now));
+    }
+
+    /** Lives on to this time. */
+    public void advance(long time) {
+        long before = now;
+        now = Math.max(now, time);
+        membership.advance(now);
+        if (now >= gossipAt) {
+            gossipAt = now + setup.membership().period();
+            if (!routerNews.isEmpty() || !verdictNews.isEmpty()) {
+                membership.listeners().forEach(n -> send(n.address(), new News()));
+            }
+        }
+        if (now >= askAt) {
+            askAt = now + setup.times().lease() / ASKS_A_LEASE;
+            askedAt = now;
+            accused.values().removeIf(a -> now >= a.until());
+            report();
+        }
+        for (VerdictTable.Held ended : verdicts.ended(before, now)) {
+            verdictsNew = true;
+            notice(ended.verdict(), "ended: nobody renewed it");
+        }
+        verdicts.forget(now, 60_000_000);
+        if (routers() != routersTold || leases.values().stream().anyMatch(l -> l.changesAt(before) <= now)) {
+            routersTold = routers();
+            allowancesNew = true;
+        }
+    }
+
+    /** How many routers the fleet is taken for. */
+    public int routers() {
+        return Math.max(setup.size(), membership.known());
+    }
+
+    /** To whom all report: of those that live the one that the cluster's hash puts first. */
+    private RouterNews grantor() {
+        RouterNews self = membership.self();
+        long cluster = Hashes.of(setup.cluster());
+        RouterNews first = self;
+        for (RouterNews n : membership.living()) {
+            if (Long.compareUnsigned(Hashes.mix(Hashes.of(n.name()) ^ cluster),
+                    Hashes.mix(Hashes.of(first.name()) ^ cluster)) > 0) {
+                first = n;
+            }
+        }
+        return first;
+    }
+
+    // ---- reports and grants ---------------------------------------------------------------------------
+
+    private void report() {
+        RouterNews to = grantor();
+        boolean own = to.name().equals(setup.membership().name());
+        boolean vote = votes.vote(now, to.name(), to.instance());
+        List<Accusation> accusations = accused.values().stream().map(Accused::accusation)
+                .limit(PacketCodec.ACCUSATIONS).toList();
+        if (own) {
+            bench.reported(to.name(), ++numbers, now + setup.times().lease(), accusations);
+            keepOwn(to);
+            sit();
+            return;
+        }
+        List<Long> ids = new ArrayList<>(leases.keySet());
+        for (int from = 0; from == 0 || from < ids.size(); from += PacketCodec.WANTS) {
+            List<Want> list = new ArrayList<>();
+            for (long id : ids.subList(from, Math.min(ids.size(), from + PacketCodec.WANTS))) {
+                long holds = leases.get(id).asks(now, to.name(), to.instance(), numbers + 1);
+                Want w = wants.getOrDefault(id, new Want(id, 0, 0, 0));
+                if (holds >= 0) {
+                    list.add(new Want(id, holds, w.wanted(), w.inUse()));
+                }
+            }
+            send(to.address(), new Ask(vote, votes.seen(to.name(), to.instance()), votes.term(), list, accusations));
+        }
+    }
+
+    /** The grantor's own leases are in its own book like all others. */
+    private void keepOwn(RouterNews self) {
+        leases.forEach((id, lease) -> {
+            long number = ++numbers;
+            long holds = lease.asks(now, self.name(), self.instance(), number);
+            Want w = wants.getOrDefault(id, new Want(id, 0, 0, 0));
+            if (holds >= 0) {
+                double part = book(id).ask(now, self.name(), self.instance(), number, holds, w.wanted(), w.inUse(),
+                        routers());
+                granted(lease, self.name(), self.instance(), number, part);
+            }
+        });
+    }
+
+    private LeaseBook book(long id) {
+        return books.computeIfAbsent(id, i -> new LeaseBook(leases.get(i).limit(), setup.times()));
+    }
+
+    private void asked(Packet packet, Ask a) {
+        RouterNews from = packet.from();
+        if (!grantor().name().equals(setup.membership().name())) {
+            drop("asked-not-grantor");
+            return;
+        }
+        votes.reported(from.name(), from.instance(), a.vote(), a.seen(), a.term());
+        bench.reported(from.name(), packet.number(), now + setup.times().lease(), a.accusations());
+        List<Part> parts = new ArrayList<>();
+        for (Want w : a.wants()) {
+            if (!leases.containsKey(w.limit())) {
+                drop("unknown-limit");
+                continue;
+            }
+            double part = book(w.limit()).ask(now, from.name(), from.instance(), packet.number(), w.holds(), w.wanted(),
+                    w.inUse(), routers());
+            if (part >= 0) {
+                parts.add(new Part(w.limit(), part));
+            } else {
+                drop("late-ask");
+            }
+        }
+        sit();
+        votes.sent(now, from.name(), numbers + 1);
+        send(from.address(), new Grant(packet.number(), votes.term(), parts));
+    }
+
+    private void granted(Packet packet, Grant g) {
+        RouterNews from = packet.from();
+        votes.heard(g.term());
+        votes.saw(from.name(), from.instance(), packet.number());
+        for (Part p : g.parts()) {
+            HeldLease lease = leases.get(p.limit());
+            if (lease == null) {
+                drop("unknown-limit");
+            } else if (p.amount() > lease.limit().amount()) {
+                drop("oversized-lease");
+            } else if (!granted(lease, from.name(), from.instance(), g.ask(), p.amount())) {
+                drop("late-grant");
+            }
+        }
+    }
+
+    private boolean granted(HeldLease lease, String name, long instance, long ask, double part) {
+        String grantorBefore = lease.grantor();
+        boolean before = lease.leased(now);
+        if (!lease.granted(now, name, instance, ask, part)) {
+            return false;
+        }
+        allowancesNew = true;
+        if (!before || !grantorBefore.equals(name)) {
+            notice("lease of " + lease.limit().name() + " from " + name + ": " + part, Map.of("limit",
+                    lease.limit().name(), "member", nameOf(lease.limit().member()), "grantor", name, "part", part,
+                    "cause", before ? "another grantor" : "none was held"));
+        }
+        return true;
+    }
+
+    // ---- verdicts -------------------------------------------------------------------------------------
+
+    private void sit() {
+        boolean office = votes.inOffice(now, routers());
+        if (office != inOffice) {
+            inOffice = office;
+            notice(office ? "this router is the keeper of term " + votes.ownTerm()
+                    : "this router is not the keeper any more", Map.of("keeper", office, "term", votes.ownTerm()));
+        }
+        if (!office || setup.verdicts().isEmpty()) {
+            return;
+        }
+        Bench.Rules rules = setup.verdicts().get();
+        Map<Long, String> tiers = new TreeMap<>();
+        members.forEach((id, m) -> {
+            if (m.role() != Role.ORIGIN) {
+                tiers.put(id, lower(m.role()));
+            }
+        });
+        boolean fresh = now >= votes.officeSince() + rules.hold() + rules.guard();
+        bench.sit(now, votes.ownTerm(), setup.membership().name(), fresh, tiers, verdicts, routers())
+                .forEach(this::take);
+    }
+
+    private void take(Verdict v) {
+        VerdictTable.Held before = verdicts.on(v.member());
+        boolean stood = before != null && before.verdict().failing() && now < before.until();
+        if (setup.verdicts().isEmpty() || !verdicts.take(now, v, setup.verdicts().get().hold())) {
+            return;
+        }
+        bench.heard(verdicts.on(v.member()));
+        verdictNews.put(Long.toString(v.member()), v.member());
+        verdictsNew = true;
+        if (stood != v.failing()) {
+            notice(v, v.failing() ? v.accusers() + " accuse it: " + lower(v.cause()) : "the evidence ended");
+        }
+    }
+
+    private void notice(Verdict v, String cause) {
+        notice("verdict on " + nameOf(v.member()) + (cause.startsWith("ended") ? " " : v.failing() ? ": out, "
+                : ": lifted, ") + cause, Map.of("member", nameOf(v.member()), "out", v.failing()
+                && !cause.startsWith("ended"), "version", v.version(), "accusers", v.accusers(), "strikes", v.strikes(),
+                "keeper", v.keeper(), "cause", cause));
+    }
+
+    private String nameOf(long member) {
+        return members.containsKey(member) ? members.get(member).name() : Long.toString(member);
+    }
+
+    /** Who is out now: never more of a tier than the share, whatever was told. */
+    private List<MemberOut> out() {
+        Map<Role, Integer> room = new HashMap<>();
+        for (Role role : Role.values()) {
+            long size = members.values().stream().filter(m -> m.role() == role).count();
+            room.put(role, (int) Math.floor(setup.verdicts().get().mostOut() * size + 1e-9));
+        }
+        List<VerdictTable.Held> standing = new ArrayList<>(verdicts.standing(now));
+        standing.sort(java.util.Comparator.comparingLong(h -> -h.verdict().version()));
+        List<MemberOut> out = new ArrayList<>();
+        for (VerdictTable.Held h : standing) {
+            Listed m = members.get(h.verdict().member());
+            if (m != null && m.started() == h.verdict().started() && room.merge(m.role(), -1, Integer::sum) >= 0) {
+                out.add(new MemberOut(h.verdict().member(), m.started(), h.until()));
+            }
+        }
+        return out;
+    }
+
+    // ---- what goes out --------------------------------------------------------------------------------
+
+    private long send(String address, Body body) {
+        long number = ++numbers;
+        if (membership == null || membership.aside(now)) {
+            return number;
+        }
+        RouterNews self = membership.self().as(Standing.ALIVE);
+        int room = codec.room(self, body);
+        List<RouterNews> routers = routerNews.take(room, membership.times(), PacketCodec::size);
+        int left = room - routers.stream().mapToInt(PacketCodec::size).sum();
+        List<Verdict> told = verdictNews.take(left, membership.times(), m -> verdicts.on(m) == null
+                ? PacketCodec.LONGEST : PacketCodec.size(verdicts.on(m).verdict())).stream().map(this::asItStands).toList();
+        put(address, new Packet(self, number, body, routers, told));
+        return number;
+    }
+
+    private Verdict asItStands(long member) {
+        VerdictTable.Held h = verdicts.on(member);
+        return h.verdict().withLeft(Math.max(0, h.until() - now));
+    }
+
+    private void put(String address, Packet packet) {
+        byte[] bytes = codec.write(packet);
+        sent++;
+        sentBytes += bytes.length;
+        outbox.add(new Datagram(address, bytes));
+    }
+
+    private void sendAll(String address) {
+        RouterNews self = membership.self().as(Standing.ALIVE);
+        int room = codec.room(self, new News());
+        List<RouterNews> routers = new ArrayList<>();
+        List<Verdict> told = new ArrayList<>();
+        int used = 0;
+        Collection<RouterNews> table = membership.table();
+        for (RouterNews n : table) {
+            if (used + PacketCodec.size(n) > room || routers.size() == 255) {
+                put(address, new Packet(self, ++numbers, new News(), routers, told));
+                routers = new ArrayList<>();
+                used = 0;
+            }
+            routers.add(n);
+            used += PacketCodec.size(n);
+        }
+        for (VerdictTable.Held h : verdicts.all()) {
+            if (used + PacketCodec.size(h.verdict()) > room || told.size() == 255) {
+                put(address, new Packet(self, ++numbers, new News(), routers, told));
+                routers = new ArrayList<>();
+                told = new ArrayList<>();
+                used = 0;
+            }
+            told.add(asItStands(h.verdict().member()));
+            used += PacketCodec.size(h.verdict());
+        }
+        put(address, new Packet(self, ++numbers, new News(), routers, told));
+    }
+
+    /** The packets to be sent, each given out once. */
+    public List<Datagram> takePackets() {
+        return takeAll(outbox);
+    }
+
+    /** What the decisions are to be told, each given out once. */
+    public List<Event> takeEvents() {
+        if (allowancesNew && !setup.limits().isEmpty()) {
+            events.add(new AllowancesGiven(leases.values().stream().map(this::allowance).toList()));
+        }
+        if (verdictsNew && setup.verdicts().isPresent()) {
+            events.add(new VerdictsGiven(out()));
+        }
+        allowancesNew = false;
+        verdictsNew = false;
+        return takeAll(events);
+    }
+
+    private Allowance allowance(HeldLease lease) {
+        FleetLimit limit = lease.limit();
+        return new Allowance(limit.member(), limit.measure(), lease.part(now, routers()),
+                lease.leased(now) ? lease.until() : Long.MAX_VALUE, lease.after(routers()));
+    }
+
+    public List<Notice> takeNotices() {
+        return takeAll(notices);
+    }
+
+    private static <T> List<T> takeAll(List<T> list) {
+        List<T> taken = List.copyOf(list);
+        list.clear();
+        return taken;
+    }
+
+    // ---- what can be seen -----------------------------------------------------------------------------
+
+    /** Counters and the state in short, by name. */
+    public Map<String, String> fields() {
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("fleet-routers", Integer.toString(routers()));
+        fields.put("fleet-living", Integer.toString(membership.living().size() + 1));
+        fields.put("fleet-grantor", grantor().name());
+        fields.put("fleet-keeper", inOffice ? "yes" : "no");
+        fields.put("fleet-term", Long.toString(votes.term()));
+        fields.put("fleet-verdicts", Integer.toString(verdicts.standing(now).size()));
+        fields.put("fleet-packets-out", Long.toString(sent));
+        fields.put("fleet-bytes-out", Long.toString(sentBytes));
+        fields.put("fleet-packets-in", Long.toString(heard));
+        dropped.forEach((what, count) -> fields.put("fleet-dropped-" + what, Long.toString(count)));
+        return fields;
+    }
+
+    /** Rows for people and programs about one subject; empty where there is none of that name. */
+    public Optional<List<Map<String, Object>>> rows(String subject) {
+        return switch (subject) {
+            case "members" -> Optional.of(membership.table().stream().map(this::row).toList());
+            case "limits" -> Optional.of(leases.values().stream().map(this::row).toList());
+            case "verdicts" -> Optional.of(verdicts.all().stream().map(this::row).toList());
+            default -> Optional.empty();
+        };
+    }
+
+    private Map<String, Object> row(RouterNews n) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("name", n.name());
+        row.put("address", n.address());
+        row.put("standing", lower(n.standing()));
+        row.put("incarnation", n.incarnation());
+        row.put("instance", n.instance());
+        row.put("since-ms", membership.since(n.name()) / 1_000);
+        row.put("grantor", n.name().equals(grantor().name()));
+        row.put("self", n.name().equals(setup.membership().name()));
+        return row;
+    }
+
+    private Map<String, Object> row(HeldLease lease) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("limit", lease.limit().name());
+        row.put("member", nameOf(lease.limit().member()));
+        row.put("measure", lower(lease.limit().measure()).replace('_', '-'));
+        row.put("fleet", lease.limit().amount());
+        row.put("part", lease.part(now, routers()));
+        row.put("state", lease.leased(now) ? "leased" : "alone");
+        row.put("left-ms", Math.max(0, lease.until() - now) / 1_000);
+        row.put("grantor", lease.grantor());
+        row.put("counted", books.entrySet().stream().filter(b -> leases.get(b.getKey()) == lease)
+                .mapToDouble(b -> b.getValue().counted(routers())).sum());
+        return row;
+    }
+
+    private Map<String, Object> row(VerdictTable.Held h) {
+        Verdict v = h.verdict();
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("member", nameOf(v.member()));
+        row.put("out", v.failing() && now < h.until());
+        row.put("version", v.version());
+        row.put("left-ms", Math.max(0, h.until() - now) / 1_000);
+        row.put("accusers", v.accusers());
+        row.put("cause", lower(v.cause()));
+        row.put("strikes", v.strikes());
+        row.put("fail-share", Math.round(v.failShare() * 1_000) / 1_000.0);
+        row.put("keeper", v.keeper());
+        row.put("heard-at-ms", h.heardAt() / 1_000);
+        return row;
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/FleetSetup.java
@@ -0,0 +1,23 @@
+package pumicemoor.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import pumicemoor.RouterApi.Measure;
+import pumicemoor.fleet.limits.LeaseTimes;
+import pumicemoor.fleet.membership.Membership;
+import pumicemoor.fleet.verdicts.Bench;
+
+/**
+ * What a router's part in a fleet is set up with. Size is how many routers the fleet has at most; what a router may
+ * spend alone and what a majority is are counted from it, or from those known where that is more.
+ */
+public record FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times,
+        List<LimitRule> limits, Optional<Bench.Rules> verdicts) {
+
+    /** Whom a limit is for: one member by its name, or each of a kind by itself. */
+    public enum Scope { MEMBER, EACH_CACHE, EACH_PARENT, ORIGIN }
+
+    /** A limit as the operator sets it; the member is named where the scope is one. */
+    public record LimitRule(String name, Scope scope, String member, Measure measure, double amount) {
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/Notice.java
@@ -0,0 +1,7 @@
+package pumicemoor.fleet;
+
+import java.util.Map;
+
+/** A change that a person may want to know of, as one line and its figures by name. */
+public record Notice(String text, Map<String, Object> figures) {
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/Packet.java
@@ -0,0 +1,57 @@
+package pumicemoor.fleet;
+
+import java.util.List;
+import pumicemoor.fleet.membership.RouterNews;
+import pumicemoor.fleet.verdicts.Accusation;
+import pumicemoor.fleet.verdicts.Verdict;
+
+/**
+ * What one router sends to another: who it is, a number that rises with each packet of its process, what it asks or
+ * answers, and the news that rides along.
+ */
+public record Packet(RouterNews from, long number, Body body, List<RouterNews> routers, List<Verdict> verdicts) {
+
+    /** What a packet is for. */
+    public sealed interface Body {
+    }
+
+    /** Are you there? */
+    public record Ping() implements Body {
+    }
+
+    /** I am; the number is that of the ping, or of the relay that asked for one. */
+    public record Ack(long number) implements Body {
+    }
+
+    /** Ping this router for me and pass its answer on. */
+    public record Relay(String address) implements Body {
+    }
+
+    /** This is what I know, as a digest; tell me all where yours differs, and say the same back where wanted. */
+    public record Compare(long digest, boolean back) implements Body {
+    }
+
+    /** Nothing but the news that rides along. */
+    public record News() implements Body {
+    }
+
+    /** What a router wants of a limit: holds is the number of the ask whose grant it lives by, 0 for none. */
+    public record Want(long limit, long holds, double wanted, double inUse) {
+    }
+
+    /**
+     * A router's report to whom it takes for the grantor. Vote: it is bound to that one for a lease's time. Seen is the
+     * number of the last grant that came from there, term the highest that it knows.
+     */
+    public record Ask(boolean vote, long seen, long term, List<Want> wants,
+            List<Accusation> accusations) implements Body {
+    }
+
+    /** A part of a limit. */
+    public record Part(long limit, double amount) {
+    }
+
+    /** The answer to an ask, by its number; a lease counts from when the ask left. */
+    public record Grant(long ask, long term, List<Part> parts) implements Body {
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/PacketCodec.java
@@ -0,0 +1,255 @@
+package pumicemoor.fleet;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import pumicemoor.fleet.BadPacketException.Reason;
+import pumicemoor.fleet.Packet.Body;
+import pumicemoor.fleet.Packet.Part;
+import pumicemoor.fleet.Packet.Want;
+import pumicemoor.fleet.membership.RouterNews;
+import pumicemoor.fleet.membership.Standing;
+import pumicemoor.fleet.verdicts.Accusation;
+import pumicemoor.fleet.verdicts.Accusation.Cause;
+import pumicemoor.fleet.verdicts.Verdict;
+
+/**
+ * The bytes of a packet, and every check that needs no state. It must never make room for what a packet only claims to
+ * hold: a count is believed no further than the bytes that are there.
+ */
+public final class PacketCodec {
+
+    /** The longest packet, in bytes; it passes every link whole. */
+    public static final int LONGEST = 1_200;
+    public static final int LONGEST_NAME = 64;
+    static final int WANTS = 24;  // of limits in one packet
+    static final int ACCUSATIONS = 12;  // in one packet
+    static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+    static final Pattern ADDRESS = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}");
+
+    private static final int MAGIC = 0x504d4631;  // PMF1
+    private static final int VERDICT_BYTES = 48;
+
+    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT }
+
+    private final long cluster;
+
+    PacketCodec(String cluster) {
+        this.cluster = Hashes.of(cluster);
+    }
+
+    static int size(RouterNews news) {
+        return 19 + news.name().length() + news.address().length();
+    }
+
+    static int size(Verdict verdict) {
+        return VERDICT_BYTES + verdict.keeper().length();
+    }
+
+    byte[] write(Packet packet) {
+        ByteBuffer out = ByteBuffer.allocate(LONGEST);
+        out.putInt(MAGIC).putLong(cluster);
+        write(out, packet.from());
+        out.putLong(packet.number());
+        write(out, packet.body());
+        out.put((byte) packet.routers().size());
+        packet.routers().forEach(r -> write(out, r));
+        out.put((byte) packet.verdicts().size());
+        packet.verdicts().forEach(v -> write(out, v));
+        byte[] bytes = new byte[out.position()];
+        out.flip().get(bytes);
+        return bytes;
+    }
+
+    /** The bytes that a packet with this body leaves for news. */
+    int room(RouterNews from, Body body) {
+        ByteBuffer out = ByteBuffer.allocate(LONGEST);
+        write(out, body);
+        return LONGEST - out.position() - size(from) - 22;
+    }
+
+    private static void write(ByteBuffer out, RouterNews news) {
+        write(out, news.name());
+        write(out, news.address());
+        out.putLong(news.instance()).putLong(news.incarnation()).put((byte) news.standing().ordinal());
+    }
+
+    private static void write(ByteBuffer out, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+        out.put((byte) bytes.length).put(bytes);
+    }
+
+    private static void write(ByteBuffer out, Verdict v) {
+        out.putLong(v.member()).putLong(v.started()).putLong(v.version()).put((byte) (v.failing() ? 1 : 0))
+                .putLong(v.left()).putShort((short) v.accusers()).put((byte) v.cause().ordinal())
+                .putShort((short) v.strikes()).putFloat((float) v.failShare());
+        write(out, v.keeper());
+    }
+
+    private static void write(ByteBuffer out, Body body) {
+        if (body instanceof Packet.Ping) {
+            out.put((byte) Type.PING.ordinal());
+        } else if (body instanceof Packet.Ack a) {
+            out.put((byte) Type.ACK.ordinal()).putLong(a.number());
+        } else if (body instanceof Packet.Relay r) {
+            out.put((byte) Type.RELAY.ordinal());
+            write(out, r.address());
+        } else if (body instanceof Packet.Compare c) {
+            out.put((byte) Type.COMPARE.ordinal()).putLong(c.digest()).put((byte) (c.back() ? 1 : 0));
+        } else if (body instanceof Packet.News) {
+            out.put((byte) Type.NEWS.ordinal());
+        } else if (body instanceof Packet.Ask a) {
+            out.put((byte) Type.ASK.ordinal()).put((byte) (a.vote() ? 1 : 0)).putLong(a.seen()).putLong(a.term())
+                    .put((byte) a.wants().size());
+            a.wants().forEach(w -> out.putLong(w.limit()).putLong(w.holds()).putFloat((float) w.wanted())
+                    .putFloat((float) w.inUse()));
+            out.put((byte) a.accusations().size());
+            a.accusations().forEach(c -> out.putLong(c.member()).putLong(c.started()).put((byte) c.cause().ordinal())
+                    .putShort((short) Math.min(c.strikes(), Short.MAX_VALUE)).putFloat((float) c.failShare()));
+        } else if (body instanceof Packet.Grant g) {
+            out.put((byte) Type.GRANT.ordinal()).putLong(g.ask()).putLong(g.term()).put((byte) g.parts().size());
+            g.parts().forEach(p -> out.putLong(p.limit()).putDouble(p.amount()));
+        }
+    }
+
+    /** Reads a packet whole; incarnations past the given one can't be. */
+    Packet read(byte[] bytes, long lastIncarnation) throws BadPacketException {
+        if (bytes.length > LONGEST) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        try {
+            if (in.getInt() != MAGIC) {
+                throw new BadPacketException(Reason.UNREADABLE);
+            }
+            if (in.getLong() != cluster) {
+                throw new BadPacketException(Reason.FOREIGN);
+            }
+            RouterNews from = router(in, lastIncarnation);
+            long number = in.getLong();
+            Body body = body(in);
+            List<RouterNews> routers = new ArrayList<>();
+            for (int left = in.get() & 0xff; left > 0; left--) {
+                routers.add(router(in, lastIncarnation));
+            }
+            List<Verdict> verdicts = new ArrayList<>();
+            for (int left = in.get() & 0xff; left > 0; left--) {
+                verdicts.add(verdict(in));
+            }
+            if (in.hasRemaining() || number <= 0 || from.standing() != Standing.ALIVE) {
+                throw new BadPacketException(Reason.UNREADABLE);
+            }
+            return new Packet(from, number, body, routers, verdicts);
+        } catch (BufferUnderflowException e) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+    }
+
+    private static <T> T of(T[] values, int ordinal) throws BadPacketException {
+        if (ordinal < 0 || ordinal >= values.length) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+        return values[ordinal];
+    }
+
+    private static String text(ByteBuffer in, Pattern form) throws BadPacketException {
+        int length = in.get() & 0xff;
+        if (length > LONGEST_NAME) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+        byte[] bytes = new byte[length];
+        in.get(bytes);
+        String text = new String(bytes, StandardCharsets.US_ASCII);
+        if (!form.matcher(text).matches()) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+        return text;
+    }
+
+    private static String address(ByteBuffer in) throws BadPacketException {
+        String address = text(in, ADDRESS);
+        if (!possibleAddress(address)) {
+            throw new BadPacketException(Reason.UNREADABLE);
+        }
+        return address;
+    }
+
+    /** Whether this is an IPv4 address with a port that something can listen on. */
+    public static boolean possibleAddress(String address) {
+        if (!ADDRESS.matcher(address).matches()) {
+            return false;
+        }
+        String[] parts = address.split("[.:]");
+        int port = Integer.parseInt(parts[4]);
+        for (int i = 0; i < 4; i++) {
+            if (Integer.parseInt(parts[i]) > 255) {
+                return false;
+            }
+        }
+        return port > 0 && port < 65_536;
+    }
+
+    private static RouterNews router(ByteBuffer in, long lastIncarnation) throws BadPacketException {
+        RouterNews news = new RouterNews(text(in, NAME), address(in), in.getLong(), in.getLong(),
+                of(Standing.values(), in.get()));
+        if (news.incarnation() < 1 || news.incarnation() > lastIncarnation || news.instance() < 1) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return news;
+    }
+
+    private static Verdict verdict(ByteBuffer in) throws BadPacketException {
+        Verdict v = new Verdict(in.getLong(), in.getLong(), in.getLong(), in.get() == 1, in.getLong(), in.getShort(),
+                of(Cause.values(), in.get()), in.getShort(), in.getFloat(), text(in, NAME));
+        if (v.left() < 0 || v.accusers() < 0 || v.version() < 1 || !Double.isFinite(v.failShare())) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return v;
+    }
+
+    private static double amount(double value) throws BadPacketException {
+        if (!(value >= 0 && value < 1e12)) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return value;
+    }
+
+    private static Body body(ByteBuffer in) throws BadPacketException {
+        return switch (of(Type.values(), in.get())) {
+            case PING -> new Packet.Ping();
+            case ACK -> new Packet.Ack(in.getLong());
+            case RELAY -> new Packet.Relay(address(in));
+            case COMPARE -> new Packet.Compare(in.getLong(), in.get() == 1);
+            case NEWS -> new Packet.News();
+            case ASK -> ask(in);
+            case GRANT -> {
+                long ask = in.getLong();
+                long term = in.getLong();
+                List<Part> parts = new ArrayList<>();
+                for (int left = in.get() & 0xff; left > 0; left--) {
+                    parts.add(new Part(in.getLong(), amount(in.getDouble())));
+                }
+                yield new Packet.Grant(ask, term, parts);
+            }
+        };
+    }
+
+    private static Packet.Ask ask(ByteBuffer in) throws BadPacketException {
+        boolean vote = in.get() == 1;
+        long seen = in.getLong();
+        long term = in.getLong();
+        List<Want> wants = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            wants.add(new Want(in.getLong(), in.getLong(), amount(in.getFloat()), amount(in.getFloat())));
+        }
+        List<Accusation> accusations = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            accusations.add(new Accusation(in.getLong(), in.getLong(), of(Cause.values(), in.get()), in.getShort(),
+                    in.getFloat()));
+        }
+        return new Packet.Ask(vote, seen, term, wants, accusations);
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/Votes.java
@@ -0,0 +1,130 @@
+package pumicemoor.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Who may act for the whole fleet: the keeper, by the votes of more than half of its routers. A vote binds its giver for
+ * a lease's time from when it leaves, and counts at the keeper only from when the keeper's own packet left that the
+ * giver had seen before; so the keeper's time ends before any giver is free again, and there are never two, whatever
+ * clocks say and packets do. Each time in office has a term above all that a majority knew (its fence).
+ */
+final class Votes {
+
+    private static final int REMEMBERED = 8;  // packets to each router
+
+    private record Seen(String name, long instance) {
+    }
+
+    private record Vote(long instance, long until, long term) {
+    }
+
+    private final String self;
+    private final long lease;
+    private long free;  // from when this router may vote for another
+    private Seen bound;
+    private long seenNumber;
+    private final Map<String, Map<Long, Long>> sent = new HashMap<>();  // when each packet to each router left
+    private final Map<String, Vote> votes = new HashMap<>();
+    private long term;  // the highest known
+    private long ownTerm;  // of this router's time in office; 0 for none
+    private long officeSince;
+
+    /** A fresh process does not know whom it voted for: it votes for nobody until that has ended. */
+    Votes(String self, long lease, long startedAt) {
+        this.self = self;
+        this.lease = lease;
+        this.free = startedAt + lease;
+    }
+
+    long term() {
+        return term;
+    }
+
+    /** Hears of a term. */
+    void heard(long other) {
+        term = Math.max(term, other);
+    }
+
+    /** Whether this router's next report to that one is a vote; it is bound by it if so. */
+    boolean vote(long now, String name, long instance) {
+        Seen one = new Seen(name, instance);
+        if (!one.equals(bound) && now < free) {
+            return false;
+        }
+        if (!one.equals(bound)) {
+            bound = one;
+            seenNumber = 0;
+        }
+        free = now + lease;
+        return true;
+    }
+
+    /** The last packet that came from that router, as it is told to it. */
+    long seen(String name, long instance) {
+        return new Seen(name, instance).equals(bound) ? seenNumber : 0;
+    }
+
+    void saw(String name, long instance, long number) {
+        if (new Seen(name, instance).equals(bound)) {
+            seenNumber = Math.max(seenNumber, number);
+        }
+    }
+
+    /** A packet to a router left under this number. */
+    void sent(long now, String to, long number) {
+        Map<Long, Long> numbers = sent.computeIfAbsent(to, t -> new java.util.TreeMap<>());
+        numbers.put(number, now);
+        if (numbers.size() > REMEMBERED) {
+            numbers.remove(numbers.keySet().iterator().next());
+        }
+    }
+
+    /** A report came; where it is a vote for this router it counts from the packet that its giver had seen. */
+    void reported(String from, long instance, boolean vote, long seen, long knownTerm) {
+        heard(knownTerm);
+        Long left = sent.getOrDefault(from, Map.of()).get(seen);
+        if (vote && left != null) {
+            Vote before = votes.get(from);
+            votes.put(from, new Vote(instance, before == null ? left + lease : Math.max(before.until, left + lease),
+                    knownTerm));
+        }
+    }
+
+    /** Whether this router is the keeper now, in a fleet of so many, and most of its givers know the term. */
+    boolean inOffice(long now, int routers) {
+        votes.values().removeIf(v -> now >= v.until);
+        boolean own = bound != null && bound.name().equals(self) && now < free;
+        if (2 * (votes.size() + (own ? 1 : 0)) <= routers) {
+            ownTerm = 0;
+            return false;
+        }
+        if (ownTerm == 0) {
+            ownTerm = term + 1;
+            term = ownTerm;
+            officeSince = now;
+        }
+        long knowing = votes.values().stream().filter(v -> v.term >= ownTerm).count() + (own ? 1 : 0);
+        return 2 * knowing > routers;
+    }
+
+    /** The term of this router's time in office; 0 for none. */
+    long ownTerm() {
+        return ownTerm;
+    }
+
+    /** Since when, where it is in office. */
+    long officeSince() {
+        return officeSince;
+    }
+
+    /** How many have voted for this router, itself included. */
+    int count() {
+        return votes.size() + (bound != null && bound.name().equals(self) ? 1 : 0);
+    }
+
+    /** Forgets what was sent to a router that is no more. */
+    void forget(String name) {
+        sent.remove(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/membership/Standing.java
@@ -0,0 +1,4 @@
+package pumicemoor.fleet.membership;
+
+/** What is believed of a router; of two beliefs of one incarnation the later in this order holds. */
+public enum Standing { ALIVE, SUSPECT, DEAD, LEFT }
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -13,8 +13,10 @@
 /** Holds the arrows between the floors of docs/architecture.md. */
 class ArchitectureTest {
 
-    private static final String[] DECIDING = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls.."};
-    private static final String[] LOWER = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..", "pumicemoor.node.."};
+    private static final String[] DECIDING = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..",
+        "pumicemoor.fleet.."};
+    private static final String[] LOWER = {"pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..",
+        "pumicemoor.fleet..", "pumicemoor.node.."};
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("pumicemoor");
 
@@ -22,7 +24,7 @@
     void decisionsUseNothingButTheJdkAndWhatTheyDecide() {
         classes().that().resideInAnyPackage(DECIDING).should().onlyDependOnClassesThat()
                 .resideInAnyPackage("java..", "pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..",
-                        "com.google.re2j..").check(ALL);
+                        "pumicemoor.fleet..", "com.google.re2j..").check(ALL);
         classes().that().resideInAPackage("pumicemoor").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("java..", "pumicemoor").check(ALL);
     }
--- /dev/null
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -0,0 +1,249 @@
+package pumicemoor.fleet;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.stream.IntStream;
+import pumicemoor.RouterApi.Allowance;
+import pumicemoor.RouterApi.AllowancesGiven;
+import pumicemoor.RouterApi.Event;
+import pumicemoor.RouterApi.Judged;
+import pumicemoor.RouterApi.Measure;
+import pumicemoor.RouterApi.MemberOut;
+import pumicemoor.RouterApi.Role;
+import pumicemoor.RouterApi.VerdictsGiven;
+import pumicemoor.RouterApi.Wanted;
+import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.limits.LeaseTimes;
+import pumicemoor.fleet.membership.Membership;
+import pumicemoor.fleet.verdicts.Bench;
+
+/** A fleet in one process and in virtual time, over a network that loses, delays, doubles, reorders and splits. */
+final class VirtualFleet {
+
+    static final long MILLI = 1_000;
+    static final long SECOND = 1_000_000;
+    static final long PERIOD = 200 * MILLI;
+    static final LeaseTimes TIMES = new LeaseTimes(3 * SECOND, 300 * MILLI);
+    static final Bench.Rules VERDICTS = new Bench.Rules(0.2, 2, 4 * SECOND, 2 * SECOND);
+    static final long ORIGIN = 99;
+
+    /** A router and what its decisions were last told. */
+    final class Router {
+        final String name;
+        final String address;
+        Fleet fleet;
+        boolean running;
+        long pausedUntil;
+        long nextAt;
+        List<Allowance> allowances = List.of();
+        List<MemberOut> out = List.of();
+        final Map<Long, Long> heardOut = new LinkedHashMap<>();  // when each member was first told out
+        final List<Notice> notices = new ArrayList<>();
+        final List<byte[]> waiting = new ArrayList<>();  // packets that came while it was paused
+        double wanted;
+
+        Router(int number) {
+            name = "router-" + number;
+            address = "127.0.0.1:" + (10_000 + number);
+        }
+
+        /** What it may spend of the origin's limit now. */
+        double part() {
+            if (!running) {
+                return 0;
+            }
+            return allowances.stream().filter(a -> a.member() == ORIGIN)
+                    .mapToDouble(a -> now < a.until() ? a.share() : a.after()).sum();
+        }
+    }
+
+    private record Flying(long at, long order, Router to, byte[] bytes) implements Comparable<Flying> {
+        @Override
+        public int compareTo(Flying o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    final List<Router> routers = new ArrayList<>();
+    final Random random;
+    private final Map<String, Router> byAddress = new LinkedHashMap<>();
+    private final PriorityQueue<Flying> flying = new PriorityQueue<>();
+    private final Map<Long, Fleet.Listed> members = new LinkedHashMap<>();
+    private final double limit;
+    private final Measure measure;
+    private final int size;
+    long now = 1_790_000_000L * SECOND;
+    double loss;
+    double doubled;
+    long leastDelay = 500;
+    long mostDelay = 2 * MILLI;
+    BiPredicate<Router, Router> cut = (a, b) -> false;
+    long packets;
+    long bytes;
+    private long order;
+
+    VirtualFleet(int routers, int size, int caches, Measure measure, double limit, long seed) {
+        this.random = new Random(seed);
+        this.limit = limit;
+        this.measure = measure;
+        this.size = size;
+        members.put(ORIGIN, new Fleet.Listed("origin", Role.ORIGIN, 0));
+        for (int i = 0; i < caches; i++) {
+            members.put(1_000L + i, new Fleet.Listed("box-" + i, Role.CACHE, 0));
+        }
+        for (int i = 0; i < routers; i++) {
+            Router r = new Router(i);
+            this.routers.add(r);
+            byAddress.put(r.address, r);
+        }
+    }
+
+    void startAll() {
+        routers.forEach(this::start);
+    }
+
+    void start(Router r) {
+        start(r, r.name, r.address);
+    }
+
+    void start(Router r, String name, String address) {
+        List<String> seeds = routers.stream().limit(3).map(x -> x.address).toList();
+        r.fleet = new Fleet(new FleetSetup("test", new Membership.Setup(name, address, seeds, PERIOD, 3, 2,
+                600 * SECOND, 2_000), size, TIMES, List.of(new LimitRule("origin", FleetSetup.Scope.ORIGIN, "", measure,
+                limit)), Optional.of(VERDICTS)), now, random.nextLong());
+        r.running = true;
+        r.pausedUntil = 0;
+        r.waiting.clear();
+        r.heardOut.clear();
+        r.out = List.of();
+        r.allowances = List.of();
+        r.fleet.members(now, members);
+        fetch(r);
+        r.nextAt = r.fleet.nextDue();
+    }
+
+    void kill(Router r) {
+        r.running = false;
+    }
+
+    void pause(Router r, long time) {
+        r.pausedUntil = now + time;
+    }
+
+    boolean acts(Router r) {
+        return r.running && now >= r.pausedUntil;
+    }
+
+    void judge(Router r, long member, boolean failing) {
+        r.fleet.judged(now, new Judged(member, failing, true, 2, 0.5, now + SECOND));
+        fetch(r);
+    }
+
+    /** Lives on, calling back after each step in which something happened. */
+    void run(long time, Runnable watch) {
+        long end = now + time;
+        while (true) {
+            long next = flying.isEmpty() ? Long.MAX_VALUE : flying.peek().at();
+            for (Router r : routers) {
+                if (r.running) {
+                    next = Math.min(next, Math.max(r.nextAt, r.pausedUntil));
+                }
+            }
+            if (next > end) {
+                now = end;
+                watch.run();
+                return;
+            }
+            now = Math.max(now, next);
+            while (!flying.isEmpty() && flying.peek().at() <= now) {
+                Flying f = flying.poll();
+                if (f.to().running && now < f.to().pausedUntil) {
+                    f.to().waiting.add(f.bytes());
+                } else if (f.to().running) {
+                    f.to().fleet.heard(now, f.bytes());
+                    fetch(f.to());
+                }
+            }
+            for (Router r : routers) {
+                if (acts(r) && (!r.waiting.isEmpty() || r.nextAt <= now)) {
+                    if (r.pausedUntil > 0 && random.nextBoolean()) {
+                        r.fleet.advance(now);  // after a pause timers may come before or after what waits
+                    }
+                    r.waiting.forEach(b -> r.fleet.heard(now, b));
+                    r.waiting.clear();
+                    r.fleet.advance(now);
+                    fetch(r);
+                }
+            }
+            watch.run();
+        }
+    }
+
+    private void fetch(Router r) {
+        r.fleet.wanted(new Wanted(ORIGIN, measure, r.wanted, 0));
+        for (Datagram d : r.fleet.takePackets()) {
+            send(r, d);
+        }
+        for (Event e : r.fleet.takeEvents()) {
+            if (e instanceof AllowancesGiven a) {
+                r.allowances = a.allowances();
+            } else if (e instanceof VerdictsGiven v) {
+                r.out = v.out();
+                v.out().forEach(o -> r.heardOut.putIfAbsent(o.member(), now));
+            }
+        }
+        r.notices.addAll(r.fleet.takeNotices());
+        r.nextAt = Math.max(now + 1, r.fleet.nextDue());
+    }
+
+    private void send(Router from, Datagram d) {
+        packets++;
+        bytes += d.bytes().length;
+        Router to = byAddress.get(d.address());
+        if (to == null || cut.test(from, to) || random.nextDouble() < loss) {
+            return;
+        }
+        for (int copies = random.nextDouble() < doubled ? 2 : 1; copies > 0; copies--) {
+            long delay = leastDelay + (long) (random.nextDouble() * (mostDelay - leastDelay));
+            flying.add(new Flying(now + delay, order++, to, d.bytes()));
+        }
+    }
+
+    /** The sum of what all may spend now. */
+    double spent() {
+        return routers.stream().mapToDouble(Router::part).sum();
+    }
+
+    /** The members that any running router keeps out now. */
+    Set<Long> outAnywhere() {
+        Set<Long> out = new HashSet<>();
+        routers.stream().filter(r -> r.running).forEach(r -> r.out.stream().filter(o -> now < o.until())
+                .forEach(o -> out.add(o.member())));
+        return out;
+    }
+
+    /** Whether all that run believe the same of all that run. */
+    boolean agreed() {
+        List<Router> running = routers.stream().filter(r -> r.running).toList();
+        Set<String> names = new HashSet<>();
+        running.forEach(r -> names.add(r.name));
+        return running.stream().allMatch(r -> {
+            Set<String> living = new HashSet<>();
+            r.fleet.rows("members").orElseThrow().stream().filter(m -> m.get("standing").equals("alive"))
+                    .forEach(m -> living.add((String) m.get("name")));
+            return living.equals(names);
+        });
+    }
+
+    static IntStream upTo(int n) {
+        return IntStream.range(0, n);
+    }
+}
