--- a/src/main/java/pumicemoor/fleet/Hashes.java
+++ b/src/main/java/pumicemoor/Hashes.java
@@ -1,4 +1,4 @@
-package pumicemoor.fleet;
+package pumicemoor;
 
 /** Numbers for names that are the same at every router and every start. */
 public final class Hashes {
@@ -6,14 +6,13 @@
     private Hashes() {
     }
 
-    /** FNV-1a over the text, mixed, never 0. */
-    public static long of(String text) {
+    /** FNV-1a over the text's characters. */
+    public static long fnv(String text) {
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
         }
-        long mixed = mix(hash);
-        return mixed == 0 ? 1 : mixed;
+        return hash;
     }
 
     /** A number that depends on every bit of the given one (the finaliser of SplitMix64). */
@@ -22,4 +21,9 @@
         y = (y ^ (y >>> 27)) * 0x94d049bb133111ebL;
         return y ^ (y >>> 31);
     }
+
+    /** A well spread number for a name. */
+    public static long of(String name) {
+        return mix(fnv(name));
+    }
 }
--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -20,13 +20,11 @@
 
 /**
  * All decisions of one router. The interface, with its settings, events and actions, is in RouterApi.java.
- *
- * <p>The ordinary path, after Coral: a request goes to its object's hashed edge cache of the location. On a
+ * The ordinary path, after Coral: a request goes to its object's hashed edge cache of the location. On a
  * miss there it names as fill source a sibling seen holding or filling the object, else the object's hashed
  * parent, else the origin. Everything else here is a departure that acts when something is wrong.
  */
 public final class Logic implements RouterApi {
-
     private static final long MILLI = 1_000;  // microseconds
     private static final long SECOND = 1_000_000;  // microseconds
     private static final long TICK = 20 * MILLI;  // sweep for overdue work; far below any aim
@@ -69,6 +67,7 @@
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
+    private static final double QUOTA_SPAN = 100 * MILLI;  // of the fleet's limits that may be saved up
 
     private final Settings settings;
     private final boolean weighted;
@@ -79,6 +78,8 @@
     private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
     private Node origin;
     private Map<Long, SourceList> given = Map.of();  // who may be filled from whom; empty: by the list alone
+    private Map<Long, List<Quota>> quotas = Map.of();  // what may be had of members of the fleet's limits
+    private List<MemberOut> verdicts;  // members out by the fleet's word; null: nobody asks for ours
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -95,7 +96,7 @@
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
     private boolean ticking;
-    private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE;
+    private long arrivals, lastFill, now, wantedAt, watchAgainAt = Long.MAX_VALUE;
     private Consumer<Action> out;
 
     /** A member of the list and what its outcomes have shown. */
@@ -103,10 +104,9 @@
         Member member;
         boolean listed;  // ready by the list
         double load, limit, lateShare;  // what it has of ours, may have of all, and the share that came late
-        double meanLoad;  // what it has of ours, over a while, as of loadAt
+        double meanLoad, failShare;  // what it has of ours over a while, as of loadAt; of failures
         long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
-        int open, strikes;  // attempts that are out, failures in a row
-        double failShare;  // share of failures, lately
+        int open, asked, strikes;  // attempts that are out, that may reach it at all, failures in a row
         long lastAnswer, struckAt, downUntil, downFor, coldFrom;
         double flow, credit;  // work served lately, in transfers, as of flowAt; budget left while cold
         long flowAt, creditAt;
@@ -120,8 +120,7 @@
         double work, priority;  // time to send it at full pace, worth for that
         long number, startBy, deadline;  // startBy: after this it can't be on time
         int attempts, quickFailures;
-        boolean mayHaveRun, closed, streaming;
-        boolean missed, parentMissed;  // a look has found no copy here, at the parent
+        boolean mayHaveRun, closed, streaming, missed, parentMissed;  // a look found none here, there
         boolean stale, retry;  // an old copy will do now; the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
@@ -132,17 +131,15 @@
         int number;
         Node target, source, blamed;  // blamed: for being late, so far
         long sent, lateFrom, due;  // due: silence counts from here
-        boolean overdue, cancelled;
-        boolean expectHit, look, lookAtParent;
+        boolean overdue, cancelled, expectHit, look, lookAtParent;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
     /** What is remembered of an object (or part): who holds it, how often it was asked for. */
     private static final class Entry {
         final List<Holder> holders = new ArrayList<>();
-        int seen;
+        int seen, notes;
         long noteMinute;
-        int notes;
     }
 
     private record Holder(Node node, long started, long since, long until) {
@@ -190,6 +187,10 @@
             peerNote(e);
         } else if (event instanceof SourcesGiven e) {
             given = e.lists();
+        } else if (event instanceof AllowancesGiven e) {
+            quotas = Quota.follow(quotas, e.allowances(), QUOTA_SPAN, now);
+        } else if (event instanceof VerdictsGiven e) {
+            verdicts = e.out();
         }
     }
 
@@ -256,6 +257,11 @@
             watchAgainAt = Long.MAX_VALUE;
             out.accept(new WatchList(true));
         }
+        if (now >= wantedAt + SECOND) {
+            wantedAt = now;
+            quotas.forEach((id, list) -> list.forEach(q -> out.accept(q.told(nodes.containsKey(id)
+                    ? nodes.get(id).asked : 0))));
+        }
         List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
             for (Attempt a : job.open.values()) {
@@ -311,10 +317,8 @@
         }
     }
 
-    /**
-     * The ordinary path. While the source is full, the request first looks whether the cache, then the
-     * parent, holds a copy, and only then waits for its turn to fill.
-     */
+    /** The ordinary path. While the source is full, the request first looks whether the cache, then the
+     * parent, holds a copy, and only then waits for its turn to fill. */
     private void fetch(Job job, Node edge) {
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
@@ -360,10 +364,8 @@
         return order.stream().filter(n -> !full(n, n.limit / 2, job)).findFirst().orElse(null);
     }
 
-    /**
-     * The fill source: a remembered sibling, else the object's hashed parent, else the origin. Past a parent
-     * that is late and full goes what another, neither late nor full, can take: one may be slow by itself.
-     */
+    /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. Past a parent
+     * that is late and full goes what another, neither late nor full, can take: one may be slow by itself. */
     private Node source(Job job, Node edge) {
         Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         if (edge != null && settings.fills().siblings() != SiblingSources.NONE) {
@@ -407,9 +409,8 @@
 
     /** Whether an object has moved to its new home; it does once, at its own place in the rising share. */
     private boolean moved(SourceList list, Node home, String object) {
-        long id = home.member.id();
-        Source s = list.now().stream().filter(n -> n.member() == id).findFirst().orElseThrow();
-        double place = (mix(~hash(object)) >>> 11) * 0x1.0p-53;
+        Source s = list.now().stream().filter(n -> n.member() == home.member.id()).findFirst().orElseThrow();
+        double place = (Hashes.mix(~Hashes.fnv(object)) >>> 11) * 0x1.0p-53;
         double span = s.fullAt() - s.opensAt();
         double passed = span <= 0 ? 1 : (now - s.opensAt()) / span;
         return (list.back() ? 1 - place : place) < s.share() + (1 - s.share()) * Math.max(0, passed);
@@ -440,17 +441,22 @@
         return order.indexOf(h.node) <= order.indexOf(edge);
     }
 
-    /**
-     * Whether a member has as much of ours as it can serve in time. The more work a request is for its worth,
-     * the sooner it finds a member full: a few large ones fill a link that would serve many small ones.
-     */
+    /** Whether a member has as much of ours as it can serve in time. The more work a request is for its
+     * worth, the sooner it finds a member full: a few large ones fill a link that would serve many small
+     * ones. */
     private boolean full(Node n, double share, Job job) {
         double small = job.priority / (job.priority + meanPriority);
-        boolean full = crewLoad(n) + share > n.limit * (1 - LARGE_LESS * (1 - small));
+        boolean full = !allowed(n, job) || crewLoad(n) + share > n.limit * (1 - LARGE_LESS * (1 - small));
         n.pressedAt = full ? now : n.pressedAt;
         return full;
     }
 
+    /** Whether the fleet's limits leave this router an attempt that may reach a member. */
+    private boolean allowed(Node n, Job job) {
+        return quotas.getOrDefault(n.member.id(), List.of()).stream().allMatch(
+                q -> q.measure() == Measure.COLD_IN_FLIGHT && warm(n) || q.room(now, n.asked, job.number));
+    }
+
     /** Without room a request waits while it can be on time, most worth for its size first. */
     private void hold(Job job) {
         if (now < job.startBy) {
@@ -462,7 +468,7 @@
 
     private void send(Job job, Node target, Node source, Action action) {
         Attempt a = new Attempt();
-        a.number = job.attempts++;
+        a.number = job.attempts;
         a.target = target;
         a.source = source;
         a.sent = now;
@@ -472,30 +478,35 @@
         a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
                 + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
+        a.charges.put(target, 1.0);
+        if (source != target) {
+            a.charges.put(source, a.expectHit ? 0.0 : 1.0);
+            if (source.member.role() == Role.PARENT && !a.lookAtParent && origin != null) {
+                a.charges.put(origin, a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
+            }
+            if (action instanceof Fetch f) {
+                f.way().forEach(n -> a.charges.putIfAbsent(nodes.get(n), a.expectHit ? 0 : ORIGIN_PART));
+            }
+        }
+        if (!a.charges.keySet().stream().allMatch(n -> allowed(n, job))) {
+            hold(job);  // all that it may reach count in full, also where a hit is expected
+            return;
+        }
         if (job.retry) {
             retryTokens--;
             job.retry = false;
         }
+        job.attempts++;
         job.mayHaveRun = true;
         job.open.put(a.number, a);
         target.open++;
-        charge(job, a, target, 1);
-        if (source != target) {
-            charge(job, a, source, a.expectHit ? 0 : 1);
-            if (source.member.role() == Role.PARENT && !a.lookAtParent && origin != null) {
-                charge(job, a, origin, a.expectHit ? 0 : job.parentMissed ? 1 : ORIGIN_PART);
-            }
-            if (action instanceof Fetch f) {
-                f.way().forEach(n -> charge(job, a, nodes.get(n), a.expectHit ? 0 : ORIGIN_PART));
-            }
-        }
+        a.charges.forEach((n, share) -> charge(job, n, share));
         out.accept(action);
     }
 
-    /**
-     * What the routers of this location have at a member, as far as ours shows it: at once where it is alone,
-     * else over a while, since one request of ours doesn't mean that each of the others has one too.
-     */
+    /** What the routers of this location have at a member, as far as ours shows it: at once where it is
+     * alone, else over a while, since one request of ours doesn't mean that each of the others has one
+     * too. */
     private double crewLoad(Node n) {
         n.meanLoad += (n.load - n.meanLoad) * (crew == 1 ? 1
                 : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
@@ -503,11 +514,12 @@
         return crew * n.meanLoad;
     }
 
-    private void charge(Job job, Attempt a, Node n, double share) {
+    private void charge(Job job, Node n, double share) {
         crewLoad(n);
         n.load += share;
-        a.charges.merge(n, share, Double::sum);
+        n.asked++;
         n.credit -= countedWork(n, job);
+        quotas.getOrDefault(n.member.id(), List.of()).forEach(Quota::spend);
     }
 
     /** What a member has served is what it can bear, however much it is sent. */
@@ -525,6 +537,7 @@
         a.target.open--;
         a.charges.forEach((n, share) -> {
             crewLoad(n);
+            n.asked--;
             n.load = Math.max(0, n.load - share);
         });
         job.mayHaveRun = !e.outcome().provesNotRun || !job.open.isEmpty();
@@ -625,10 +638,8 @@
         }
     }
 
-    /**
-     * The limit of what a member has of ours, against any jam: it falls when an attempt sent after the last
-     * fall comes late or not at all, and rises slowly while it is used and all is on time.
-     */
+    /** The limit of what a member has of ours, against any jam: it falls when an attempt sent after the last
+     * fall comes late or not at all, and rises slowly while it is used and all is on time. */
     private void paced(Node n, Attempt a, boolean late) {
         if (late && a.blamed == n) {
             return;
@@ -643,11 +654,9 @@
         }
     }
 
-    /**
-     * Silence, whatever its cause: nothing has come from the target (else from the source) since the attempt
+    /** Silence, whatever its cause: nothing has come from the target (else from the source) since the attempt
      * went out, though it should have, while others were heard. The request moves on; two such in a row take
-     * the member out. While all sources are silent, none is blamed: then what lies behind them is.
-     */
+     * the member out. While all sources are silent, none is blamed: then what lies behind them is. */
     private void overdue(Job job, Attempt a) {
         boolean targetSilent = a.target.lastAnswer < a.sent;
         Node guilty = targetSilent && (a.expectHit || a.source.lastAnswer >= a.sent) ? a.target
@@ -659,10 +668,8 @@
         }
     }
 
-    /**
-     * A failure that came quickly has cost little: the same member, which has the object, is tried again, and
-     * only one that fails most of what it gets is left. A failure that took its time is a strike.
-     */
+    /** A failure that came quickly has cost little: the same member, which has the object, is tried again,
+     * and only one that fails most of what it gets is left. A failure that took its time is a strike. */
     private void failed(Job job, Attempt a, Node n, long latency) {
         n.failShare += job.quickFailures > 0 ? 0 : FAIL_GAIN * (1 - n.failShare);  // each request tells once
         if (n.failShare > FAIL_SHARE) {
@@ -692,7 +699,7 @@
         if (lost) {
             n.coldFrom = Math.max(n.coldFrom, n.downUntil);
         }
-        out.accept(new Log("member " + n.member.id() + " is out for " + n.downFor / MILLI + " ms"));
+        judged(n, true, lost, " is out for " + n.downFor / MILLI + " ms");
     }
 
     private void good(Node n) {
@@ -701,7 +708,14 @@
         n.failShare -= FAIL_GAIN * n.failShare;
         if (n.downFor > 0 && now >= n.downUntil) {
             n.downFor = 0;
-            out.accept(new Log("member " + n.member.id() + " is back"));
+            judged(n, false, false, " is back");
+        }
+    }
+
+    private void judged(Node n, boolean failing, boolean silent, String what) {
+        out.accept(new Log("member " + n.member.id() + what));
+        if (verdicts != null) {
+            out.accept(new Judged(n.member.id(), failing, silent, n.strikes, n.failShare, n.downUntil));
         }
     }
 
@@ -813,41 +827,27 @@
         return fresh > 0 ? Math.min(fresh, since) : since;
     }
 
+    /** Who has a case of its own tries the member by itself; all others go by the fleet's word. */
     private boolean up(Node n) {
-        return n.listed && now >= n.downUntil && (n.downFor == 0 || n.open == 0);
+        return n.listed && now >= n.downUntil && (n.downFor != 0 ? n.open == 0
+                : verdicts == null || verdicts.stream().noneMatch(v -> v.covers(n.member, now)));
     }
 
     /** These members in the key's rendezvous order. */
     private List<Node> ranked(Collection<Node> members, String key, Map<Node, Double> weights) {
-        long hash = hash(key);
+        long hash = Hashes.fnv(key);
         TreeMap<Double, Node> ranked = new TreeMap<>(Comparator.reverseOrder());
         for (Node n : members) {
-            double draw = ((mix(hash ^ mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
+            double draw = ((Hashes.mix(hash ^ Hashes.mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
             ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1)
                     / weights.getOrDefault(n, 1.0), n);
         }
         return new ArrayList<>(ranked.values());
     }
 
-    private static long hash(String key) {
-        long hash = 0xcbf29ce484222325L;  // FNV-1a
-        for (int i = 0; i < key.length(); i++) {
-            hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
-        }
-        return hash;
-    }
-
-    private static long mix(long z) {
-        long y = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        y = (y ^ (y >>> 27)) * 0x94d049bb133111ebL;
-        return y ^ (y >>> 31);
-    }
-
-    /**
-     * Whether a member that has just started can take this request too. Each router earns its share of what
+    /** Whether a member that has just started can take this request too. Each router earns its share of what
      * the member is sure to bear as time passes, and spends it by the work sent. A share far under a request
-     * is saved up until it allows one, from a random start, so that routers don't all send at once.
-     */
+     * is saved up until it allows one, from a random start, so that routers don't all send at once. */
     private boolean coldRoom(Node n, Job job) {
         if (warm(n)) {
             return true;
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -154,6 +154,11 @@
 
     /** A process of a member that all routers leave alone until then, on what some of them have seen of it. */
     record MemberOut(long member, long started, long until) {
+
+        /** Whether it means this process of this member, and still does. */
+        public boolean covers(Member m, long now) {
+            return member == m.id() && started == m.started() && now < until;
+        }
     }
 
     /** All that are out so, in place of those before. Where this is told, judgements of members are wanted. */
--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -41,6 +41,9 @@
             @SubCommand(name = "processor", impl = Processor.class), @SubCommand(name = "status", impl = Status.class),
             @SubCommand(name = "self-check", impl = SelfCheck.class),
             @SubCommand(name = "check-config", impl = CheckConfig.class),
+            @SubCommand(name = "members", impl = FleetRows.Members.class),
+            @SubCommand(name = "limits", impl = FleetRows.Limits.class),
+            @SubCommand(name = "verdicts", impl = FleetRows.Verdicts.class),
             @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
             @SubCommand(name = "lab", impl = LabCommand.class),
             @SubCommand(name = "version", impl = Version.class)})
@@ -204,7 +207,8 @@
             if (operatorFile != null) {
                 OperatorConfig operator = operator(operatorFile);
                 System.out.println("usable: " + operatorFile + operator.hierarchy().map(h -> ", hierarchy of version "
-                        + h.shape().version() + " with " + h.shape().units().size() + " units").orElse(", all off"));
+                        + h.shape().version() + " with " + h.shape().units().size() + " units").orElse(operator.fleet().map(f -> ", fleet '" + f.cluster() + "' of "
+                        + f.size() + " routers with " + f.limits().size() + " limits").orElse(", all off")));
                 if (file == null) {
                     return;
                 }
--- a/src/main/java/pumicemoor/cli/Status.java
+++ b/src/main/java/pumicemoor/cli/Status.java
@@ -1,9 +1,11 @@
 package pumicemoor.cli;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import org.kohsuke.args4j.Argument;
 import pumicemoor.client.FrameClient;
+import pumicemoor.wire.Rows;
 import pumicemoor.wire.WireException;
 
 /**
@@ -28,6 +30,21 @@
         print(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     }
 
+    /** The router's rows about a subject; an exception where it knows none. */
+    static List<Map<String, Object>> rows(String address, String subject) throws IOException, WireException {
+        int colon = address.lastIndexOf(':');
+        if (colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}")) {
+            throw new WireException("no address: '" + address + "'");
+        }
+        try (FrameClient client = connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+            FrameClient.Answer answer = client.ask(READY_ASKED, Map.of("rows", subject), READY);
+            if (answer.fields().isEmpty()) {
+                throw new WireException(address + ": this router has no section 'fleet' in its operator's file");
+            }
+            return Rows.read(String.join("", answer.fields().values()));
+        }
+    }
+
     private static FrameClient connect(String host, int port) throws IOException {
         try {
             return new FrameClient(host, port);
--- a/src/main/java/pumicemoor/cli/Usage.java
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -23,6 +23,9 @@
               status         ask a running router for its state and counters: status HOST:PORT
               self-check     start a router on loopback, have it serve one request, end it
               check-config   read a configuration and say whether it can be used: check-config [FILE]
+              members        show the routers of the fleet as a running router knows them: members HOST:PORT [--json]
+              limits         show the fleet's limits and the router's parts: limits HOST:PORT [--json]
+              verdicts       show the fleet's verdicts on caches and parents: verdicts HOST:PORT [--json]
               hierarchy      check a hierarchy, or plan the change from one to another: hierarchy check|plan
               lab            play a scenario with stand-ins on loopback: lab run FILE
               version        print the version
--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import pumicemoor.Hashes;
 import pumicemoor.RouterApi.Allowance;
 import pumicemoor.RouterApi.AllowancesGiven;
 import pumicemoor.RouterApi.Event;
--- a/src/main/java/pumicemoor/fleet/PacketCodec.java
+++ b/src/main/java/pumicemoor/fleet/PacketCodec.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Pattern;
+import pumicemoor.Hashes;
 import pumicemoor.fleet.BadPacketException.Reason;
 import pumicemoor.fleet.Packet.Body;
 import pumicemoor.fleet.Packet.Part;
--- a/src/main/java/pumicemoor/fleet/membership/Membership.java
+++ b/src/main/java/pumicemoor/fleet/membership/Membership.java
@@ -10,7 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import pumicemoor.fleet.Hashes;
+import pumicemoor.Hashes;
 import pumicemoor.fleet.Packet;
 import pumicemoor.fleet.Packet.Ack;
 import pumicemoor.fleet.Packet.Body;
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -88,7 +88,12 @@
 
     /** Has it read its files again. */
     void hangUp() throws IOException, InterruptedException {
-        new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+        signal("HUP");
+    }
+
+    /** Sends it a signal by name: STOP and CONT pause it and have it go on. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
     /** What it holds of the machine's memory, as the system counts it; 0 where that is not told. */
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -113,10 +113,15 @@
     private void answerReady(int stream, ByteBuf frame) {
         asked = true;
         Map<String, String> fields = new LinkedHashMap<>();
-        if (ClientFrame.asksForCounters(frame)) {
+        Map<String, String> wanted = ClientFrame.wanted(frame);
+        if ("1".equals(wanted.get("counters"))) {
             fields.putAll(counters.all());
             fields.putAll(loop.state());
         }
+        if (wanted.containsKey("rows")) {
+            loop.rows(wanted.get("rows")).ifPresent(rows -> ClientFrame.cut(rows).forEach(part ->
+                    fields.put("rows-" + fields.size(), part)));
+        }
         context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(), fields), context.voidPromise());
     }
 
--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -4,7 +4,9 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import pumicemoor.node.Bytes;
@@ -31,6 +33,8 @@
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
     private static final int MOST_GROUP = 255;
+    private static final int LONGEST_VALUE = 60_000;
+    private static final int LONGEST_TEXT = 4 * LONGEST_VALUE;  // a client takes frames of 262,144 bytes
 
     private ClientFrame() {
     }
@@ -116,9 +120,18 @@
         out.writeCharSequence(value, StandardCharsets.US_ASCII);
     }
 
-    /** Whether the question for readiness asks for the counters too. */
-    static boolean asksForCounters(ByteBuf frame) {
-        return frame.isReadable() && "1".equals(fields(frame).get("counters"));
+    /** What the question for readiness asks for beside it: the counters, or rows about a subject. */
+    static Map<String, String> wanted(ByteBuf frame) {
+        return frame.isReadable() ? fields(frame) : Map.of();
+    }
+
+    /** A long text as values that a field can hold, and no more of it than a frame can. */
+    static List<String> cut(String text) {
+        List<String> parts = new ArrayList<>();
+        for (int from = 0; from < Math.min(text.length(), LONGEST_TEXT); from += LONGEST_VALUE) {
+            parts.add(text.substring(from, Math.min(text.length(), from + LONGEST_VALUE)));
+        }
+        return parts;
     }
 
     /** The answer to whether the router is ready, with these fields. */
--- a/src/main/java/pumicemoor/net/Loop.java
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -1,6 +1,7 @@
 package pumicemoor.net;
 
 import java.util.Map;
+import java.util.Optional;
 import pumicemoor.node.Input;
 
 /** What connections may ask of the loop they run on; none of it may be called from another thread. */
@@ -21,6 +22,9 @@
     /** What can be seen of the parts that are switched on, by name. */
     Map<String, String> state();
 
+    /** Rows about one subject as JSON, where there are such. */
+    Optional<String> rows(String subject);
+
     void opened(long number, ClientConnection client);
 
     void closed(long number);
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -71,6 +71,7 @@
     private final Queue<Input> inbox = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final FleetSocket fleet = new FleetSocket(this);
     private Optional<CallFront> front = Optional.empty();
     private Channel listener;
     private long lastClient;
@@ -109,8 +110,11 @@
         long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime());
         LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
+        if (operator.fleet().isPresent()) {
+            fleet.listen(group, operator.fleet().get().listen());
+        }
         loop.submit(() -> {
-            reducer.operate(clock(), operator, config.location());
+            reducer.operate(clock(), operator, config.location(), config.name(), config.seed());
             reducer.known(clock(), config, effects::add);
             work();
             loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
@@ -204,6 +208,11 @@
         return state;
     }
 
+    @Override
+    public Optional<String> rows(String subject) {
+        return reducer.rows(subject);
+    }
+
     @Override
     public boolean execute(Runnable what) {
         try {
@@ -328,6 +337,8 @@
             front.ifPresent(CallFront::drain);
         } else if (effect instanceof Effect.Follow follow) {
             coordinator.follow(follow.coordinator());
+        } else if (effect instanceof Effect.ToFleet packet) {
+            fleet.send(packet.address(), packet.bytes());
         } else if (effect instanceof Effect.Exit) {
             end();
         }
@@ -339,6 +350,7 @@
         }
         front.ifPresent(CallFront::close);
         coordinator.close();
+        fleet.close();
         lines.closeAll();
         // answers still on their way to a slow client are given the time that they take
         PromiseCombiner flushed = new PromiseCombiner(loop);
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import pumicemoor.Logic;
@@ -150,6 +151,11 @@
         // nothing here is anybody's fault
     }
 
+    @Override
+    public Optional<String> rows(String subject) {
+        return Optional.empty();
+    }
+
     @Override
     public Map<String, String> state() {
         return Map.of();
--- a/src/main/java/pumicemoor/node/BoundedLog.java
+++ b/src/main/java/pumicemoor/node/BoundedLog.java
@@ -25,6 +25,11 @@
         this.perSecond = perSecond;
     }
 
+    /** A line about what has changed here, not about what others did wrong; under the same bound. */
+    public void info(long now, String text, Map<String, Object> figures) {
+        write(now, log.atInfo(), text, figures);
+    }
+
     /** Writes a line at this time (microseconds), or counts it as left out. */
     public void warn(long now, String text) {
         warn(now, text, Map.of());
@@ -32,6 +37,10 @@
 
     /** The same with figures by name, which a log of lines for programs keeps apart. */
     public void warn(long now, String text, Map<String, Object> figures) {
+        write(now, log.atWarn(), text, figures);
+    }
+
+    private void write(long now, LoggingEventBuilder builder, String text, Map<String, Object> figures) {
         if (now / SECOND != second) {
             second = now / SECOND;
             written = 0;
@@ -42,15 +51,11 @@
         }
         written++;
         String form = leftOut == 0 ? "{}" : "{} ({} such lines were left out before)";
-        if (figures.isEmpty()) {
-            log.warn(form, text, leftOut);
-        } else {
-            LoggingEventBuilder line = log.atWarn();
-            for (Map.Entry<String, Object> figure : new TreeMap<>(figures).entrySet()) {
-                line = line.addKeyValue(figure.getKey(), figure.getValue());
-            }
-            line.log(form, text, leftOut);
+        LoggingEventBuilder line = builder;
+        for (Map.Entry<String, Object> figure : new TreeMap<>(figures).entrySet()) {
+            line = line.addKeyValue(figure.getKey(), figure.getValue());
         }
+        line.log(form, text, leftOut);
         leftOut = 0;
     }
 }
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -69,6 +69,10 @@
     record Follow(String coordinator) implements Effect {
     }
 
+    /** Send a packet to another router of the fleet. */
+    record ToFleet(String address, byte[] bytes) implements Effect {
+    }
+
     /** All is done: end the process. */
     record Exit() implements Effect {
     }
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -59,6 +59,10 @@
     record Update(String json) implements Input {
     }
 
+    /** A packet of another router of the fleet, as it came. */
+    record FromFleet(byte[] bytes) implements Input {
+    }
+
     /** The configuration and the operator's file were read anew; null with the problem where they cannot be used. */
     record Reload(NodeConfig config, OperatorConfig operator, String problem) implements Input {
     }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -26,6 +27,7 @@
 import pumicemoor.RouterApi.FillNote;
 import pumicemoor.RouterApi.ListKind;
 import pumicemoor.RouterApi.Log;
+import pumicemoor.RouterApi.Judged;
 import pumicemoor.RouterApi.Lookup;
 import pumicemoor.RouterApi.Member;
 import pumicemoor.RouterApi.MembersListed;
@@ -38,7 +40,9 @@
 import pumicemoor.RouterApi.Settings;
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
+import pumicemoor.RouterApi.Wanted;
 import pumicemoor.RouterApi;
+import pumicemoor.fleet.Fleet;
 import pumicemoor.hierarchy.Hierarchy;
 import pumicemoor.hierarchy.ShapeCheck.Problem;
 import pumicemoor.node.Counters.Name;
@@ -47,6 +51,7 @@
 import pumicemoor.operator.HierarchySection;
 import pumicemoor.operator.OperatorConfig;
 import pumicemoor.wire.Message;
+import pumicemoor.wire.Rows;
 import pumicemoor.wire.ShapeNews;
 import pumicemoor.wire.Vocabulary;
 import pumicemoor.wire.WireException;
@@ -85,6 +90,7 @@
     private final BoundedLog complaints;
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<Long, Endpoint> endpoints = new HashMap<>();
+    private final Map<Long, Fleet.Listed> fleetMembers = new TreeMap<>();  // those listed, as the fleet knows them
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Queue<Event> events = new ArrayDeque<>();
     private Consumer<Effect> out;
@@ -96,6 +102,9 @@
     private OperatorConfig operator = OperatorConfig.NONE;
     private Optional<Hierarchy> hierarchy = Optional.empty();
     private long hierarchyDue = Long.MAX_VALUE;
+    private Optional<Fleet> fleet = Optional.empty();
+    private long fleetDue = Long.MAX_VALUE;
+    private final BoundedLog fleetLog;
     private long terminatedAt = -1;
     private boolean exited;
 
@@ -107,7 +116,7 @@
     private record Endpoint(String instance, String address, long started) {
     }
 
-    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, EXIT_IF_QUIET, EXIT }
+    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, FLEET, EXIT_IF_QUIET, EXIT }
 
     private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
         @Override
@@ -142,6 +151,7 @@
         this.limits = limits;
         this.counters = counters;
         this.complaints = new BoundedLog(LOG, limits.complaints());
+        this.fleetLog = new BoundedLog(LOG, limits.fleetLines());
     }
 
     /** When the next Due input is wanted; Long.MAX_VALUE for never. */
@@ -191,6 +201,8 @@
             end(attempts.get(b.attempt()), Outcome.RESET);
         } else if (input instanceof Input.Update u) {
             updated(u.json());
+        } else if (input instanceof Input.FromFleet f) {
+            fleet.ifPresent(x -> x.heard(now, f.bytes()));
         } else if (input instanceof Input.Reload r) {
             reload(r);
         } else if (input instanceof Input.Terminate) {
@@ -198,6 +210,7 @@
         }
         drive();
         followHierarchy();
+        followFleet();
         if (terminatedAt >= 0 && !exited && unanswered.isEmpty()
                 && now >= terminatedAt + limits.quietAfterTerm()) {
             exited = true;
@@ -319,6 +332,10 @@
             timer(now + Math.max(1, t.delay()), Kind.MODULE, t.token());
         } else if (action instanceof CloseIdle c && endpoints.containsKey(c.member())) {
             out.accept(new Effect.CloseIdle(endpoints.get(c.member()).instance()));
+        } else if (action instanceof Wanted w) {
+            fleet.ifPresent(f -> f.wanted(w));
+        } else if (action instanceof Judged j) {
+            fleet.ifPresent(f -> f.judged(now, j));
         } else if (action instanceof Log l) {
             LOG.info("{}", l.text());
         }
@@ -423,6 +440,7 @@
             case UNWRITTEN -> !attempts.containsKey(timer.about()) || attempts.get(timer.about()).written;
             case OVERDUE -> !requests.containsKey(Long.toString(timer.about()));
             case HIERARCHY -> timer.at() != hierarchyDue;
+            case FLEET -> timer.at() != fleetDue;
             default -> false;
         };
     }
@@ -447,7 +465,7 @@
                 }
                 case OVERDUE -> overdue(requests.get(Long.toString(timer.about())));
                 case EXIT -> List.copyOf(unanswered.values()).forEach(this::overdue);
-                case HIERARCHY, EXIT_IF_QUIET -> {
+                case HIERARCHY, FLEET, EXIT_IF_QUIET -> {
                     // what follows each input does it
                 }
             }
@@ -469,6 +487,7 @@
             timer(now + limits.quietAfterTerm(), Kind.EXIT_IF_QUIET, 0);
             timer(now + limits.lastAfterTerm(), Kind.EXIT, 0);
             out.accept(new Effect.Drain());
+            fleet.ifPresent(f -> f.leave(now));
         }
     }
 
@@ -504,13 +523,15 @@
         lastUpdate = Math.max(lastUpdate, config.knownIndex());
         this.config = config;
         followHierarchy();
+        followFleet();
     }
 
     // ---- the hierarchy --------------------------------------------------------------------------------
 
     /** Takes what the operator has set, once, before anything that is known; without it all is as before. */
-    public void operate(long time, OperatorConfig set, String location) {
+    public void operate(long time, OperatorConfig set, String location, String name, long seed) {
         operator = set;
+        set.fleet().ifPresent(f -> fleet = Optional.of(new Fleet(f.setup(name), time, seed)));
         set.hierarchy().ifPresent(h -> {
             long coldTime = settings.rules().parent().warmAfter();
             Hierarchy.Setup setup = new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(),
@@ -538,6 +559,31 @@
         hierarchyDue = due;
     }
 
+    // ---- the fleet ------------------------------------------------------------------------------------
+
+    /** Lets this router's part in the fleet live up to now: its packets out, its news to the decisions, its lines. */
+    private void followFleet() {
+        if (fleet.isEmpty()) {
+            return;
+        }
+        Fleet f = fleet.get();
+        f.advance(now);
+        events.addAll(f.takeEvents());
+        drive();
+        f.takePackets().forEach(d -> out.accept(new Effect.ToFleet(d.address(), d.bytes())));
+        f.takeNotices().forEach(n -> fleetLog.info(now, n.text(), n.figures()));
+        long due = f.nextDue();
+        if (due != fleetDue) {
+            timer(due, Kind.FLEET, 0);
+        }
+        fleetDue = due;
+    }
+
+    /** Rows about one subject of the fleet as a JSON text; empty where there is no fleet or no such subject. */
+    public Optional<String> rows(String subject) {
+        return fleet.flatMap(f -> f.rows(subject)).map(Rows::json);
+    }
+
     private void shapeTold(ShapeNews news) {
         if (hierarchy.isEmpty()) {
             return;  // this installation has none
@@ -551,7 +597,10 @@
 
     /** What can be seen of the parts that the operator has switched on, by name. */
     public Map<String, String> state() {
-        return hierarchy.map(h -> h.snapshot().fields()).orElse(Map.of());
+        Map<String, String> state = new LinkedHashMap<>();
+        hierarchy.ifPresent(h -> state.putAll(h.snapshot().fields()));
+        fleet.ifPresent(f -> state.putAll(f.fields()));
+        return state;
     }
 
     /** Takes over a new shape; anything else that is new in the operator's file can't be followed while running. */
@@ -566,6 +615,9 @@
                 || next.processor().isPresent() && !next.processor().get().follows(operator.processor().get())) {
             return "the section 'processor' can't come or go, and its listen and tls can't change, while running";
         }
+        if (!next.fleet().equals(operator.fleet())) {
+            return "the section 'fleet' can't be changed while running";
+        }
         if (next.hierarchy().isEmpty() && operator.hierarchy().isEmpty()) {
             operator = next;
             out.accept(new Effect.Operate(next));
@@ -654,6 +706,11 @@
                     words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
                     line.integer("startedAtMs", 0) * MILLI, state);
             members.add(member);
+            if (state == State.GONE) {
+                fleetMembers.remove(member.id());
+            } else {
+                fleetMembers.put(member.id(), new Fleet.Listed(instance, member.role(), member.started()));
+            }
             Endpoint before = endpoints.put(member.id(),
                     new Endpoint(instance, line.text("hostPort"), member.started()));
             if (state == State.GONE) {
@@ -665,7 +722,9 @@
         if (list.flag("reset")) {  // who is not in a whole list has been removed
             Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
             endpoints.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::gone);
+            fleetMembers.keySet().retainAll(listed);
         }
+        fleet.ifPresent(f -> f.members(now, fleetMembers));
         hierarchy.ifPresent(h -> h.members(endpoints.values().stream()
                 .collect(Collectors.toMap(Endpoint::instance, Endpoint::started, Math::max))));
         events.add(new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -14,7 +14,7 @@
         int misuses, long longestTtl, long pushback, int complaints, int linesPerMember, int attemptsPerLine,
         long connectTimeout, long unwritten, long lineIdle, long lineAbandoned, long lineQuiet, long lineDead,
         long idKept, long feedSilence, long feedConnect, long feedRetry, long answerGuard, long quietAfterTerm,
-        long lastAfterTerm, int rehearsals, long rehearsalTime) {
+        long lastAfterTerm, int rehearsals, long rehearsalTime, int fleetLines) {
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
@@ -41,6 +41,6 @@
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 300 * MILLI, 500 * MILLI,
                 longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI,
                 settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
-                Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND);
+                Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND, 50);
     }
 }
--- /dev/null
+++ b/src/main/java/pumicemoor/operator/FleetSection.java
@@ -0,0 +1,26 @@
+package pumicemoor.operator;
+
+import java.util.List;
+import java.util.Optional;
+import pumicemoor.fleet.FleetSetup;
+import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.limits.LeaseTimes;
+import pumicemoor.fleet.membership.Membership;
+import pumicemoor.fleet.verdicts.Bench;
+
+/**
+ * The section 'fleet': where this router hears the others of its cluster, how many there are at most, what they hold
+ * together. Listen is where it hears them, advertise how they reach it. Times are microseconds.
+ */
+public record FleetSection(String cluster, String listen, String advertise, List<String> seeds, int size, long period,
+        int indirect, int fanout, long remember, LeaseTimes times, List<LimitRule> limits,
+        Optional<Bench.Rules> verdicts) {
+
+    private static final int ROUTERS = 2_000;  // that are kept in the table
+
+    /** What a router of this name is set up with. */
+    public FleetSetup setup(String name) {
+        return new FleetSetup(cluster, new Membership.Setup(name, advertise, seeds, period, indirect, fanout, remember,
+                ROUTERS), size, times, limits, verdicts);
+    }
+}
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -25,9 +25,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import pumicemoor.RouterApi.Measure;
 import pumicemoor.calls.CallRules;
 import pumicemoor.calls.FairAdmission;
+import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.FleetSetup.Scope;
+import pumicemoor.fleet.PacketCodec;
+import pumicemoor.fleet.limits.LeaseTimes;
+import pumicemoor.fleet.verdicts.Bench;
 import pumicemoor.hierarchy.Hierarchy.News;
 import pumicemoor.hierarchy.Shape;
 import pumicemoor.hierarchy.Shape.Kind;
@@ -47,6 +54,7 @@
     static final long LONGEST = 16 << 20;
 
     private static final long MILLI = 1_000;
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final int LONGEST_TIME = 24 * 3_600_000;  // milliseconds
     private static final YAMLMapper YAML = YAMLMapper.builder()
             .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
@@ -60,7 +68,21 @@
             .build();
 
     // the form of the file, with its own names and units; absent keys are null
-    private record Root(LogForm log, HierarchyForm hierarchy, ProcessorForm processor) {
+    private record Root(LogForm log, HierarchyForm hierarchy, ProcessorForm processor, FleetForm fleet) {
+    }
+
+    private record FleetForm(String cluster, String listen, String advertise, List<String> seeds, Integer size,
+            @JsonProperty("period-ms") Integer period, Integer indirect, Integer fanout,
+            @JsonProperty("remember-ms") Integer remember, @JsonProperty("lease-ms") Integer lease,
+            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts) {
+    }
+
+    private record LimitForm(String name, String members, @JsonProperty("per-second") Double perSecond,
+            @JsonProperty("in-flight") Integer inFlight, @JsonProperty("cold-in-flight") Integer coldInFlight) {
+    }
+
+    private record VerdictsForm(@JsonProperty("most-out") Double mostOut, Integer witnesses,
+            @JsonProperty("hold-ms") Integer hold, @JsonProperty("guard-ms") Integer guard) {
     }
 
     private record ProcessorForm(String listen, @JsonProperty("plain-anywhere") Boolean plainAnywhere, TlsForm tls,
@@ -172,7 +194,89 @@
         }
         return new OperatorConfig(format.equals("json") ? LogFormat.JSON : LogFormat.TEXT,
                 root.hierarchy() == null ? Optional.empty() : Optional.of(hierarchy(root.hierarchy())),
-                root.processor() == null ? Optional.empty() : Optional.of(processor(root.processor())));
+                root.processor() == null ? Optional.empty() : Optional.of(processor(root.processor())),
+                root.fleet() == null ? Optional.empty() : Optional.of(fleet(root.fleet())));
+    }
+
+    private FleetSection fleet(FleetForm form) throws OperatorException {
+        if (form.cluster() == null || !NAME.matcher(form.cluster()).matches()) {
+            throw wrong("fleet.cluster", "it is missing, or not of 1 to 64 letters, digits, dots, dashes, underscores");
+        }
+        String listen = fleetAddress(form.listen(), "fleet.listen");
+        String advertise = form.advertise() == null ? listen : fleetAddress(form.advertise(), "fleet.advertise");
+        List<String> seeds = new ArrayList<>();
+        for (String seed : form.seeds() == null ? List.<String>of() : form.seeds()) {
+            seeds.add(fleetAddress(seed, "fleet.seeds"));
+        }
+        if (form.size() == null || form.size() < 1 || form.size() > 2_000) {
+            throw wrong("fleet.size", "it is missing or out of range: 1 to 2000 routers");
+        }
+        long period = MILLI * time(form.period(), 200, 20, "fleet.period-ms");
+        long lease = MILLI * time(form.lease(), 5_000, 500, "fleet.lease-ms");
+        long guard = MILLI * time(form.guard(), 500, 10, "fleet.guard-ms");
+        if (guard * 2 > lease) {
+            throw wrong("fleet.guard-ms", "it is over half of lease-ms");
+        }
+        List<LimitRule> limits = new ArrayList<>();
+        for (LimitForm limit : form.limits() == null ? List.<LimitForm>of() : form.limits()) {
+            LimitRule rule = limit(limit, form.size());
+            if (limits.stream().anyMatch(l -> l.name().equals(rule.name()))) {
+                throw wrong("fleet.limits", "two limits have the name '" + rule.name() + "'");
+            }
+            limits.add(rule);
+        }
+        Optional<Bench.Rules> verdicts = form.verdicts() == null ? Optional.empty() : Optional.of(verdicts(form));
+        return new FleetSection(form.cluster(), listen, advertise, List.copyOf(seeds), form.size(), period,
+                count(form.indirect(), 3, "fleet.indirect"), count(form.fanout(), 2, "fleet.fanout"),
+                MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"), new LeaseTimes(lease, guard),
+                List.copyOf(limits), verdicts);
+    }
+
+    private String fleetAddress(String address, String key) throws OperatorException {
+        if (address == null || !PacketCodec.possibleAddress(address)) {
+            throw wrong(key, address == null ? "it is missing" : "'" + address + "' is no address such as 127.0.0.1:7946");
+        }
+        return address;
+    }
+
+    private LimitRule limit(LimitForm form, int size) throws OperatorException {
+        if (form.name() == null || !NAME.matcher(form.name()).matches() || form.members() == null) {
+            throw wrong("fleet.limits", "a limit has a name and members");
+        }
+        int measures = (form.perSecond() == null ? 0 : 1) + (form.inFlight() == null ? 0 : 1)
+                + (form.coldInFlight() == null ? 0 : 1);
+        if (measures != 1) {
+            throw wrong("fleet.limits", "limit '" + form.name() + "' needs one of per-second, in-flight, cold-in-flight");
+        }
+        Measure measure = form.perSecond() != null ? Measure.PER_SECOND
+                : form.inFlight() != null ? Measure.IN_FLIGHT : Measure.COLD_IN_FLIGHT;
+        double amount = form.perSecond() != null ? form.perSecond()
+                : form.inFlight() != null ? form.inFlight() : form.coldInFlight();
+        if (!(amount > 0 && amount <= 1e9)) {
+            throw wrong("fleet.limits", "limit '" + form.name() + "' is out of range: over 0, up to 1000000000");
+        }
+        if (measure.whole && amount < size) {
+            throw wrong("fleet.limits", "limit '" + form.name() + "' of " + (int) amount
+                    + " can't be shared out in whole parts among " + size + " routers");
+        }
+        Scope scope = switch (form.members()) {
+            case "each-cache" -> Scope.EACH_CACHE;
+            case "each-parent" -> Scope.EACH_PARENT;
+            case "origin" -> Scope.ORIGIN;
+            default -> Scope.MEMBER;
+        };
+        return new LimitRule(form.name(), scope, form.members(), measure, amount);
+    }
+
+    private Bench.Rules verdicts(FleetForm fleet) throws OperatorException {
+        VerdictsForm form = fleet.verdicts();
+        double share = form.mostOut() == null ? 0.1 : form.mostOut();
+        if (!(share >= 0 && share <= 1)) {
+            throw wrong("fleet.verdicts.most-out", share + " is out of range: 0 to 1");
+        }
+        long hold = MILLI * time(form.hold(), 5_000, 500, "fleet.verdicts.hold-ms");
+        return new Bench.Rules(share, count(form.witnesses(), 2, "fleet.verdicts.witnesses"), hold,
+                MILLI * time(form.guard(), 2_500, 10, "fleet.verdicts.guard-ms"));
     }
 
     private ProcessorSection processor(ProcessorForm form) throws OperatorException {
--- /dev/null
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -0,0 +1,135 @@
+package pumicemoor.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import pumicemoor.client.FrameClient;
+import pumicemoor.lab.MemberStandIn.Kind;
+import pumicemoor.lab.Scenario.Change;
+import pumicemoor.lab.Scenario.Way;
+import pumicemoor.wire.Rows;
+
+/** Processes of the program with a fault network between them, before stand-in caches that keep their own record. */
+final class FleetRig implements AutoCloseable {
+
+    final Record record = new Record();
+    final FaultNetwork network;
+    final List<RouterProcess> routers = new ArrayList<>();
+    final List<MemberStandIn> members = new ArrayList<>();
+    final LoadClients clients;
+    private final ExecutorService work = Executors.newCachedThreadPool(r -> {
+        Thread t = new Thread(r, "rig");
+        t.setDaemon(true);
+        return t;
+    });
+    private final CoordinatorStandIn coordinator;
+    private final Scenario scenario;
+    private final String fleet;
+    private final long began = System.nanoTime();
+    private long asked;
+    private double askedUntil;
+
+    FleetRig(Path folder, int routerCount, int caches, double rate, String fleet) throws Exception {
+        this.fleet = fleet;
+        scenario = new Scenario("fleet", 3, 60, rate, 4_000, routerCount, caches, 1_000, 2, 1_500,
+                new Change(Way.FEED, 1, 1, 1, 1, 1), Map.of(), Map.of(), List.of(), null, null);
+        network = new FaultNetwork(routerCount, 11);
+        add("origin", Kind.ORIGIN);
+        for (int i = 0; i < caches; i++) {
+            add("box-" + i, Kind.CACHE);
+        }
+        coordinator = new CoordinatorStandIn(work, 0, 5);
+        coordinator.tell("\"endpoints\":{\"generation\":1,\"reset\":true,\"instances\":["
+                + members.stream().map(FleetRig::line).collect(Collectors.joining(",")) + "]}");
+        for (int i = 0; i < routerCount; i++) {
+            routers.add(new RouterProcess("router-" + i, folder, null));
+            start(i);
+        }
+        for (RouterProcess r : routers) {
+            r.awaitReady();
+        }
+        clients = new LoadClients(scenario, record, routers.stream().map(RouterProcess::address).toList());
+    }
+
+    private void add(String name, Kind kind) throws IOException {
+        members.add(new MemberStandIn(name, kind, scenario.cacheHolds(), scenario.fillMillis(), record,
+                n -> members.stream().filter(m -> m.name.equals(n)).findFirst().orElse(null), work));
+    }
+
+    private static String line(MemberStandIn m) {
+        return "{\"instanceId\":\"" + m.name + "\",\"hostPort\":\"" + m.address() + "\",\"zone\":\""
+                + (m.kind == Kind.CACHE ? "home" : "hub") + "\",\"machineType\":\"" + m.kind.name().toLowerCase()
+                + "\",\"lifecycle\":\"active\",\"weight\":8,\"startedAtMs\":" + m.startedAt + "}";
+    }
+
+    void start(int i) throws IOException {
+        String seeds = IntStream.range(0, Math.min(2, scenario.routers())).mapToObj(network::advertise)
+                .collect(Collectors.joining(", "));
+        routers.get(i).start(LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(),
+                coordinator.known()), "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
+                + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + seeds + "]\n  size: "
+                + scenario.routers() + "\n" + fleet);
+    }
+
+    /** Asks at the scenario's rate for so long, in seconds. */
+    void play(double seconds) throws InterruptedException {
+        double end = (System.nanoTime() - began) / 1e9 + seconds;
+        askedUntil = Math.max(askedUntil, (System.nanoTime() - began) / 1e9);
+        double from = askedUntil;
+        long before = asked;
+        for (double at = from; at < end; at = (System.nanoTime() - began) / 1e9) {
+            while (asked - before < (at - from) * scenario.rate()) {
+                clients.askNext();
+                asked++;
+            }
+            Thread.sleep(1);
+        }
+        askedUntil = end;
+    }
+
+    /** What a router shows of a subject; empty where it does not answer. */
+    List<Map<String, Object>> rows(int router, String subject) {
+        String[] address = routers.get(router).address().split(":");
+        try (FrameClient client = new FrameClient(address[0], Integer.parseInt(address[1]))) {
+            return Rows.read(String.join("", client.ask(1, Map.of("rows", subject), 2).fields().values()));
+        } catch (IOException | pumicemoor.wire.WireException e) {
+            return List.of();
+        }
+    }
+
+    /** When requests came to a member, by its own record: milliseconds, fills counted at whom they are taken from. */
+    long[] cameTo(String member) {
+        return record.asked().stream().filter(a -> a.member().equals(member)).mapToLong(Record.Asked::at).sorted()
+                .toArray();
+    }
+
+    /** The most that came within any time of this length. */
+    static int most(long[] at, long window) {
+        int most = 0;
+        for (int from = 0, to = 0; to < at.length; to++) {
+            while (at[to] - at[from] > window) {
+                from++;
+            }
+            most = Math.max(most, to - from + 1);
+        }
+        return most;
+    }
+
+    @Override
+    public void close() throws Exception {
+        routers.forEach(RouterProcess::close);
+        clients.close();
+        for (MemberStandIn m : members) {
+            m.close();
+        }
+        coordinator.close();
+        network.close();
+        work.shutdownNow();
+    }
+}
--- a/src/test/java/pumicemoor/net/TestLoop.java
+++ b/src/test/java/pumicemoor/net/TestLoop.java
@@ -1,6 +1,7 @@
 package pumicemoor.net;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import pumicemoor.node.Input;
@@ -35,6 +36,11 @@
         complaints.add(text);
     }
 
+    @Override
+    public Optional<String> rows(String subject) {
+        return Optional.empty();
+    }
+
     @Override
     public Map<String, String> state() {
         return Map.of();
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -594,7 +594,7 @@
             events.add(event);
             act = sink::accept;
         }, config.words(), limits, counters);
-        reducer.operate(now, operator, "here");
+        reducer.operate(now, operator, "here", "n0", 1);
         reducer.known(now, config, effects::add);
         take(new Input.Update(NodeTestConfig.list(2, false,
                 NodeTestConfig.member("p-2", "127.0.0.1:13", "shield", "active", 0),
