--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -29,6 +29,7 @@
 import pumicemoor.wire.Drill;
 import pumicemoor.wire.WireException;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * The command line: it owns the way in and the exit codes, and must never hold anything that serving or
@@ -115,12 +116,15 @@
             // from here on SIGHUP ends nothing; a signal that comes before the server can take it waits for that
             Semaphore reload = new Semaphore(0);
             CountDownLatch end = new CountDownLatch(1);
-            Signal.handle(new Signal("HUP"), signal -> reload.release());
+            boolean deaf = Signal.handle(new Signal("HUP"), signal -> reload.release()) == SignalHandler.SIG_IGN;
             Signal.handle(new Signal("TERM"), signal -> end.countDown());
             Signal.handle(new Signal("INT"), signal -> end.countDown());
             OperatorConfig operator = operator(operatorFile);
             Logging.choose(operator.log());
             Logger log = LoggerFactory.getLogger(Serve.class);
+            if (deaf) {  // as under nohup; the JVM takes no signal that its parent had it ignore, and says nothing
+                log.warn("this process was started with SIGHUP ignored: no configuration will be read anew");
+            }
             NodeConfig config = config(file);
             NodeServer server = new NodeServer(config, operator);
             if (operator.processor().isPresent()) {
