Play mixed shapes as processes on loopback; tell verdicts before news of routers

Seen with the tables: at 100 routers and 30 % loss a verdict had not reached all after 8 s; news of routers filled each packet first (Fleet.send); verdicts now come first, in half of a packet's room at most.

--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -462,10 +462,11 @@
         }
         RouterNews self = membership.self().as(Standing.ALIVE);
         int room = codec.room(self, body);
-        List<RouterNews> routers = routerNews.take(room, membership.times(), PacketCodec::size);
-        int left = room - routers.stream().mapToInt(PacketCodec::size).sum();
-        List<Verdict> told = verdictNews.take(left, membership.times(), m -> verdicts.on(m) == null
+        // verdicts first: they are few, and under loss there is always more news of routers than a packet holds
+        List<Verdict> told = verdictNews.take(room / 2, membership.times(), m -> verdicts.on(m) == null
                 ? PacketCodec.LONGEST : PacketCodec.size(verdicts.on(m).verdict())).stream().map(this::asItStands).toList();
+        int left = room - told.stream().mapToInt(PacketCodec::size).sum();
+        List<RouterNews> routers = routerNews.take(left, membership.times(), PacketCodec::size);
         put(address, new Packet(self, number, body, routers, told));
         return number;
     }
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import pumicemoor.client.FrameClient;
@@ -30,13 +31,17 @@
     });
     private final CoordinatorStandIn coordinator;
     private final Scenario scenario;
-    private final String fleet;
+    private final String fleet;  // empty: no such section
+    private final UnaryOperator<String>[] shapes;  // of the configuration, by router, in turn
     private final long began = System.nanoTime();
     private long asked;
     private double askedUntil;
 
-    FleetRig(Path folder, int routerCount, int caches, double rate, String fleet) throws Exception {
+    @SafeVarargs
+    FleetRig(Path folder, int routerCount, int caches, double rate, String fleet, UnaryOperator<String>... shapes)
+            throws Exception {
         this.fleet = fleet;
+        this.shapes = shapes;
         scenario = new Scenario("fleet", 3, 60, rate, 4_000, routerCount, caches, 1_000, 2, 1_500,
                 new Change(Way.FEED, 1, 1, 1, 1, 1), Map.of(), Map.of(), List.of(), null, null);
         network = new FaultNetwork(routerCount, 11);
@@ -71,21 +76,40 @@
     void start(int i) throws IOException {
         String seeds = IntStream.range(0, Math.min(2, scenario.routers())).mapToObj(network::advertise)
                 .collect(Collectors.joining(", "));
-        routers.get(i).start(LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(),
-                coordinator.known()), "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
+        String config = LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(), coordinator.known());
+        routers.get(i).start(shapes.length == 0 ? config : shapes[i % shapes.length].apply(config), fleet.isEmpty()
+                ? "log: {format: json}\n" : "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
                 + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + seeds + "]\n  size: "
                 + scenario.routers() + "\n" + fleet);
     }
 
+    /** Tells all routers that a member drains. */
+    void drain(String member) {
+        MemberStandIn m = members.stream().filter(x -> x.name.equals(member)).findFirst().orElseThrow();
+        coordinator.tell("\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":["
+                + line(m).replace("active", "leaving") + "]}");
+        record.drained(member);
+    }
+
+    /** Clients of some routers alone. */
+    LoadClients clientsOf(List<RouterProcess> some) {
+        return new LoadClients(scenario, record, some.stream().map(RouterProcess::address).toList());
+    }
+
     /** Asks at the scenario's rate for so long, in seconds. */
     void play(double seconds) throws InterruptedException {
+        play(seconds, List.of(clients));
+    }
+
+    /** The same, the clients taking turns. */
+    void play(double seconds, List<LoadClients> turns) throws InterruptedException {
         double end = (System.nanoTime() - began) / 1e9 + seconds;
         askedUntil = Math.max(askedUntil, (System.nanoTime() - began) / 1e9);
         double from = askedUntil;
         long before = asked;
         for (double at = from; at < end; at = (System.nanoTime() - began) / 1e9) {
             while (asked - before < (at - from) * scenario.rate()) {
-                clients.askNext();
+                turns.get((int) (asked % turns.size())).askNext();
                 asked++;
             }
             Thread.sleep(1);
