Hold bytes across zones within a fleet's limit; the lower of two limits counts

Change: measure KB_PER_SECOND (members: across-zones), known at an answer's end, an attempt under way taken for the mean; AttemptEnded tells the body's size; Quotas beside Quota.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -78,7 +78,7 @@
     private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
     private Node origin;
     private Map<Long, SourceList> given = Map.of();  // who may be filled from whom; empty: by the list alone
-    private Map<Long, List<Quota>> quotas = Map.of();  // what may be had of members of the fleet's limits
+    private final Quotas quotas = new Quotas(QUOTA_SPAN);  // what this router may have of the fleet's limits
     private List<MemberOut> verdicts;  // members out by the fleet's word; null: nobody asks for ours
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
@@ -96,7 +96,7 @@
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
     private boolean ticking;
-    private long arrivals, lastFill, now, wantedAt, watchAgainAt = Long.MAX_VALUE;
+    private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE;
     private Consumer<Action> out;
 
     /** A member of the list and what its outcomes have shown. */
@@ -131,7 +131,7 @@
         int number;
         Node target, source, blamed;  // blamed: for being late, so far
         long sent, lateFrom, due;  // due: silence counts from here
-        boolean overdue, cancelled, expectHit, look, lookAtParent;
+        boolean overdue, cancelled, expectHit, look, lookAtParent, away;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
 
@@ -188,7 +188,7 @@
         } else if (event instanceof SourcesGiven e) {
             given = e.lists();
         } else if (event instanceof AllowancesGiven e) {
-            quotas = Quota.follow(quotas, e.allowances(), QUOTA_SPAN, now);
+            quotas.follow(e.allowances(), now);
         } else if (event instanceof VerdictsGiven e) {
             verdicts = e.out();
         }
@@ -257,11 +257,7 @@
             watchAgainAt = Long.MAX_VALUE;
             out.accept(new WatchList(true));
         }
-        if (now >= wantedAt + SECOND) {
-            wantedAt = now;
-            quotas.forEach((id, list) -> list.forEach(q -> out.accept(q.told(nodes.containsKey(id)
-                    ? nodes.get(id).asked : 0))));
-        }
+        quotas.told(now, id -> nodes.containsKey(id) ? nodes.get(id).asked : 0, out::accept);
         List.copyOf(waiting).forEach(this::route);
         for (Job job : new ArrayList<>(jobs.values())) {
             for (Attempt a : job.open.values()) {
@@ -453,8 +449,11 @@
 
     /** Whether the fleet's limits leave this router an attempt that may reach a member. */
     private boolean allowed(Node n, Job job) {
-        return quotas.getOrDefault(n.member.id(), List.of()).stream().allMatch(
-                q -> q.measure() == Measure.COLD_IN_FLIGHT && warm(n) || q.room(now, n.asked, job.number));
+        return quotas.room(now, n.member.id(), warm(n), n.asked, job.number, away(n));
+    }
+
+    private boolean away(Node n) {
+        return n.member.zone() != settings.location();
     }
 
     /** Without room a request waits while it can be on time, most worth for its size first. */
@@ -492,15 +491,15 @@
             hold(job);  // all that it may reach count in full, also where a hit is expected
             return;
         }
-        if (job.retry) {
-            retryTokens--;
-            job.retry = false;
-        }
+        retryTokens -= job.retry ? 1 : 0;
+        job.retry = false;
         job.attempts++;
         job.mayHaveRun = true;
         job.open.put(a.number, a);
         target.open++;
         a.charges.forEach((n, share) -> charge(job, n, share));
+        a.away = a.charges.keySet().stream().anyMatch(this::away);
+        quotas.begin(a.away);
         out.accept(action);
     }
 
@@ -519,7 +518,7 @@
         n.load += share;
         n.asked++;
         n.credit -= countedWork(n, job);
-        quotas.getOrDefault(n.member.id(), List.of()).forEach(Quota::spend);
+        quotas.spend(n.member.id());
     }
 
     /** What a member has served is what it can bear, however much it is sent. */
@@ -540,6 +539,7 @@
             n.asked--;
             n.load = Math.max(0, n.load - share);
         });
+        quotas.end(a.away, away(a.target) || e.filled(!a.expectHit) ? e.kb() : 0);
         job.mayHaveRun = !e.outcome().provesNotRun || !job.open.isEmpty();
         judge(job, a, e);
         if (e.closed()) {
--- a/src/main/java/pumicemoor/Quota.java
+++ b/src/main/java/pumicemoor/Quota.java
@@ -1,23 +1,24 @@
 package pumicemoor;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import pumicemoor.RouterApi.Allowance;
 import pumicemoor.RouterApi.Measure;
 import pumicemoor.RouterApi.Wanted;
 
 /**
  * What is left unspent of one allowance, and how much of it was wanted: a token bucket for what is counted by the
- * second. It only keeps count; whether a request is sent, held or refused it must never decide.
+ * second. What a request brings across zones is known only at its end: till then it is taken for the mean. It only
+ * keeps count; whether a request is sent, held or refused it must never decide.
  */
 final class Quota {
 
+    private static final double NEWEST = 0.1;  // weight of the newest in the mean
+
     private final double span;  // microseconds that a bucket may save up for
     private Allowance given;
     private double tokens;
     private double wanted;
+    private double mean;  // kilobytes that an attempt brought across
+    private int open;  // attempts that may still bring some
     private long at;
     private long denied;  // requests numbered under this were counted as wanted when they were first held up
 
@@ -28,7 +29,7 @@
         this.at = now;
     }
 
-    private Quota follow(Allowance next, long now) {
+    Quota follow(Allowance next, long now) {
         share(now);
         given = next;
         return this;
@@ -49,10 +50,11 @@
     /** Whether there is room for a request more, of this number, where so many are under way. */
     boolean room(long now, int underWay, long request) {
         double share = share(now);
-        boolean room = given.measure().whole ? underWay < Math.floor(share) : tokens >= 1;
+        boolean room = given.measure() == Measure.KB_PER_SECOND ? tokens > open * mean
+                : given.measure().whole ? underWay < Math.floor(share) : tokens >= 1;
         if (!room && request >= denied) {
             denied = request + 1;
-            wanted++;
+            wanted += given.measure() == Measure.KB_PER_SECOND ? mean : 1;
         }
         return room;
     }
@@ -62,6 +64,17 @@
         wanted += given.measure().whole ? 0 : 1;
     }
 
+    void begin() {
+        open++;
+    }
+
+    void end(double kb) {
+        open = Math.max(0, open - 1);  // one that began before the allowance came was not counted
+        tokens -= kb;
+        wanted += kb;
+        mean += kb > 0 ? (mean == 0 ? 1 : NEWEST) * (kb - mean) : 0;
+    }
+
     /** How much was wanted since this was last asked: by the second, or under way at once. */
     Wanted told(int underWay) {
         Wanted since = new Wanted(given.member(), given.measure(), wanted + (given.measure().whole ? underWay : 0),
@@ -69,16 +82,4 @@
         wanted = 0;
         return since;
     }
-
-    /** Goes over to these allowances; what each member's buckets had saved up stays. */
-    static Map<Long, List<Quota>> follow(Map<Long, List<Quota>> before, List<Allowance> allowances, double span,
-            long now) {
-        Map<Long, List<Quota>> quotas = new TreeMap<>();
-        for (Allowance a : allowances) {
-            quotas.computeIfAbsent(a.member(), m -> new ArrayList<>()).add(before.getOrDefault(a.member(), List.of())
-                    .stream().filter(q -> q.measure() == a.measure()).findFirst()
-                    .orElseGet(() -> new Quota(span, a, now)).follow(a, now));
-        }
-        return quotas;
-    }
 }
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -132,9 +132,9 @@
         public static final long LOCATION = 0;
     }
 
-    /** What an allowance counts: requests a second, those under way, or those under way while the member is cold. */
+    /** What an allowance counts: requests a second, those under way, also only while the member is cold; kilobytes. */
     enum Measure {
-        PER_SECOND(false), IN_FLIGHT(true), COLD_IN_FLIGHT(true);
+        PER_SECOND(false), IN_FLIGHT(true), COLD_IN_FLIGHT(true), KB_PER_SECOND(false);
 
         /** Whether parts of it are whole numbers. */
         public final boolean whole;
@@ -146,6 +146,9 @@
 
     /** What this router may have of a member: so much until then, and so much afterwards where nothing else is told. */
     record Allowance(long member, Measure measure, double share, long until, double after) {
+
+        /** Stands in a member's place for all that crosses zones. */
+        public static final long ACROSS_ZONES = 0;
     }
 
     /** All allowances that are in force, in place of those before; a member without one is not limited so. */
@@ -195,9 +198,23 @@
         ORIGIN_FAILED
     }
 
-    /** The end of an attempt; closed means that the request is over. Load is empty when none came along. */
+    /**
+     * The end of an attempt; closed means that the request is over. Load is empty when none came along; kb is what the
+     * answer's body had, 0 where that is not told.
+     */
     record AttemptEnded(String id, int attempt, long member, Outcome outcome, long latency, boolean closed,
-            FillNote note, long waited, Map<String, Double> load) implements Event {
+            FillNote note, long waited, Map<String, Double> load, double kb) implements Event {
+
+        /** One whose answer's size is not told. */
+        public AttemptEnded(String id, int attempt, long member, Outcome outcome, long latency, boolean closed,
+                FillNote note, long waited, Map<String, Double> load) {
+            this(id, attempt, member, outcome, latency, closed, note, waited, load, 0);
+        }
+
+        /** Whether this attempt has brought a fill itself; where that is not told, whether one was expected. */
+        public boolean filled(boolean expected) {
+            return note == FillNote.FILLED || note == FillNote.FILLED_BY_ORIGIN || note == FillNote.NONE && expected;
+        }
     }
 
     /** The client has left, or the answer is overdue. */
--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -175,8 +175,11 @@
         }
         members = Map.copyOf(listed);
         Map<Long, FleetLimit> limits = new TreeMap<>();
-        members.forEach((id, m) -> setup.limits().stream().filter(r -> covers(r, m)).forEach(r -> limits
+        members.forEach((id, m) -> setup.limits().stream().filter(r -> covers(r, m) && setup.limits().stream()
+                .noneMatch(o -> covers(o, m) && o.measure() == r.measure() && tighter(o, r))).forEach(r -> limits
                 .put(Hashes.of(r.name() + "/" + m.name()), new FleetLimit(r.name(), id, r.measure(), r.amount()))));
+        setup.limits().stream().filter(r -> r.scope() == Scope.ACROSS_ZONES).forEach(r -> limits.put(Hashes.of(r.name()),
+                new FleetLimit(r.name(), Allowance.ACROSS_ZONES, r.measure(), r.amount())));
         leases.keySet().retainAll(limits.keySet());
         books.keySet().retainAll(limits.keySet());
         wants.keySet().retainAll(limits.keySet());
@@ -186,12 +189,18 @@
         allowancesNew = true;
     }
 
+    /** Of two limits of one measure on one member the lower counts; the names settle a tie. */
+    private static boolean tighter(LimitRule one, LimitRule other) {
+        return one.amount() != other.amount() ? one.amount() < other.amount() : one.name().compareTo(other.name()) < 0;
+    }
+
     private static boolean covers(LimitRule rule, Listed m) {
         return switch (rule.scope()) {
             case MEMBER -> rule.member().equals(m.name());
             case EACH_CACHE -> m.role() == Role.CACHE;
             case EACH_PARENT -> m.role() == Role.PARENT;
             case ORIGIN -> m.role() == Role.ORIGIN;
+            case ACROSS_ZONES -> false;  // it is for none of them
         };
     }
 
@@ -431,7 +440,8 @@
     }
 
     private String nameOf(long member) {
-        return members.containsKey(member) ? members.get(member).name() : Long.toString(member);
+        return member == Allowance.ACROSS_ZONES ? "across-zones"
+                : members.containsKey(member) ? members.get(member).name() : Long.toString(member);
     }
 
     /** Who is out now: never more of a tier than the share, whatever was told. */
--- a/src/main/java/pumicemoor/fleet/FleetSetup.java
+++ b/src/main/java/pumicemoor/fleet/FleetSetup.java
@@ -14,8 +14,8 @@
 public record FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times,
         List<LimitRule> limits, Optional<Bench.Rules> verdicts) {
 
-    /** Whom a limit is for: one member by its name, or each of a kind by itself. */
-    public enum Scope { MEMBER, EACH_CACHE, EACH_PARENT, ORIGIN }
+    /** Whom a limit is for: one member by its name, each of a kind by itself, or all that crosses zones. */
+    public enum Scope { MEMBER, EACH_CACHE, EACH_PARENT, ORIGIN, ACROSS_ZONES }
 
     /** A limit as the operator sets it; the member is named where the scope is one. */
     public record LimitRule(String name, Scope scope, String member, Measure measure, double amount) {
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -401,20 +401,21 @@
             return;
         }
         Outcome outcome = OUTCOMES.get(a.word());
+        double kb = a.body().size() / 1_024.0;
         if (outcome == Outcome.OK) {
             answer(attempt.request, Code.SERVED, a.word() == Word.UNCHANGED, 0, a.body());
         } else {
             a.body().release();
         }
         end(attempt, outcome, a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
-                a.load());
+                a.load(), kb);
     }
 
     private void end(Attempt attempt, Outcome outcome) {
-        end(attempt, outcome, FillNote.NONE, Map.of());
+        end(attempt, outcome, FillNote.NONE, Map.of(), 0);
     }
 
-    private void end(Attempt attempt, Outcome outcome, FillNote note, Map<String, Double> load) {
+    private void end(Attempt attempt, Outcome outcome, FillNote note, Map<String, Double> load, double kb) {
         if (attempt == null) {
             return;
         }
@@ -423,7 +424,7 @@
         request.out.remove(attempt.number);
         counters.add(Name.valueOf(outcome.name()));
         events.add(new AttemptEnded(request.id, attempt.number, attempt.member, outcome, now - attempt.sentAt,
-                request.over, note, 0, load));
+                request.over, note, 0, load, kb));
         forgetIfDone(request);
     }
 
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -78,7 +78,8 @@
     }
 
     private record LimitForm(String name, String members, @JsonProperty("per-second") Double perSecond,
-            @JsonProperty("in-flight") Integer inFlight, @JsonProperty("cold-in-flight") Integer coldInFlight) {
+            @JsonProperty("in-flight") Integer inFlight, @JsonProperty("cold-in-flight") Integer coldInFlight,
+            @JsonProperty("kb-per-second") Double kbPerSecond) {
     }
 
     private record VerdictsForm(@JsonProperty("most-out") Double mostOut, Integer witnesses,
@@ -244,13 +245,16 @@
             throw wrong("fleet.limits", "a limit has a name and members");
         }
         int measures = (form.perSecond() == null ? 0 : 1) + (form.inFlight() == null ? 0 : 1)
-                + (form.coldInFlight() == null ? 0 : 1);
+                + (form.coldInFlight() == null ? 0 : 1) + (form.kbPerSecond() == null ? 0 : 1);
         if (measures != 1) {
-            throw wrong("fleet.limits", "limit '" + form.name() + "' needs one of per-second, in-flight, cold-in-flight");
+            throw wrong("fleet.limits", "limit '" + form.name() + "' needs one of per-second, in-flight, cold-in-flight, kb-per-second");
         }
-        Measure measure = form.perSecond() != null ? Measure.PER_SECOND
+        if (form.members().equals("across-zones") != (form.kbPerSecond() != null)) {
+            throw wrong("fleet.limits", "limit '" + form.name() + "': across-zones and kb-per-second go together");
+        }
+        Measure measure = form.kbPerSecond() != null ? Measure.KB_PER_SECOND : form.perSecond() != null ? Measure.PER_SECOND
                 : form.inFlight() != null ? Measure.IN_FLIGHT : Measure.COLD_IN_FLIGHT;
-        double amount = form.perSecond() != null ? form.perSecond()
+        double amount = form.kbPerSecond() != null ? form.kbPerSecond() : form.perSecond() != null ? form.perSecond()
                 : form.inFlight() != null ? form.inFlight() : form.coldInFlight();
         if (!(amount > 0 && amount <= 1e9)) {
             throw wrong("fleet.limits", "limit '" + form.name() + "' is out of range: over 0, up to 1000000000");
@@ -263,6 +267,7 @@
             case "each-cache" -> Scope.EACH_CACHE;
             case "each-parent" -> Scope.EACH_PARENT;
             case "origin" -> Scope.ORIGIN;
+            case "across-zones" -> Scope.ACROSS_ZONES;
             default -> Scope.MEMBER;
         };
         return new LimitRule(form.name(), scope, form.members(), measure, amount);
--- a/src/test/java/pumicemoor/FleetDecisionsTest.java
+++ b/src/test/java/pumicemoor/FleetDecisionsTest.java
@@ -113,6 +113,32 @@
         assertEquals(10, reach(more, 900), "the origin is never cold");
     }
 
+    @Test
+    void whatCrossesZonesStaysWithinItsKilobytes() {
+        RouterHarness r = limited(new Allowance(Allowance.ACROSS_ZONES, Measure.KB_PER_SECOND, 200, Long.MAX_VALUE, 200));
+        java.util.Map<String, Integer> tries = new java.util.HashMap<>();
+        double crossed = 0;
+        int local = 0;
+        for (int i = 0; i < 1_000; i++) {
+            List<Action> sent = new ArrayList<>(r.ask("o" + i % 500, RouterHarness.PAGE, 10));
+            sent.addAll(r.pass(20 * MILLI));
+            for (int j = 0; j < sent.size(); j++) {
+                if (!(sent.get(j) instanceof Fetch f)) {
+                    continue;
+                }
+                boolean away = f.source() > 100;
+                crossed += away ? 10 : 0;
+                local += away ? 0 : 1;
+                sent.addAll(r.handle(new RouterApi.AttemptEnded(f.id(), tries.merge(f.id(), 1, Integer::sum) - 1, f.member(), away ? Outcome.OK : Outcome.MISS, MILLI, false,
+                        away ? FillNote.FILLED : FillNote.NONE, 0, java.util.Map.of(), away ? 10 : 0)));
+            }
+        }
+        double most = crossed;
+        assertTrue(most <= 200 * 20.1 + 20, () -> most + " kB crossed in 20 s");
+        assertTrue(most >= 200 * 20 * 0.7, () -> "only " + most + " kB crossed");
+        assertTrue(local > 0, "what needs no crossing goes on");
+    }
+
     @Test
     void whatIsWantedIsToldAlsoWhereItIsHeldUp() {
         RouterHarness r = limited(new Allowance(900, Measure.PER_SECOND, 5, Long.MAX_VALUE, 5));
--- a/src/test/java/pumicemoor/operator/FleetSectionTest.java
+++ b/src/test/java/pumicemoor/operator/FleetSectionTest.java
@@ -53,6 +53,7 @@
         "per-second: 100|per-second: 0|8|out of range",
         "per-second: 100|per-second: 100, in-flight: 9|8|needs one of",
         "in-flight: 16|in-flight: 7|8|whole parts among 8 routers",
+        "members: each-cache|members: across-zones|8|across-zones and kb-per-second go together",
         "name: one|name: boxes|8|two limits have the name 'boxes'",
         "most-out: 0.2|most-out: 1.2|11|fleet.verdicts.most-out",
     })
