--- a/src/main/java/pumicemoor/node/BoundedLog.java
+++ b/src/main/java/pumicemoor/node/BoundedLog.java
@@ -27,35 +27,47 @@
 
     /** A line about what has changed here, not about what others did wrong; under the same bound. */
     public void info(long now, String text, Map<String, Object> figures) {
-        write(now, log.atInfo(), text, figures);
+        if (room(now)) {
+            tell(log.atInfo(), text, figures);
+        }
     }
 
     /** Writes a line at this time (microseconds), or counts it as left out. */
     public void warn(long now, String text) {
-        warn(now, text, Map.of());
+        if (room(now)) {
+            log.warn(form(), text, leftOut);
+            leftOut = 0;
+        }
     }
 
     /** The same with figures by name, which a log of lines for programs keeps apart. */
     public void warn(long now, String text, Map<String, Object> figures) {
-        write(now, log.atWarn(), text, figures);
+        if (room(now)) {
+            tell(log.atWarn(), text, figures);
+        }
     }
 
-    private void write(long now, LoggingEventBuilder builder, String text, Map<String, Object> figures) {
+    private boolean room(long now) {
         if (now / SECOND != second) {
             second = now / SECOND;
             written = 0;
         }
-        if (written == perSecond) {
-            leftOut++;
-            return;
-        }
-        written++;
-        String form = leftOut == 0 ? "{}" : "{} ({} such lines were left out before)";
+        boolean room = written < perSecond;
+        written += room ? 1 : 0;
+        leftOut += room ? 0 : 1;
+        return room;
+    }
+
+    private String form() {
+        return leftOut == 0 ? "{}" : "{} ({} such lines were left out before)";
+    }
+
+    private void tell(LoggingEventBuilder builder, String text, Map<String, Object> figures) {
         LoggingEventBuilder line = builder;
         for (Map.Entry<String, Object> figure : new TreeMap<>(figures).entrySet()) {
             line = line.addKeyValue(figure.getKey(), figure.getValue());
         }
-        line.log(form, text, leftOut);
+        line.log(form(), text, leftOut);
         leftOut = 0;
     }
 }
