--- a/src/main/java/pumicemoor/lab/FaultNetwork.java
+++ b/src/main/java/pumicemoor/lab/FaultNetwork.java
@@ -40,9 +40,7 @@
         this.random = new Random(seed);
         for (int i = 0; i < processes; i++) {
             doors.add(new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0)));
-            try (DatagramSocket free = new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0))) {
-                listens.add(free.getLocalPort());
-            }
+            listens.add(FreePorts.take());
         }
         for (int i = 0; i < processes; i++) {
             int to = i;
--- a/src/main/java/pumicemoor/lab/MemberStandIn.java
+++ b/src/main/java/pumicemoor/lab/MemberStandIn.java
@@ -71,6 +71,7 @@
                 return size() > MemberStandIn.this.holds;
             }
         };
+        this.port = FreePorts.take();
         open();
     }
 
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -1,8 +1,6 @@
 package pumicemoor.lab;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,9 +27,7 @@
         this.name = name;
         this.cpu = cpu;
         this.folder = folder;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            this.port = free.getLocalPort();
-        }
+        this.port = FreePorts.take();
     }
 
     String address() {
