--- a/src/main/java/pumicemoor/fleet/Votes.java
+++ b/src/main/java/pumicemoor/fleet/Votes.java
@@ -118,11 +118,6 @@
         return officeSince;
     }
 
-    /** How many have voted for this router, itself included. */
-    int count() {
-        return votes.size() + (bound != null && bound.name().equals(self) ? 1 : 0);
-    }
-
     /** Forgets what was sent to a router that is no more. */
     void forget(String name) {
         sent.remove(name);
