Add the model of ordered drains: one plan, in force once a majority holds it

Change: package fleet.drains, without I/O: a plan under a stamp (term, count) that the keeper alone writes, read from enough routers that remember before anything is written, in force once more than half hold it; steps under the budgets; evidence of who knows of a phase and who may still use a member; commands checked by field. Seen with the schedules test: an operator who repeats a command at every moment made a report each (22,989 packets in a second of virtual time): reports for commands are now four a period at most. 60 random schedules of 3 to 7 routers keep the budget. Not in the program yet.

--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import pumicemoor.Hashes;
 import pumicemoor.RouterApi.Allowance;
 import pumicemoor.RouterApi.AllowancesGiven;
@@ -21,10 +23,20 @@
 import pumicemoor.fleet.FleetSetup.Scope;
 import pumicemoor.fleet.Packet.Ask;
 import pumicemoor.fleet.Packet.Body;
+import pumicemoor.fleet.Packet.DrainAsk;
 import pumicemoor.fleet.Packet.Grant;
 import pumicemoor.fleet.Packet.News;
 import pumicemoor.fleet.Packet.Part;
+import pumicemoor.fleet.Packet.Piece;
+import pumicemoor.fleet.Packet.PlanGrant;
+import pumicemoor.fleet.Packet.PlanReport;
 import pumicemoor.fleet.Packet.Want;
+import pumicemoor.fleet.drains.DrainCommand;
+import pumicemoor.fleet.drains.DrainWords;
+import pumicemoor.fleet.drains.Drains;
+import pumicemoor.fleet.drains.Plan;
+import pumicemoor.fleet.drains.Tier;
+import pumicemoor.fleet.drains.World;
 import pumicemoor.fleet.limits.FleetLimit;
 import pumicemoor.fleet.limits.HeldLease;
 import pumicemoor.fleet.limits.LeaseBook;
@@ -46,10 +58,16 @@
 public final class Fleet {
 
     private static final int ASKS_A_LEASE = 5;
+    private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
     private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
 
-    /** What is known of a listed member. */
-    public record Listed(String name, Role role, long started) {
+    /** What is known of a listed member; ready where the list has nothing against it. */
+    public record Listed(String name, Role role, long started, boolean ready) {
+
+        /** One that is ready. */
+        public Listed(String name, Role role, long started) {
+            this(name, role, started, true);
+        }
     }
 
     private record Accused(Accusation accusation, long until) {
@@ -67,6 +85,7 @@
     private final VerdictTable verdicts = new VerdictTable();
     private final Bench bench;
     private final Map<Long, Accused> accused = new TreeMap<>();
+    private final Optional<Drains> drains;
     private final Map<String, Long> dropped = new TreeMap<>();
     private final List<Datagram> outbox = new ArrayList<>();
     private final List<Event> events = new ArrayList<>();
@@ -77,6 +96,8 @@
     private long numbers;
     private long askAt;
     private long askedAt;
+    private long plannedAt;
+    private long planAt;  // when the keeper of the plan is to hear again
     private long gossipAt;
     private long sent;
     private long sentBytes;
@@ -86,8 +107,23 @@
     private boolean verdictsNew = true;
     private int routersTold;
 
-    /** Starts at this time (Unix microseconds). */
+    /** One whose router has nothing under way. */
     public Fleet(FleetSetup setup, long time, long seed) {
+        this(setup, time, seed, new Drains.Usage() {
+            @Override
+            public int underWay(long member) {
+                return 0;
+            }
+
+            @Override
+            public double hits(long member) {
+                return 0;
+            }
+        });
+    }
+
+    /** Starts at this time (Unix microseconds). */
+    public Fleet(FleetSetup setup, long time, long seed, Drains.Usage usage) {
         this.setup = setup;
         this.now = time;
         this.startedAt = time;
@@ -128,6 +164,29 @@
                 drop(what);
             }
         });
+        this.planAt = askAt;
+        this.drains = setup.drains().map(t -> new Drains(t, setup.times(), setup.membership().name(),
+                membership.self().instance(), time, usage, new Drains.Outlet() {
+                    @Override
+                    public long send(String address, Body body) {
+                        return Fleet.this.send(address, body);
+                    }
+
+                    @Override
+                    public void term(long term) {
+                        votes.heard(term);
+                    }
+
+                    @Override
+                    public void dropped(String what) {
+                        drop(what);
+                    }
+
+                    @Override
+                    public void changed(String text, Map<String, Object> figures) {
+                        notice(text, figures);
+                    }
+                }));
     }
 
     private static String lower(Enum<?> value) {
@@ -163,7 +222,34 @@
                 asked(packet, a);
             } else if (packet.body() instanceof Grant g) {
                 granted(packet, g);
+            } else {
+                drains.ifPresentOrElse(d -> heard(d, packet), () -> {
+                    if (ofDrains(packet.body())) {
+                        drop("drains-off");
+                    }
+                });
+            }
+        }
+    }
+
+    private static boolean ofDrains(Body body) {
+        return body instanceof PlanReport || body instanceof PlanGrant || body instanceof Piece || body instanceof DrainAsk;
+    }
+
+    private void heard(Drains d, Packet packet) {
+        RouterNews from = packet.from();
+        if (packet.body() instanceof PlanGrant g) {
+            d.answered(now, from.address(), g);
+        } else if (packet.body() instanceof Piece p) {
+            if (d.take(p)) {
+                planAt = now;  // the keeper waits for a majority that holds it
             }
+        } else if (ofDrains(packet.body()) && !grantor().name().equals(setup.membership().name())) {
+            drop("asked-not-grantor");
+        } else if (packet.body() instanceof PlanReport r) {
+            d.reported(world(), peer(from), packet.number(), r);
+        } else if (packet.body() instanceof DrainAsk a) {
+            d.passedOn(world(), a.command());
         }
     }
 
@@ -240,7 +326,8 @@
     // ---- time -----------------------------------------------------------------------------------------
 
     public long nextDue() {
-        return Math.min(Math.min(membership.nextDue(), askAt), verdicts.nextEnd(now));
+        long due = Math.min(Math.min(membership.nextDue(), askAt), verdicts.nextEnd(now));
+        return Math.min(due, drains.map(d -> Math.min(planAt, d.nextDue(now))).orElse(Long.MAX_VALUE));
     }
 
     /** Lives on to this time. */
@@ -260,6 +347,9 @@
             accused.values().removeIf(a -> now >= a.until());
             report();
         }
+        if (now >= planAt) {
+            drains.ifPresent(this::reportPlan);
+        }
         for (VerdictTable.Held ended : verdicts.ended(before, now)) {
             verdictsNew = true;
             notice(ended.verdict(), "ended: nobody renewed it");
@@ -318,6 +408,17 @@
         }
     }
 
+    private void reportPlan(Drains d) {
+        plannedAt = now;
+        RouterNews to = grantor();
+        if (to.name().equals(setup.membership().name())) {
+            d.sit(world());
+        } else {
+            d.report(now, to.address(), votes.term());
+        }
+        planAt = now + (d.inHaste() ? setup.membership().period() : setup.times().lease() / ASKS_A_LEASE);
+    }
+
     /** The grantor's own leases are in its own book like all others. */
     private void keepOwn(RouterNews self) {
         leases.forEach((id, lease) -> {
@@ -396,14 +497,19 @@
 
     // ---- verdicts -------------------------------------------------------------------------------------
 
-    private void sit() {
+    /** Whether this router is the keeper now. */
+    private boolean office() {
         boolean office = votes.inOffice(now, routers());
         if (office != inOffice) {
             inOffice = office;
             notice(office ? "this router is the keeper of term " + votes.ownTerm()
                     : "this router is not the keeper any more", Map.of("keeper", office, "term", votes.ownTerm()));
         }
-        if (!office || setup.verdicts().isEmpty()) {
+        return office;
+    }
+
+    private void sit() {
+        if (!office() || setup.verdicts().isEmpty()) {
             return;
         }
         Bench.Rules rules = setup.verdicts().get();
@@ -457,12 +563,74 @@
         for (VerdictTable.Held h : standing) {
             Listed m = members.get(h.verdict().member());
             if (m != null && m.started() == h.verdict().started() && room.merge(m.role(), -1, Integer::sum) >= 0) {
-                out.add(new MemberOut(h.verdict().member(), m.started(), h.until()));
+                out.add(new MemberOut(h.verdict().member(), Math.max(m.started(), drains.map(d -> d.returned(
+                        h.verdict().member())).orElse(0L)), h.until()));
             }
         }
         return out;
     }
 
+    // ---- drains ---------------------------------------------------------------------------------------
+
+    /** What is known beside the plan; a process that may not yet know of every router is no keeper of it. */
+    private World world() {
+        boolean keeps = office() && now >= startedAt + INFORMED * setup.membership().period();
+        Map<Long, World.Target> targets = new TreeMap<>();
+        members.forEach((id, m) -> {
+            if (m.role() != Role.ORIGIN) {
+                targets.put(id, new World.Target(m.name(), m.role() == Role.CACHE ? Tier.CACHE : Tier.PARENT, m.ready(),
+                        m.started()));
+            }
+        });
+        Set<Long> failing = verdicts.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
+        return new World(now, keeps ? votes.ownTerm() : 0, votes.officeSince(), routers(),
+                membership.table().stream().map(this::peer).toList(), targets, failing);
+    }
+
+    private World.Peer peer(RouterNews n) {
+        return new World.Peer(Hashes.of(World.ROUTERS + n.name()), n.name(), n.address(), n.instance(), n.standing(),
+                membership.since(n.name()));
+    }
+
+    /** What the decisions are to go by where members are taken out in order; empty where that is as before. */
+    public Optional<Drains.View> takeView() {
+        return drains.map(d -> d.takeView(now, world()));
+    }
+
+    /** Whether members may be used: not before it is known which are out, or could have been. */
+    public boolean settled() {
+        return drains.map(Drains::settled).orElse(true);
+    }
+
+    /** The plan of drains in force, as far as this router knows. */
+    Optional<Plan> plan() {
+        return drains.map(Drains::plan);
+    }
+
+    /** Whether members are taken out in order. */
+    public boolean drains() {
+        return drains.isPresent();
+    }
+
+    /** Takes an operator's command and says what becomes of it, in one line. */
+    public String command(long time, Map<String, String> fields) {
+        now = Math.max(now, time);
+        if (drains.isEmpty()) {
+            return "refused: this router has no section 'fleet.drains' in its operator's file";
+        }
+        try {
+            DrainCommand c = DrainWords.command(fields, setup.cluster(), world(), drains.get().plan());
+            if (!drains.get().command(now, c)) {
+                return "refused: too many commands wait to be taken";
+            }
+            // the keeper hears at once, but however often commands come, no more than four times a period
+            planAt = Math.min(planAt, Math.max(now, plannedAt + setup.membership().period() / 4));
+            return "waits " + Long.toUnsignedString(c.id(), 16);
+        } catch (DrainWords.Wrong e) {
+            return "refused: " + e.getMessage();
+        }
+    }
+
     // ---- what goes out --------------------------------------------------------------------------------
 
     private long send(String address, Body body) {
@@ -570,6 +738,7 @@
         fields.put("fleet-packets-out", Long.toString(sent));
         fields.put("fleet-bytes-out", Long.toString(sentBytes));
         fields.put("fleet-packets-in", Long.toString(heard));
+        drains.ifPresent(d -> fields.putAll(d.fields(now)));
         dropped.forEach((what, count) -> fields.put("fleet-dropped-" + what, Long.toString(count)));
         return fields;
     }
@@ -580,6 +749,8 @@
             case "members" -> Optional.of(membership.table().stream().map(this::row).toList());
             case "limits" -> Optional.of(leases.values().stream().map(this::row).toList());
             case "verdicts" -> Optional.of(verdicts.all().stream().map(this::row).toList());
+            case "drains" -> drains.map(d -> d.rows(world(), grantor().name()));
+            case "drain-requests" -> drains.map(Drains::requestRows);
             default -> Optional.empty();
         };
     }
--- a/src/main/java/pumicemoor/fleet/FleetSetup.java
+++ b/src/main/java/pumicemoor/fleet/FleetSetup.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import pumicemoor.RouterApi.Measure;
+import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
 import pumicemoor.fleet.verdicts.Bench;
@@ -12,7 +13,13 @@
  * spend alone and what a majority is are counted from it, or from those known where that is more.
  */
 public record FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times,
-        List<LimitRule> limits, Optional<Bench.Rules> verdicts) {
+        List<LimitRule> limits, Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains) {
+
+    /** Without drains. */
+    public FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times, List<LimitRule> limits,
+            Optional<Bench.Rules> verdicts) {
+        this(cluster, membership, size, times, limits, verdicts, Optional.empty());
+    }
 
     /** Whom a limit is for: one member by its name, each of a kind by itself, or all that crosses zones. */
     public enum Scope { MEMBER, EACH_CACHE, EACH_PARENT, ORIGIN, ACROSS_ZONES }
--- a/src/main/java/pumicemoor/fleet/Packet.java
+++ b/src/main/java/pumicemoor/fleet/Packet.java
@@ -1,6 +1,7 @@
 package pumicemoor.fleet;
 
 import java.util.List;
+import pumicemoor.fleet.drains.DrainCommand;
 import pumicemoor.fleet.membership.RouterNews;
 import pumicemoor.fleet.verdicts.Accusation;
 import pumicemoor.fleet.verdicts.Verdict;
@@ -54,4 +55,29 @@
     /** The answer to an ask, by its number; a lease counts from when the ask left. */
     public record Grant(long ask, long term, List<Part> parts) implements Body {
     }
+
+    /** What a router has under way at a member, and how often lately that answered it from what it holds. */
+    public record Use(long member, int underWay, double hits) {
+    }
+
+    /**
+     * A router's report about the plan of drains: the stamps of the newest it holds and of the one it goes by, whether it
+     * remembers what was agreed, and the highest term that it knows.
+     */
+    public record PlanReport(long term, long held, long applied, boolean seasoned, List<Use> uses) implements Body {
+    }
+
+    /**
+     * The answer to such a report, by its number, for that process alone. Office: a keeper's, which knows what is in force.
+     */
+    public record PlanGrant(long report, long instance, long term, boolean office, long held, long inForce) implements Body {
+    }
+
+    /** A piece of a plan. */
+    public record Piece(long stamp, int index, int count, byte[] bytes) implements Body {
+    }
+
+    /** An operator's command, passed on. */
+    public record DrainAsk(DrainCommand command) implements Body {
+    }
 }
--- a/src/main/java/pumicemoor/fleet/PacketCodec.java
+++ b/src/main/java/pumicemoor/fleet/PacketCodec.java
@@ -10,7 +10,11 @@
 import pumicemoor.fleet.BadPacketException.Reason;
 import pumicemoor.fleet.Packet.Body;
 import pumicemoor.fleet.Packet.Part;
+import pumicemoor.fleet.Packet.Use;
 import pumicemoor.fleet.Packet.Want;
+import pumicemoor.fleet.drains.DrainCommand;
+import pumicemoor.fleet.drains.Drains;
+import pumicemoor.fleet.drains.Plan;
 import pumicemoor.fleet.membership.RouterNews;
 import pumicemoor.fleet.membership.Standing;
 import pumicemoor.fleet.verdicts.Accusation;
@@ -34,7 +38,7 @@
     private static final int MAGIC = 0x504d4631;  // PMF1
     private static final int VERDICT_BYTES = 48;
 
-    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT }
+    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT, PLAN_REPORT, PLAN_GRANT, PIECE, DRAIN_ASK }
 
     private final long cluster;
 
@@ -113,6 +117,21 @@
         } else if (body instanceof Packet.Grant g) {
             out.put((byte) Type.GRANT.ordinal()).putLong(g.ask()).putLong(g.term()).put((byte) g.parts().size());
             g.parts().forEach(p -> out.putLong(p.limit()).putDouble(p.amount()));
+        } else if (body instanceof Packet.PlanReport r) {
+            out.put((byte) Type.PLAN_REPORT.ordinal()).putLong(r.term()).putLong(r.held()).putLong(r.applied())
+                    .put((byte) (r.seasoned() ? 1 : 0)).put((byte) r.uses().size());
+            r.uses().forEach(u -> out.putLong(u.member()).putInt(u.underWay()).putFloat((float) u.hits()));
+        } else if (body instanceof Packet.PlanGrant g) {
+            out.put((byte) Type.PLAN_GRANT.ordinal()).putLong(g.report()).putLong(g.instance()).putLong(g.term())
+                    .put((byte) (g.office() ? 1 : 0)).putLong(g.held()).putLong(g.inForce());
+        } else if (body instanceof Packet.Piece p) {
+            out.put((byte) Type.PIECE.ordinal()).putLong(p.stamp()).put((byte) p.index()).put((byte) p.count())
+                    .putShort((short) p.bytes().length).put(p.bytes());
+        } else if (body instanceof Packet.DrainAsk a) {
+            DrainCommand c = a.command();
+            out.put((byte) Type.DRAIN_ASK.ordinal()).put((byte) c.kind().ordinal()).putLong(c.id()).putInt(c.mostOut())
+                    .putInt(c.leastServing()).putLong(c.fence()).put((byte) c.members().size());
+            c.members().forEach(out::putLong);
         }
     }
 
@@ -235,9 +254,75 @@
                 }
                 yield new Packet.Grant(ask, term, parts);
             }
+            case PLAN_REPORT -> planReport(in);
+            case PLAN_GRANT -> new Packet.PlanGrant(in.getLong(), in.getLong(), term(in.getLong()), in.get() == 1,
+                    stamp(in.getLong()), stamp(in.getLong()));
+            case PIECE -> {
+                long stamp = stamp(in.getLong());
+                int index = in.get();
+                int count = in.get();
+                int length = in.getShort();
+                if (length < 0 || length > in.remaining()) {
+                    throw new BadPacketException(Reason.UNREADABLE);
+                }
+                byte[] bytes = new byte[length];
+                in.get(bytes);
+                yield new Packet.Piece(stamp, index, count, bytes);
+            }
+            case DRAIN_ASK -> drainAsk(in);
         };
     }
 
+    private static long term(long term) throws BadPacketException {
+        if (term < 0 || term >= Plan.MOST_TERM) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return term;
+    }
+
+    private static long stamp(long stamp) throws BadPacketException {
+        if (stamp < 0) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return stamp;
+    }
+
+    private static Packet.PlanReport planReport(ByteBuffer in) throws BadPacketException {
+        long term = term(in.getLong());
+        long held = stamp(in.getLong());
+        long applied = stamp(in.getLong());
+        boolean seasoned = in.get() == 1;
+        List<Use> uses = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            Use use = new Use(in.getLong(), in.getInt(), amount(in.getFloat()));
+            if (use.underWay() < 0) {
+                throw new BadPacketException(Reason.IMPOSSIBLE);
+            }
+            uses.add(use);
+        }
+        if (applied > held) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return new Packet.PlanReport(term, held, applied, seasoned, uses);
+    }
+
+    private static Packet.DrainAsk drainAsk(ByteBuffer in) throws BadPacketException {
+        DrainCommand.Kind kind = of(DrainCommand.Kind.values(), in.get());
+        long id = in.getLong();
+        int mostOut = in.getInt();
+        int leastServing = in.getInt();
+        long fence = stamp(in.getLong());
+        List<Long> members = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            members.add(in.getLong());
+        }
+        if (members.isEmpty() || leastServing < 0 || kind == DrainCommand.Kind.REQUEST && (mostOut < 1
+                || mostOut > Drains.MOST_OUT)) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return new Packet.DrainAsk(new DrainCommand(kind, id, mostOut, leastServing, fence, members));
+    }
+
     private static Packet.Ask ask(ByteBuffer in) throws BadPacketException {
         boolean vote = in.get() == 1;
         long seen = in.getLong();
--- /dev/null
+++ b/src/main/java/pumicemoor/fleet/drains/Tier.java
@@ -0,0 +1,4 @@
+package pumicemoor.fleet.drains;
+
+/** The kinds of members that can be taken out; a budget of members that must serve holds for each by itself. */
+public enum Tier { CACHE, PARENT, ROUTER }
--- a/src/test/java/pumicemoor/fleet/VirtualFleet.java
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -21,6 +21,8 @@
 import pumicemoor.RouterApi.VerdictsGiven;
 import pumicemoor.RouterApi.Wanted;
 import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.drains.DrainTimes;
+import pumicemoor.fleet.drains.Drains;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
 import pumicemoor.fleet.verdicts.Bench;
@@ -49,6 +51,45 @@
         final List<Notice> notices = new ArrayList<>();
         final List<byte[]> waiting = new ArrayList<>();  // packets that came while it was paused
         double wanted;
+        long startedAt;
+        Drains.View view = new Drains.View(false, Set.of(), Map.of());
+        final Map<Long, List<Long>> underWay = new LinkedHashMap<>();  // when attempts at a member end
+        final Drains.Usage usage = new Drains.Usage() {
+            @Override
+            public int underWay(long member) {
+                return open(member);
+            }
+
+            @Override
+            public double hits(long member) {
+                return member % 7;
+            }
+        };
+
+        /** Attempts under way at a member; those of a process that is no more count for nobody. */
+        int open(long member) {
+            List<Long> ends = underWay.getOrDefault(member, List.of());
+            return running ? (int) ends.stream().filter(e -> e > now).count() : 0;
+        }
+
+        /** Begins an attempt at a member if it may, as the program does: first what is due, then the request. */
+        boolean ask(long member, long lasts) {
+            if (!acts(this)) {
+                return false;
+            }
+            if (fleet.nextDue() <= now) {
+                fleet.advance(now);
+                fetch(this);
+            }
+            boolean knowsNothing = fleet.plan().orElseThrow().stamp() == 0;  // and has reached nobody: nothing is promised
+            if (!view.settled() || view.alone().contains(member) || knowsNothing) {
+                return false;
+            }
+            List<Long> ends = underWay.computeIfAbsent(member, m -> new ArrayList<>());
+            ends.removeIf(e -> e <= now);
+            ends.add(now + lasts);
+            return true;
+        }
 
         Router(int number) {
             name = "router-" + number;
@@ -80,6 +121,7 @@
     private final double limit;
     private final Measure measure;
     private final int size;
+    Optional<DrainTimes> drains = Optional.empty();
     long now = 1_790_000_000L * SECOND;
     double loss;
     double doubled;
@@ -118,8 +160,11 @@
         List<String> seeds = routers.stream().limit(3).map(x -> x.address).toList();
         r.fleet = new Fleet(new FleetSetup("test", new Membership.Setup(name, address, seeds, PERIOD, 3, 2,
                 600 * SECOND, 2_000), size, TIMES, List.of(new LimitRule("origin", FleetSetup.Scope.ORIGIN, "", measure,
-                limit)), Optional.of(VERDICTS)), now, random.nextLong());
+                limit)), Optional.of(VERDICTS), drains), now, random.nextLong(), r.usage);
         r.running = true;
+        r.startedAt = now;
+        r.underWay.clear();
+        r.view = new Drains.View(false, Set.of(), Map.of());
         r.pausedUntil = 0;
         r.waiting.clear();
         r.heardOut.clear();
@@ -150,7 +195,11 @@
     /** Lives on, calling back after each step in which something happened. */
     void run(long time, Runnable watch) {
         long end = now + time;
+        long began = packets;
         while (true) {
+            if (packets - began > 2_000L * routers.size() * (1 + time / SECOND)) {
+                throw new AssertionError("a storm of packets: " + packets + " " + routers.stream().map(r -> r.fleet.fields()).toList());
+            }
             long next = flying.isEmpty() ? Long.MAX_VALUE : flying.peek().at();
             for (Router r : routers) {
                 if (r.running) {
@@ -188,6 +237,7 @@
     }
 
     private void fetch(Router r) {
+        r.fleet.takeView().ifPresent(v -> r.view = v);
         r.fleet.wanted(new Wanted(ORIGIN, measure, r.wanted, 0));
         for (Datagram d : r.fleet.takePackets()) {
             send(r, d);
@@ -230,6 +280,16 @@
         return out;
     }
 
+    /** Lists the members anew, at every router that runs. */
+    void list(long member, boolean ready, long started) {
+        Fleet.Listed m = members.get(member);
+        members.put(member, new Fleet.Listed(m.name(), m.role(), started, ready));
+        routers.stream().filter(this::acts).forEach(r -> {
+            r.fleet.members(now, members);
+            fetch(r);
+        });
+    }
+
     /** Whether all that run believe the same of all that run. */
     boolean agreed() {
         List<Router> running = routers.stream().filter(r -> r.running).toList();
