Take ordered drains into the program: reducer, commands, operator's section

Change: section fleet.drains (off when absent); the reducer shows the decisions a list in which who drains or is out is draining and who came back has just started (DrainedMembers), so Logic.java is untouched; a process uses no cache before it knows who is out; commands drain request, done, cancel and status, taken from the router's own machine alone. Nothing changes without the section: RecordedChoicesTest holds its digest.

--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -45,6 +45,7 @@
             @SubCommand(name = "members", impl = FleetRows.Members.class),
             @SubCommand(name = "limits", impl = FleetRows.Limits.class),
             @SubCommand(name = "verdicts", impl = FleetRows.Verdicts.class),
+            @SubCommand(name = "drain", impl = DrainCommands.class),
             @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
             @SubCommand(name = "lab", impl = LabCommand.class),
             @SubCommand(name = "version", impl = Version.class)})
--- a/src/main/java/pumicemoor/cli/Status.java
+++ b/src/main/java/pumicemoor/cli/Status.java
@@ -23,19 +23,22 @@
 
     @Override
     void run() throws IOException, WireException {
+        int colon = colon(address);
+        print(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    /** Where the port begins in an address. */
+    private static int colon(String address) throws WireException {
         int colon = address.lastIndexOf(':');
         if (colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}")) {
             throw new WireException("no address: '" + address + "'");
         }
-        print(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        return colon;
     }
 
     /** The router's rows about a subject; an exception where it knows none. */
     static List<Map<String, Object>> rows(String address, String subject) throws IOException, WireException {
-        int colon = address.lastIndexOf(':');
-        if (colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}")) {
-            throw new WireException("no address: '" + address + "'");
-        }
+        int colon = colon(address);
         try (FrameClient client = connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
             FrameClient.Answer answer = client.ask(READY_ASKED, Map.of("rows", subject), READY);
             if (answer.fields().isEmpty()) {
@@ -45,6 +48,14 @@
         }
     }
 
+    /** What a router says to an operator's command. */
+    static String command(String address, Map<String, String> fields) throws IOException, WireException {
+        int colon = colon(address);
+        try (FrameClient client = connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+            return client.ask(READY_ASKED, fields, READY).fields().getOrDefault("said", "refused: no answer to that");
+        }
+    }
+
     private static FrameClient connect(String host, int port) throws IOException {
         try {
             return new FrameClient(host, port);
--- a/src/main/java/pumicemoor/cli/Usage.java
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -26,6 +26,7 @@
               members        show the routers of the fleet as a running router knows them: members HOST:PORT [--json]
               limits         show the fleet's limits and the router's parts: limits HOST:PORT [--json]
               verdicts       show the fleet's verdicts on caches and parents: verdicts HOST:PORT [--json]
+              drain          take members out for work in order: drain request|done|cancel|status HOST:PORT
               hierarchy      check a hierarchy, or plan the change from one to another: hierarchy check|plan
               lab            play a scenario with stand-ins on loopback: lab run FILE
               version        print the version
--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -105,6 +105,7 @@
     private boolean inOffice;
     private boolean allowancesNew = true;
     private boolean verdictsNew = true;
+    private boolean membersNew;
     private int routersTold;
 
     /** One whose router has nothing under way. */
@@ -260,6 +261,7 @@
             return;
         }
         members = Map.copyOf(listed);
+        membersNew = true;
         Map<Long, FleetLimit> limits = new TreeMap<>();
         members.forEach((id, m) -> setup.limits().stream().filter(r -> covers(r, m) && setup.limits().stream()
                 .noneMatch(o -> covers(o, m) && o.measure() == r.measure() && tighter(o, r))).forEach(r -> limits
@@ -594,7 +596,9 @@
 
     /** What the decisions are to go by where members are taken out in order; empty where that is as before. */
     public Optional<Drains.View> takeView() {
-        return drains.map(d -> d.takeView(now, world()));
+        Optional<Drains.View> view = drains.filter(d -> membersNew || d.viewMayChange(now)).map(d -> d.takeView(now, world()));
+        membersNew = false;
+        return view;
     }
 
     /** Whether members may be used: not before it is known which are out, or could have been. */
--- a/src/main/java/pumicemoor/fleet/drains/DrainTimes.java
+++ b/src/main/java/pumicemoor/fleet/drains/DrainTimes.java
@@ -7,6 +7,11 @@
  */
 public record DrainTimes(long least, long drain, long gone, long overdue, long cacheWarm, long parentWarm) {
 
+    /** The same with how long members take to warm. */
+    public DrainTimes warming(long caches, long parents) {
+        return new DrainTimes(least, drain, gone, overdue, caches, parents);
+    }
+
     long warm(Tier tier) {
         return tier == Tier.CACHE ? cacheWarm : tier == Tier.PARENT ? parentWarm : 0;
     }
--- a/src/main/java/pumicemoor/fleet/drains/Drains.java
+++ b/src/main/java/pumicemoor/fleet/drains/Drains.java
@@ -89,6 +89,7 @@
     private long toldStamp;  // of the plan that the decisions go by
     private long touchUntil;
     private boolean touched;  // since the start
+    private boolean cutOff;  // when the decisions were last told
     private int nextUse;
 
     public Drains(DrainTimes times, LeaseTimes leases, String self, long instance, long startedAt, Usage usage,
@@ -221,6 +222,12 @@
         return touched || now >= startedAt + leases.lease() + leases.guard();
     }
 
+    /** Whether what the decisions go by may be another now; cheap, for it is asked at every input. */
+    public boolean viewMayChange(long now) {
+        return lastView == null || book.applied().stamp() != toldStamp || !lastView.settled()
+                || cutOff != now >= touchUntil;
+    }
+
     /** What the decisions are to go by from now on; null where that is as before. */
     public View takeView(long now, World world) {
         world.targets().forEach((id, t) -> {
@@ -230,6 +237,7 @@
         });
         returned.keySet().removeIf(id -> !world.targets().containsKey(id) && book.applied().of(id).isEmpty());
         toldStamp = book.applied().stamp();
+        cutOff = now >= touchUntil;
         Set<Long> alone = new HashSet<>();
         Plan plan = touched ? book.applied() : book.held();  // who has heard of no keeper yet goes by what there is
         plan.orders().stream().filter(o -> leftAlone(o, now)).forEach(o -> alone.add(o.member()));
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -114,6 +115,10 @@
         asked = true;
         Map<String, String> fields = new LinkedHashMap<>();
         Map<String, String> wanted = ClientFrame.wanted(frame);
+        if (wanted.containsKey("drain")) {
+            command(stream, wanted);
+            return;
+        }
         if ("1".equals(wanted.get("counters"))) {
             fields.putAll(counters.all());
             fields.putAll(loop.state());
@@ -125,6 +130,22 @@
         context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(), fields), context.voidPromise());
     }
 
+    /** Operators' commands are taken from this machine alone: clients from elsewhere have no say in what is taken out. */
+    private void command(int stream, Map<String, String> fields) {
+        if (context.channel().remoteAddress() instanceof InetSocketAddress peer && !peer.getAddress().isLoopbackAddress()) {
+            counters.add(Name.BAD_INPUT);
+            told(new Effect.Told(number, stream, "refused: commands are taken from the router's own machine alone"));
+        } else {
+            loop.submit(new Input.Command(number, stream, fields));
+        }
+    }
+
+    /** Says what became of a command. */
+    void told(Effect.Told told) {
+        context.writeAndFlush(ClientFrame.ready(context.alloc(), told.stream(), loop.ready(), Map.of("said", told.text())),
+                context.voidPromise());
+    }
+
     private void request(int stream, ByteBuf frame) {
         if (!use(stream)) {
             throw new CorruptedFrameException("a request on stream " + Integer.toUnsignedString(stream)
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -339,6 +339,10 @@
             coordinator.follow(follow.coordinator());
         } else if (effect instanceof Effect.ToFleet packet) {
             fleet.send(packet.address(), packet.bytes());
+        } else if (effect instanceof Effect.Told told) {
+            if (clients.containsKey(told.connection())) {
+                clients.get(told.connection()).told(told);
+            }
         } else if (effect instanceof Effect.Exit) {
             end();
         }
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -73,6 +73,10 @@
     record ToFleet(String address, byte[] bytes) implements Effect {
     }
 
+    /** What becomes of an operator's command, in one line. */
+    record Told(long connection, int stream, String text) implements Effect {
+    }
+
     /** All is done: end the process. */
     record Exit() implements Effect {
     }
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -63,6 +63,10 @@
     record FromFleet(byte[] bytes) implements Input {
     }
 
+    /** An operator's command, as fields, from this machine; its answer goes back on that stream. */
+    record Command(long connection, int stream, Map<String, String> fields) implements Input {
+    }
+
     /** The configuration and the operator's file were read anew; null with the problem where they cannot be used. */
     record Reload(NodeConfig config, OperatorConfig operator, String problem) implements Input {
     }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -43,6 +43,7 @@
 import pumicemoor.RouterApi.Wanted;
 import pumicemoor.RouterApi;
 import pumicemoor.fleet.Fleet;
+import pumicemoor.fleet.drains.Drains;
 import pumicemoor.hierarchy.Hierarchy;
 import pumicemoor.hierarchy.ShapeCheck.Problem;
 import pumicemoor.node.Counters.Name;
@@ -104,6 +105,8 @@
     private long hierarchyDue = Long.MAX_VALUE;
     private Optional<Fleet> fleet = Optional.empty();
     private long fleetDue = Long.MAX_VALUE;
+    private Optional<DrainedMembers> drained = Optional.empty();
+    private final HitCount hits = new HitCount();
     private final BoundedLog fleetLog;
     private long terminatedAt = -1;
     private boolean exited;
@@ -139,7 +142,8 @@
 
     private static final class Attempt {
         Request request;
-        long key, member, sentAt;
+        long key, member, source, sentAt;
+        List<Long> way;
         int number;
         boolean written;
     }
@@ -175,6 +179,9 @@
     public void accept(long time, Input input, Consumer<Effect> effects) {
         now = Math.max(now, time);
         out = effects;
+        if (fleetDue <= now) {  // a process that was paused must not go by what has run out meanwhile
+            followFleet();
+        }
         if (input instanceof Input.Request r) {
             arrived(r, false);
         } else if (input instanceof Input.Call c) {
@@ -203,6 +210,10 @@
             updated(u.json());
         } else if (input instanceof Input.FromFleet f) {
             fleet.ifPresent(x -> x.heard(now, f.bytes()));
+        } else if (input instanceof Input.Command c) {
+            String said = fleet.map(f -> f.command(now, c.fields()))
+                    .orElse("refused: this router has no section 'fleet' in its operator's file");
+            out.accept(new Effect.Told(c.connection(), c.stream(), said));
         } else if (input instanceof Input.Reload r) {
             reload(r);
         } else if (input instanceof Input.Terminate) {
@@ -355,6 +366,8 @@
         attempt.key = ++numbers;
         attempt.number = request.sent++;
         attempt.member = f.member();
+        attempt.source = f.source();
+        attempt.way = f.way();
         attempt.sentAt = now;
         attempts.put(attempt.key, attempt);
         request.out.put(attempt.number, attempt);
@@ -423,6 +436,9 @@
         attempts.remove(attempt.key);
         request.out.remove(attempt.number);
         counters.add(Name.valueOf(outcome.name()));
+        if (drained.isPresent() && note == FillNote.HIT) {
+            hits.add(now, attempt.member);
+        }
         events.add(new AttemptEnded(request.id, attempt.number, attempt.member, outcome, now - attempt.sentAt,
                 request.over, note, 0, load, kb));
         forgetIfDone(request);
@@ -494,7 +510,7 @@
 
     /** Whether new requests are wanted: the members are known and the process is not about to end. */
     public boolean ready() {
-        return terminatedAt < 0 && !endpoints.isEmpty();
+        return terminatedAt < 0 && !endpoints.isEmpty() && fleet.map(Fleet::settled).orElse(true);
     }
 
     // ---- what the coordinator tells -------------------------------------------------------------------
@@ -532,7 +548,21 @@
     /** Takes what the operator has set, once, before anything that is known; without it all is as before. */
     public void operate(long time, OperatorConfig set, String location, String name, long seed) {
         operator = set;
-        set.fleet().ifPresent(f -> fleet = Optional.of(new Fleet(f.setup(name), time, seed)));
+        set.fleet().ifPresent(f -> {
+            fleet = Optional.of(new Fleet(f.setup(name, settings.rules()), time, seed, new Drains.Usage() {
+                @Override
+                public int underWay(long member) {
+                    return (int) attempts.values().stream().filter(a -> a.member == member || a.source == member
+                            || a.way.contains(member)).count();
+                }
+
+                @Override
+                public double hits(long member) {
+                    return hits.of(now, member);
+                }
+            }));
+            drained = fleet.filter(Fleet::drains).map(x -> new DrainedMembers());
+        });
         set.hierarchy().ifPresent(h -> {
             long coldTime = settings.rules().parent().warmAfter();
             Hierarchy.Setup setup = new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(),
@@ -568,7 +598,11 @@
             return;
         }
         Fleet f = fleet.get();
+        // whom to leave alone comes before anything that could send: what a router reports it has to go by
+        f.takeView().flatMap(view -> drained.get().follow(view)).ifPresent(events::add);
+        drive();
         f.advance(now);
+        f.takeView().flatMap(view -> drained.get().follow(view)).ifPresent(events::add);
         events.addAll(f.takeEvents());
         drive();
         f.takePackets().forEach(d -> out.accept(new Effect.ToFleet(d.address(), d.bytes())));
@@ -710,7 +744,8 @@
             if (state == State.GONE) {
                 fleetMembers.remove(member.id());
             } else {
-                fleetMembers.put(member.id(), new Fleet.Listed(instance, member.role(), member.started()));
+                fleetMembers.put(member.id(), new Fleet.Listed(instance, member.role(), member.started(),
+                        state == State.READY));
             }
             Endpoint before = endpoints.put(member.id(),
                     new Endpoint(instance, line.text("hostPort"), member.started()));
@@ -728,8 +763,13 @@
         fleet.ifPresent(f -> f.members(now, fleetMembers));
         hierarchy.ifPresent(h -> h.members(endpoints.values().stream()
                 .collect(Collectors.toMap(Endpoint::instance, Endpoint::started, Math::max))));
-        events.add(new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
-                list.integer("generation", 0), members));
+        MembersListed news = new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
+                list.integer("generation", 0), members);
+        if (drained.isEmpty()) {
+            events.add(news);
+        } else {
+            drained.get().listed(news).ifPresent(events::add);
+        }
     }
 
     private void gone(long member) {
--- a/src/main/java/pumicemoor/operator/FleetSection.java
+++ b/src/main/java/pumicemoor/operator/FleetSection.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import pumicemoor.RouterApi;
 import pumicemoor.fleet.FleetSetup;
 import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
 import pumicemoor.fleet.verdicts.Bench;
@@ -14,13 +16,14 @@
  */
 public record FleetSection(String cluster, String listen, String advertise, List<String> seeds, int size, long period,
         int indirect, int fanout, long remember, LeaseTimes times, List<LimitRule> limits,
-        Optional<Bench.Rules> verdicts) {
+        Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains) {
 
     private static final int ROUTERS = 2_000;  // that are kept in the table
 
-    /** What a router of this name is set up with. */
-    public FleetSetup setup(String name) {
+    /** What a router of this name is set up with; how long members take to warm is told by the platform's rules. */
+    public FleetSetup setup(String name, RouterApi.Rules rules) {
         return new FleetSetup(cluster, new Membership.Setup(name, advertise, seeds, period, indirect, fanout, remember,
-                ROUTERS), size, times, limits, verdicts);
+                ROUTERS), size, times, limits, verdicts,
+                drains.map(d -> d.warming(rules.cache().warmAfter(), rules.parent().warmAfter())));
     }
 }
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -33,6 +33,7 @@
 import pumicemoor.fleet.FleetSetup.LimitRule;
 import pumicemoor.fleet.FleetSetup.Scope;
 import pumicemoor.fleet.PacketCodec;
+import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.verdicts.Bench;
 import pumicemoor.hierarchy.Hierarchy.News;
@@ -74,7 +75,11 @@
     private record FleetForm(String cluster, String listen, String advertise, List<String> seeds, Integer size,
             @JsonProperty("period-ms") Integer period, Integer indirect, Integer fanout,
             @JsonProperty("remember-ms") Integer remember, @JsonProperty("lease-ms") Integer lease,
-            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts) {
+            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts, DrainsForm drains) {
+    }
+
+    private record DrainsForm(@JsonProperty("least-ms") Integer least, @JsonProperty("drain-ms") Integer drain,
+            @JsonProperty("gone-ms") Integer gone, @JsonProperty("overdue-ms") Integer overdue) {
     }
 
     private record LimitForm(String name, String members, @JsonProperty("per-second") Double perSecond,
@@ -230,7 +235,21 @@
         return new FleetSection(form.cluster(), listen, advertise, List.copyOf(seeds), form.size(), period,
                 count(form.indirect(), 3, "fleet.indirect"), count(form.fanout(), 2, "fleet.fanout"),
                 MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"), new LeaseTimes(lease, guard),
-                List.copyOf(limits), verdicts);
+                List.copyOf(limits), verdicts, form.drains() == null ? Optional.empty()
+                        : Optional.of(drains(form.drains(), lease + guard)));
+    }
+
+    private DrainTimes drains(DrainsForm form, long touch) throws OperatorException {
+        long least = MILLI * time(form.least(), 1_000, 0, "fleet.drains.least-ms");
+        long drain = MILLI * time(form.drain(), 10_000, 100, "fleet.drains.drain-ms");
+        long gone = MILLI * time(form.gone(), 60_000, 1_000, "fleet.drains.gone-ms");
+        if (least > drain) {
+            throw wrong("fleet.drains.least-ms", "it is over drain-ms");
+        }
+        if (gone < touch + drain) {
+            throw wrong("fleet.drains.gone-ms", "it is under lease-ms, guard-ms and drain-ms together");
+        }
+        return new DrainTimes(least, drain, gone, MILLI * time(form.overdue(), 600_000, 1_000, "fleet.drains.overdue-ms"), 0, 0);
     }
 
     private String fleetAddress(String address, String key) throws OperatorException {
--- a/src/test/java/pumicemoor/fleet/VirtualFleet.java
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -77,7 +77,7 @@
             if (!acts(this)) {
                 return false;
             }
-            if (fleet.nextDue() <= now) {
+            if (nextAt <= now) {
                 fleet.advance(now);
                 fetch(this);
             }
