--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -36,14 +36,22 @@
     private final long began = System.nanoTime();
     private long asked;
     private double askedUntil;
+    private long generation = 1;
 
     @SafeVarargs
     FleetRig(Path folder, int routerCount, int caches, double rate, String fleet, UnaryOperator<String>... shapes)
             throws Exception {
+        this(folder, routerCount, caches, rate, 1, fleet, shapes);
+    }
+
+    /** One whose members take so many milliseconds to warm. */
+    @SafeVarargs
+    FleetRig(Path folder, int routerCount, int caches, double rate, int cold, String fleet, UnaryOperator<String>... shapes)
+            throws Exception {
         this.fleet = fleet;
         this.shapes = shapes;
         scenario = new Scenario("fleet", 3, 60, rate, 4_000, routerCount, caches, 1_000, 2, 1_500,
-                new Change(Way.FEED, 1, 1, 1, 1, 1), Map.of(), Map.of(), List.of(), null, null);
+                new Change(Way.FEED, 1, 1, 1, cold, 1), Map.of(), Map.of(), List.of(), null, null);
         network = new FaultNetwork(routerCount, 11);
         add("origin", Kind.ORIGIN);
         for (int i = 0; i < caches; i++) {
@@ -85,12 +93,35 @@
 
     /** Tells all routers that a member drains. */
     void drain(String member) {
-        MemberStandIn m = members.stream().filter(x -> x.name.equals(member)).findFirst().orElseThrow();
-        coordinator.tell("\"endpoints\":{\"generation\":2,\"reset\":false,\"instances\":["
-                + line(m).replace("active", "leaving") + "]}");
+        tell(line(member(member)).replace("active", "leaving"));
         record.drained(member);
     }
 
+    /** Starts a member anew, with nothing, and tells all routers. */
+    void restart(String member) throws IOException {
+        member(member).restart();
+        tell(line(member(member)));
+    }
+
+    private MemberStandIn member(String name) {
+        return members.stream().filter(x -> x.name.equals(name)).findFirst().orElseThrow();
+    }
+
+    private void tell(String line) {
+        generation++;
+        coordinator.tell("\"endpoints\":{\"generation\":" + generation + ",\"reset\":false,\"instances\":[" + line + "]}");
+    }
+
+    /** What a router says to an operator's command; empty where it does not answer. */
+    String command(int router, Map<String, String> fields) {
+        String[] address = routers.get(router).address().split(":");
+        try (FrameClient client = new FrameClient(address[0], Integer.parseInt(address[1]))) {
+            return client.ask(1, fields, 2).fields().getOrDefault("said", "");
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     /** Clients of some routers alone. */
     LoadClients clientsOf(List<RouterProcess> some) {
         return new LoadClients(scenario, record, some.stream().map(RouterProcess::address).toList());
@@ -117,8 +148,14 @@
         askedUntil = end;
     }
 
+    /** A paused or dead router is not asked: it would hold up whoever asks. */
+    final java.util.Set<Integer> away = new java.util.HashSet<>();
+
     /** What a router shows of a subject; empty where it does not answer. */
     List<Map<String, Object>> rows(int router, String subject) {
+        if (away.contains(router)) {
+            return List.of();
+        }
         String[] address = routers.get(router).address().split(":");
         try (FrameClient client = new FrameClient(address[0], Integer.parseInt(address[1]))) {
             return Rows.read(String.join("", client.ask(1, Map.of("rows", subject), 2).fields().values()));
