--- a/src/main/java/pumicemoor/fleet/Packet.java
+++ b/src/main/java/pumicemoor/fleet/Packet.java
@@ -1,5 +1,6 @@
 package pumicemoor.fleet;
 
+import java.util.Arrays;
 import java.util.List;
 import pumicemoor.fleet.drains.DrainCommand;
 import pumicemoor.fleet.membership.RouterNews;
@@ -75,6 +76,17 @@
 
     /** A piece of a plan. */
     public record Piece(long stamp, int index, int count, byte[] bytes) implements Body {
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Piece p && p.stamp == stamp && p.index == index && p.count == count
+                    && Arrays.equals(p.bytes, bytes);
+        }
+
+        @Override
+        public int hashCode() {
+            return Long.hashCode(stamp) * 31 + index;
+        }
     }
 
     /** An operator's command, passed on. */
--- a/src/test/java/pumicemoor/fleet/PacketCodecTest.java
+++ b/src/test/java/pumicemoor/fleet/PacketCodecTest.java
@@ -20,6 +20,7 @@
 import pumicemoor.fleet.FleetSetup.Scope;
 import pumicemoor.fleet.Packet.Part;
 import pumicemoor.fleet.Packet.Want;
+import pumicemoor.fleet.drains.DrainCommand;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
 import pumicemoor.fleet.membership.RouterNews;
@@ -37,7 +38,7 @@
     private final PacketCodec codec = new PacketCodec("west");
 
     private static Packet random(Random r) {
-        Packet.Body body = switch (r.nextInt(7)) {
+        Packet.Body body = switch (r.nextInt(11)) {
             case 0 -> new Packet.Ping();
             case 1 -> new Packet.Ack(r.nextLong());
             case 2 -> new Packet.Relay("127.0.0.1:" + (1 + r.nextInt(65_535)));
@@ -55,6 +56,17 @@
                 }
                 yield new Packet.Ask(r.nextBoolean(), r.nextLong(), r.nextLong(), wants, accusations);
             }
+            case 6 -> new Packet.PlanReport(r.nextInt(900), 700, r.nextInt(700), r.nextBoolean(),
+                    r.longs(r.nextInt(20)).mapToObj(m -> new Packet.Use(m, r.nextInt(90), r.nextInt(90))).toList());
+            case 7 -> new Packet.PlanGrant(r.nextLong(), r.nextLong(), r.nextInt(900), r.nextBoolean(), r.nextInt(99), 5);
+            case 8 -> {
+                byte[] piece = new byte[r.nextInt(300)];
+                r.nextBytes(piece);
+                yield new Packet.Piece(r.nextInt(99), r.nextInt(9), 9, piece);
+            }
+            case 9 -> new Packet.DrainAsk(new DrainCommand(DrainCommand.Kind.values()[r.nextInt(3)], r.nextLong(),
+                    1 + r.nextInt(50), r.nextInt(99), r.nextInt(99),
+                    r.longs(1 + r.nextInt(40)).boxed().toList()));
             default -> new Packet.Grant(r.nextLong(), r.nextLong(), List.of(new Part(r.nextLong(), r.nextInt(500))));
         };
         List<RouterNews> routers = new ArrayList<>();
@@ -204,4 +216,17 @@
                 List.of(new Part(limitAndAsk[0], 30))), List.of(), List.of())));
         assertEquals("leased", fleet.rows("limits").orElseThrow().get(0).get("state"));
     }
+
+    /** The longest name, and bodies as full as they get: they leave room for themselves at least. */
+    @Test
+    void theFullestBodiesFitAPacket() {
+        RouterNews longest = new RouterNews("r".repeat(PacketCodec.LONGEST_NAME), "127.255.255.255:65535", 1, 1, Standing.ALIVE);
+        Random r = new Random(4);
+        for (Packet.Body body : List.of(new Packet.PlanReport(1, 1, 1, true,
+                r.longs(60).mapToObj(m -> new Packet.Use(m, 1, 1)).toList()), new Packet.Piece(1, 0, 1, new byte[900]),
+                new Packet.DrainAsk(new DrainCommand(DrainCommand.Kind.REQUEST, 1, 1, 1, 0, r.longs(120).boxed().toList())))) {
+            assertTrue(codec.room(longest, body) >= 0, body.getClass()::getSimpleName);
+            assertTrue(codec.write(new Packet(longest, 1, body, List.of(), List.of())).length <= PacketCodec.LONGEST);
+        }
+    }
 }
--- a/src/test/java/pumicemoor/fleet/VirtualFleet.java
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -62,7 +62,7 @@
 
             @Override
             public double hits(long member) {
-                return member % 7;
+                return Math.floorMod(member, 7);
             }
         };
 
--- a/src/test/java/pumicemoor/operator/FleetSectionTest.java
+++ b/src/test/java/pumicemoor/operator/FleetSectionTest.java
@@ -24,6 +24,7 @@
                 - {name: boxes, members: each-cache, per-second: 100}
                 - {name: one, members: box-7, in-flight: 16}
               verdicts: {most-out: 0.2, witnesses: 2}
+              drains: {drain-ms: 4000}
             """;
 
     @Test
@@ -36,6 +37,9 @@
         assertEquals(Scope.MEMBER, f.limits().get(1).scope());
         assertEquals(Measure.IN_FLIGHT, f.limits().get(1).measure());
         assertEquals(5_000_000, f.verdicts().orElseThrow().hold());
+        assertEquals(4_000_000, f.drains().orElseThrow().drain());
+        assertEquals(60_000_000, f.drains().orElseThrow().gone());
+        assertTrue(OperatorFile.parse("f", GOOD.replace("  drains: {drain-ms: 4000}\n", "")).fleet().orElseThrow().drains().isEmpty());
         assertTrue(OperatorFile.parse("f", "").fleet().isEmpty());
     }
 
@@ -56,6 +60,10 @@
         "members: each-cache|members: across-zones|8|across-zones and kb-per-second go together",
         "name: one|name: boxes|8|two limits have the name 'boxes'",
         "most-out: 0.2|most-out: 1.2|11|fleet.verdicts.most-out",
+        "drain-ms: 4000|drain-ms: 5|12|fleet.drains.drain-ms: 5 is out of range",
+        "drain-ms: 4000|least-ms: 20000|12|fleet.drains.least-ms: it is over drain-ms",
+        "drain-ms: 4000|gone-ms: 9000|12|fleet.drains.gone-ms: it is under lease-ms",
+        "drain-ms: 4000|drain: 4000|12|unknown key",
     })
     void anErrorNamesItsLineAndKey(String from, String to, int line, String words) {
         assertTrue(GOOD.contains(from));
