--- a/src/test/java/pumicemoor/lab/DrainProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/DrainProcessesTest.java
@@ -29,7 +29,7 @@
     private static final int AT_ONCE = 2;
     private static final int SERVING = 4;
     private static final double STEP = 0.2;  // seconds between looks of the operator
-    private static final long WORK = 800;  // milliseconds on each member
+    private static final long WORK = 2_000;  // milliseconds on each member
     private static final String FLEET = """
               period-ms: 100
               lease-ms: 1500
@@ -52,7 +52,7 @@
         private final Set<String> toTell = new TreeSet<>();
         private final Set<String> seen = new HashSet<>();
         private final List<Out> outs = new ArrayList<>();
-        private final StringBuilder serving = new StringBuilder("ms,serving\n");
+        private final List<long[]> serving = new ArrayList<>();  // at milliseconds, so many caches
         private int mostOut;
 
         Operator(FleetRig rig) {
@@ -75,7 +75,7 @@
                 }
             }
             mostOut = Math.max(mostOut, down.size());
-            serving.append(rig.record.now()).append(',').append(CACHES - down.size()).append('\n');
+            serving.add(new long[] {rig.record.now(), CACHES - down.size()});
             for (String member : List.copyOf(down.keySet())) {
                 if (rig.record.now() - down.get(member) >= WORK) {
                     outs.add(new Out(member, down.remove(member), rig.record.now()));
@@ -155,8 +155,25 @@
         }
     }
 
+    /** Caches serving over time as a picture, the stretch marked in which a process was stopped. */
+    private static String plot(List<long[]> serving, long paused, long resumed) {
+        long from = serving.get(0)[0];
+        StringBuilder line = new StringBuilder();
+        serving.forEach(s -> line.append(line.isEmpty() ? "M" : "H").append(40 + (s[0] - from) / 40).append(line.length() < 9
+                ? " " : "V").append(170 - 20 * s[1]).append(' '));
+        return "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='200' font-family='sans-serif' font-size='11'>"
+                .formatted(80 + (serving.get(serving.size() - 1)[0] - from) / 40)
+                + "<rect x='%d' y='30' width='%d' height='140' fill='#eee'/>".formatted(40 + (paused - from) / 40,
+                        (resumed - paused) / 40)
+                + "<text x='40' y='18'>caches that serve, of %d; at least %d; grey: one router stopped; 25 pixels a second</text>"
+                        .formatted(CACHES, SERVING)
+                + "<path d='M40 %d H2000' stroke='#c00' stroke-dasharray='4'/><path d='%s' fill='none' stroke='#036'/>"
+                        .formatted(170 - 20 * SERVING, line.toString().strip())
+                + "<text x='20' y='54'>6</text><text x='20' y='94'>4</text><text x='20' y='174'>0</text></svg>\n";
+    }
+
     private static void judge(FleetRig rig, Operator operator, long paused, long resumed) throws Exception {
-        Files.writeString(Path.of("target", "drain-serving.csv"), operator.serving.toString());
+        Files.writeString(Path.of("target", "drain-serving.svg"), plot(operator.serving, paused, resumed));
         assertEquals(CACHES, operator.outs.size(), () -> "each was out once: " + operator.outs);
         assertEquals(CACHES, operator.outs.stream().map(Out::member).distinct().count());
         assertTrue(operator.mostOut <= AT_ONCE, () -> operator.mostOut + " were out at once");
