--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -236,10 +236,11 @@
                 count(form.indirect(), 3, "fleet.indirect"), count(form.fanout(), 2, "fleet.fanout"),
                 MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"), new LeaseTimes(lease, guard),
                 List.copyOf(limits), verdicts, form.drains() == null ? Optional.empty()
-                        : Optional.of(drains(form.drains(), lease + guard)));
+                        : Optional.of(drains(form.drains(), lease + guard, MILLI * time(form.remember(), 600_000, 1_000,
+                        "fleet.remember-ms"))));
     }
 
-    private DrainTimes drains(DrainsForm form, long touch) throws OperatorException {
+    private DrainTimes drains(DrainsForm form, long touch, long remember) throws OperatorException {
         long least = MILLI * time(form.least(), 1_000, 0, "fleet.drains.least-ms");
         long drain = MILLI * time(form.drain(), 10_000, 100, "fleet.drains.drain-ms");
         long gone = MILLI * time(form.gone(), 60_000, 1_000, "fleet.drains.gone-ms");
@@ -249,6 +250,9 @@
         if (gone < touch + drain) {
             throw wrong("fleet.drains.gone-ms", "it is under lease-ms, guard-ms and drain-ms together");
         }
+        if (gone > remember) {  // a router that was forgotten is waited for no more
+            throw wrong("fleet.drains.gone-ms", "it is over remember-ms");
+        }
         return new DrainTimes(least, drain, gone, MILLI * time(form.overdue(), 600_000, 1_000, "fleet.drains.overdue-ms"), 0, 0);
     }
 
--- a/src/test/java/pumicemoor/operator/FleetSectionTest.java
+++ b/src/test/java/pumicemoor/operator/FleetSectionTest.java
@@ -63,6 +63,7 @@
         "drain-ms: 4000|drain-ms: 5|12|fleet.drains.drain-ms: 5 is out of range",
         "drain-ms: 4000|least-ms: 20000|12|fleet.drains.least-ms: it is over drain-ms",
         "drain-ms: 4000|gone-ms: 9000|12|fleet.drains.gone-ms: it is under lease-ms",
+        "drain-ms: 4000|gone-ms: 700000|12|fleet.drains.gone-ms: it is over remember-ms",
         "drain-ms: 4000|drain: 4000|12|unknown key",
     })
     void anErrorNamesItsLineAndKey(String from, String to, int line, String words) {
