--- a/src/test/java/pumicemoor/FleetTest.java
+++ b/src/test/java/pumicemoor/FleetTest.java
@@ -1,5 +1,6 @@
 package pumicemoor;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -49,6 +50,9 @@
     private final Random random = new Random(5);
     private long now = 1_000 * SECOND;
     private long coldFrom = Long.MAX_VALUE;
+    private long drainsAfter = Long.MAX_VALUE;  // of the start, where the cold one was out before
+    private long outFrom = Long.MAX_VALUE;
+    private int sentWhileOut;
     private long order;
     private int asked;
     private int sentToCold;
@@ -81,6 +85,14 @@
                         0, 4, 10.0 * WORK / MILLI, 5 * SECOND, false));
             });
         }
+        if (drainsAfter < Long.MAX_VALUE) {
+            later(drainsAfter, () -> {
+                outFrom = now;
+                Member out = setup.members.stream().filter(m -> m.id() == cold).findFirst().orElseThrow();
+                routers.forEach(r -> handle(r, new MembersListed(ListKind.CHANGES, 2, List.of(new Member(out.id(), out.role(),
+                        out.zone(), 0, 1, out.started(), State.DRAINING)))));
+            });
+        }
         later(10 * SECOND, () -> {
             coldFrom = now;
             for (int id : restarted) {
@@ -111,6 +123,9 @@
 
     private void sent(Logic router, Fetch f) {
         boolean fails = (f.member() != cold || now < coldFrom) && random.nextDouble() < shareLate;
+        if ((f.member() == cold || f.source() == cold) && now >= outFrom && now < coldFrom) {
+            sentWhileOut++;
+        }
         if ((f.member() == cold || f.source() == cold) && now >= coldFrom) {
             sentToCold++;
             bookCold();
@@ -145,6 +160,17 @@
         assertTrue(sentToCold > 40, "only " + sentToCold + " requests in ten seconds");
     }
 
+    /** As drains have it: nothing while it is out, and back it is cold though it may be the same process. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 12, 60})
+    void aCacheThatWasOutIsLeftAloneAndWarmsWithoutBeingPushedOver(int crew) {
+        drainsAfter = 6 * SECOND;
+        play(crew, 0.6, 0, List.of(COLD));
+        assertEquals(0, sentWhileOut);
+        assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
+        assertTrue(sentToCold > 40, "only " + sentToCold + " requests in ten seconds");
+    }
+
     /** What is sent to overloaded members says nothing of what they can bear; what they serve does. */
     @Test
     void overloadOfWarmMembersDoesNotRaiseTheColdBudget() {
