--- a/src/test/java/pumicemoor/FleetTest.java
+++ b/src/test/java/pumicemoor/FleetTest.java
@@ -165,7 +165,7 @@
     @ValueSource(ints = {1, 12, 60})
     void aCacheThatWasOutIsLeftAloneAndWarmsWithoutBeingPushedOver(int crew) {
         drainsAfter = 6 * SECOND;
-        play(crew, 0.6, 0, List.of(COLD));
+        play(crew, 0.95, 0, List.of(COLD));
         assertEquals(0, sentWhileOut);
         assertTrue(worst <= 1, "used " + worst + " of the budget in a span");
         assertTrue(sentToCold > 40, "only " + sentToCold + " requests in ten seconds");
