Check between processes that a verdict reaches all within its bound

FleetProcessesTest compares when each of six processes heard of one version of a verdict with the bound for six routers (14 periods of 100 ms, and 500 ms for the machine).

--- a/src/test/java/pumicemoor/lab/FleetProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/FleetProcessesTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -95,6 +98,17 @@
         }
     }
 
+    /** A verdict that all know in one version came to each within the bound of the first; the slack is for the machine. */
+    private static void assertSpread(FleetRig rig) {
+        Map<Object, List<Long>> heard = new HashMap<>();  // by version
+        for (int r = 0; r < ROUTERS; r++) {
+            rig.rows(r, "verdicts").stream().filter(v -> (Boolean) v.get("out")).forEach(v -> heard.computeIfAbsent(
+                    v.get("version"), k -> new ArrayList<>()).add(((Number) v.get("heard-at-ms")).longValue()));
+        }
+        heard.values().stream().filter(at -> at.size() == ROUTERS).forEach(at -> assertTrue(
+                Collections.max(at) - Collections.min(at) <= Bounds.spread(ROUTERS) * 100 + 500, at::toString));
+    }
+
     @Test
     void aFailingMemberIsOutEverywhereAndNeverMoreThanTheShare() throws Exception {
         try (FleetRig rig = new FleetRig(folder, ROUTERS, CACHES, 200, FLEET)) {
@@ -117,6 +131,7 @@
                     out.addAll(here);
                 }
                 everOut.addAll(out);
+                assertSpread(rig);
                 together = Math.max(together, out.size());
                 knowing = Math.max(knowing, know);
             }
