--- /dev/null
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -0,0 +1,286 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import pumicemoor.node.NodeTestConfig;
+import pumicemoor.operator.OperatorConfig;
+
+/** A whole router on loopback for tests, with small stand-ins for members, coordinator and clients. */
+abstract class SocketRig {
+
+    static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
+
+    final List<AutoCloseable> toClose = new ArrayList<>();
+    NodeServer server;
+
+    @AfterEach
+    void stop() throws Exception {
+        if (server != null) {
+            server.terminate();
+            assertTrue(server.awaitEnd(PATIENCE));
+        }
+        for (AutoCloseable c : toClose) {
+            c.close();
+        }
+    }
+
+    void start(String coordinator, String... updates) throws Exception {
+        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", coordinator, updates)),
+                OperatorConfig.NONE);
+        server.start();
+    }
+
+    /** Anything that listens; each connection has a thread that ends with it. */
+    abstract class StandIn implements AutoCloseable {
+        final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final List<Socket> sockets = new ArrayList<>();
+
+        StandIn() throws IOException {
+            toClose.add(this);
+            Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket socket = listener.accept();
+                        synchronized (sockets) {
+                            sockets.add(socket);
+                        }
+                        Thread each = new Thread(() -> {
+                            try {
+                                serve(socket);
+                            } catch (IOException e) {
+                                // the connection has ended
+                            }
+                        });
+                        each.setDaemon(true);
+                        each.start();
+                    }
+                } catch (IOException e) {
+                    // closed at the end of the test
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        abstract void serve(Socket socket) throws IOException;
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        void cut() throws IOException {
+            synchronized (sockets) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+                sockets.clear();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            cut();
+        }
+    }
+
+    record Asked(String line, byte[] body) {
+        String id() {
+            return line.split(" ")[1];
+        }
+    }
+
+    /** A cache, parent or origin: notes each request, answers with what the test says; null breaks off. */
+    class Cache extends StandIn {
+        final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> quits = new LinkedBlockingQueue<>();
+        volatile String word;
+        volatile byte[] body = new byte[0];
+
+        Cache(String word) throws IOException {
+            this.word = word;
+        }
+
+        @Override
+        void serve(Socket socket) throws IOException {
+            InputStream in = socket.getInputStream();
+            OutputStream out = socket.getOutputStream();
+            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+                String[] words = line.split(" ");
+                if (words[0].equals("QUIT")) {
+                    quits.add(words[1]);
+                    continue;
+                }
+                if (words[0].equals("NOOP")) {
+                    out.write((words[1] + " well - 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                    continue;
+                }
+                byte[] sent = in.readNBytes(Integer.parseInt(words[3]));
+                assertEquals("", line(in));
+                asked.add(new Asked(line, sent));
+                if (word == null) {
+                    socket.close();
+                } else if (!word.isEmpty()) {
+                    answer(out, words[1]);
+                }
+            }
+        }
+
+        void answer(OutputStream out, String id) throws IOException {
+            ByteArrayOutputStream answer = new ByteArrayOutputStream();
+            answer.writeBytes((id + " " + word + " entity=e,issued=17,tell=mem " + body.length + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            answer.writeBytes(body);
+            answer.writeBytes("\r\n".getBytes(StandardCharsets.US_ASCII));
+            out.write(answer.toByteArray());
+            out.flush();
+        }
+
+        Asked next() throws InterruptedException {
+            return asked.poll(PATIENCE, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A line without its end; empty at the end of the stream too. */
+    static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+            if (b != '\r') {
+                line.append((char) b);
+            }
+        }
+        return line.toString();
+    }
+
+    final class Coordinator extends StandIn {
+        final BlockingQueue<String> lastEventIds = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+        Coordinator() throws IOException {
+        }
+
+        @Override
+        void serve(Socket socket) throws IOException {
+            InputStream in = socket.getInputStream();
+            assertEquals("GET /v2/stream HTTP/1.1", line(in));
+            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+                if (line.toLowerCase().startsWith("last-event-id: ")) {
+                    lastEventIds.add(line.substring(15));
+                }
+            }
+            OutputStream out = socket.getOutputStream();
+            out.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            try {
+                while (true) {
+                    out.write((events.take() + "\n\n").getBytes(StandardCharsets.UTF_8));
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    record Frame(int type, int stream, byte[] payload) {
+        int code() {
+            return payload[0];
+        }
+
+        byte[] body() {
+            return java.util.Arrays.copyOfRange(payload, 2, payload.length);
+        }
+    }
+
+    final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+        final DataInputStream in;
+        final DataOutputStream out;
+
+        Client() throws IOException {
+            this(0);
+        }
+
+        /** A client that takes in so many bytes before it reads; 0 for the usual. */
+        Client(int receiveBuffer) throws IOException {
+            toClose.add(this);
+            if (receiveBuffer > 0) {
+                socket.setReceiveBufferSize(receiveBuffer);
+            }
+            socket.connect(new InetSocketAddress("127.0.0.1", server.address().getPort()));
+            socket.setSoTimeout(PATIENCE);
+            in = new DataInputStream(socket.getInputStream());
+            out = new DataOutputStream(socket.getOutputStream());
+        }
+
+        String id(int stream) {
+            return String.format("%016x", stream);
+        }
+
+        void request(int stream, String requestClass, byte[] body) throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            DataOutputStream frame = new DataOutputStream(bytes);
+            frame.writeByte(7);
+            frame.writeInt(stream);
+            Map<String, String> fields = Map.of("op", requestClass, "call", id(stream), "ttl", "1800", "row",
+                    "7f3a9c21e0b4d655", "piece", "3", "lot", "17");
+            frame.writeByte(fields.size());
+            for (Map.Entry<String, String> field : fields.entrySet()) {
+                frame.writeByte(field.getKey().length());
+                frame.writeBytes(field.getKey());
+                frame.writeShort(field.getValue().length());
+                frame.writeBytes(field.getValue());
+            }
+            frame.write(body);
+            out.writeInt(bytes.size());
+            bytes.writeTo(out);
+            out.flush();
+        }
+
+        void send(int type, int stream) throws IOException {
+            out.writeInt(5);
+            out.writeByte(type);
+            out.writeInt(stream);
+            out.flush();
+        }
+
+        Frame next() throws IOException {
+            try {
+                int length = in.readInt();
+                Frame frame = new Frame(in.readByte(), in.readInt(), new byte[length - 5]);
+                in.readFully(frame.payload());
+                return frame;
+            } catch (EOFException e) {
+                return null;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    static String member(String instance, StandIn at, String kind) {
+        return NodeTestConfig.member(instance, at.address(), kind, "active", 0);
+    }
+}
