Read the coordinator's stream before anything is decided by a loop that was held up

Checked and ruled out: a silent watch (twelve attempts at the same purged object while n2's watch was silent for 1.6 s broke nothing, as told means arrived, or 7 s old); purges forgotten too early; 'known' of a new process; classes with no fresh time (their 'within' is sent once the purge is known).

At fault: NodeServer.work took inputs in the order in which the selector found them; CacheLines.Line.pump wrote what had waited for its connection, however late the loop came to the time-out that takes it back; Logic.oldest went on as if nothing had been purged while no news came for longer than the 7 s of the protocol.

Now: the stream is looked at before each input once the last look is older than a quarter of the time an attempt may stay unwritten, and news goes first; an attempt that waited too long is not written; comments and events tell the decisions that all has come (NewsHeard), and while none comes for 6 s no copy older than 7 s will do.

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -66,6 +66,7 @@
     private static final double COLD_SMALLER = 0.5;  // such a member against the mean of the warm ones
     private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
     private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
+    private static final long TOLD_BY = 7 * SECOND;  // what is purged counts as told by then, heard or not
     private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
     private static final double QUOTA_SPAN = 100 * MILLI;  // of the fleet's limits that may be saved up
 
@@ -96,7 +97,7 @@
     private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
     private boolean ticking;
-    private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE;
+    private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE, heardAt = Long.MAX_VALUE;
     private Consumer<Action> out;
 
     /** A member of the list and what its outcomes have shown. */
@@ -181,6 +182,8 @@
             purgedGroups.merge(e.group(), now - e.age(), Math::max);
         } else if (event instanceof Purged e) {
             purgedObjects.merge(e.object(), now - e.age(), Math::max);
+        } else if (event instanceof NewsHeard) {
+            heardAt = now;
         } else if (event instanceof AnswerStarted e && jobs.containsKey(e.id())) {
             jobs.get(e.id()).streaming = true;
         } else if (event instanceof PeerNote e) {
@@ -819,12 +822,15 @@
                 purgedGroups.getOrDefault(job.request.group(), Long.MIN_VALUE));
     }
 
-    /** The oldest copy that will do: never one from before a purge told of; 0 would mean any age. */
+    /** The oldest copy that will do: never one from before a purge told of, nor, while no news comes, from
+     * before one that counts as told though it was not heard; 0 would mean any age. */
     private long oldest(Job job) {
         long at = purgedAt(job);
+        boolean unheard = now - heardAt > TOLD_BY - SECOND;  // signs of life are a second apart
+        long since = Math.min(at == Long.MIN_VALUE ? Long.MAX_VALUE : Math.max(1, now - at),
+                unheard ? TOLD_BY : Long.MAX_VALUE);
         long fresh = job.type.fresh() + (job.stale ? job.type.grace() : 0);
-        long since = at == Long.MIN_VALUE ? fresh : Math.max(1, now - at);
-        return fresh > 0 ? Math.min(fresh, since) : since;
+        return fresh > 0 ? Math.min(fresh, since) : since == Long.MAX_VALUE ? 0 : since;
     }
 
     /** Who has a case of its own tries the member by itself; all others go by the fleet's word. */
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -97,7 +97,7 @@
 
     /** What a router may see. */
     sealed interface Event permits MembersListed, SourcesGiven, AllowancesGiven, VerdictsGiven, RequestArrived,
-            AnswerStarted, AttemptEnded, RequestGone, ProbeEnded, TimerDue, Purged, PeerNote {
+            AnswerStarted, AttemptEnded, RequestGone, ProbeEnded, TimerDue, Purged, NewsHeard, PeerNote {
     }
 
     /** How a list has come: as changes, whole, as last held before a start, or not at all. */
@@ -233,6 +233,10 @@
     record Purged(String object, int group, long age) implements Event {
     }
 
+    /** All purges and lists told until now have come; where this is never told, they always have. */
+    record NewsHeard() implements Event {
+    }
+
     /** A message of another router. */
     record PeerNote(int from, byte[] text) implements Event {
     }
--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -77,7 +77,7 @@
             pool.add(line);
         }
         lineOfAttempt.put(ask.attempt(), line);
-        line.queue.add(ask);
+        line.queue.add(new Queued(ask, loop.clock()));
         if (fresh) {
             line.open();  // may fail at once, and then ends what is queued
         } else {
@@ -120,6 +120,13 @@
         lines.values().stream().flatMap(p -> List.copyOf(p).stream()).toList().forEach(Line::close);
     }
 
+    /** An attempt that waits for its connection, since when. */
+    private record Queued(Effect.Ask ask, long since) {
+        long attempt() {
+            return ask.attempt();
+        }
+    }
+
     /** An attempt that is out, and when its last byte was written: Long.MAX_VALUE for not yet. */
     private record Sent(Effect.Ask ask, long writtenAt) {
         long attempt() {
@@ -137,7 +144,7 @@
         private final String instance;
         private final String address;
         private final long openedAt = loop.clock();
-        private final Deque<Effect.Ask> queue = new ArrayDeque<>();
+        private final Deque<Queued> queue = new ArrayDeque<>();
         private final Map<String, Sent> out = new LinkedHashMap<>();
         private final Map<String, Past> past = new LinkedHashMap<>();  // ended here; an answer may still come
         private final AnswerDecoder decoder = new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget);
@@ -187,17 +194,27 @@
         boolean takesAgain(Effect.Ask ask) {
             return !retired && !ended && out.size() + queue.size() < limits.attemptsPerLine()
                     && !out.containsKey(ask.id()) && !past.getOrDefault(ask.id(), Past.ANSWERED).givenUp()
-                    && queue.stream().noneMatch(q -> q.id().equals(ask.id()));
+                    && queue.stream().noneMatch(q -> q.ask().id().equals(ask.id()));
         }
 
-        /** Writes one request after the other, each only when the one before has left whole. */
+        /**
+         * Writes one request after the other, each only when the one before has left whole. One that has waited for too
+         * long is not written, though its time-out may come after the connection where the loop was held up.
+         */
         void pump() {
             if (pumping) {
                 return;
             }
             pumping = true;
             while (connected && !ended && writing == null && !queue.isEmpty()) {
-                Effect.Ask ask = queue.poll();
+                Queued next = queue.poll();
+                Effect.Ask ask = next.ask();
+                if (loop.clock() - next.since() > limits.unwritten()) {  // decided on news that is too old by now
+                    ask.body().release();
+                    lineOfAttempt.remove(ask.attempt());
+                    loop.submit(new Input.Unreached(ask.attempt()));
+                    continue;
+                }
                 writing = ask;
                 out.put(ask.id(), new Sent(ask, Long.MAX_VALUE));
                 ByteBuf body = NettyBytes.buffer(ask.body());
@@ -222,7 +239,7 @@
             if (queue.removeIf(q -> {
                 boolean found = q.attempt() == attempt;
                 if (found) {
-                    q.body().release();
+                    q.ask().body().release();
                 }
                 return found;
             })) {
@@ -353,7 +370,7 @@
             out.values().forEach(s -> ends.add(s.writtenAt() == Long.MAX_VALUE
                     ? new Input.Unreached(s.attempt()) : new Input.Broken(s.attempt())));
             queue.forEach(q -> {
-                q.body().release();
+                q.ask().body().release();
                 ends.add(new Input.Unreached(q.attempt()));
             });
             out.keySet().clear();
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -45,6 +46,8 @@
     private String address = "";
     private Channel channel;
     private Future<?> reopening;
+    private long lookedAt;
+    private boolean taking;  // in the middle of what was read
 
     CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Loop loop) {
         this.limits = limits;
@@ -90,6 +93,17 @@
         }));
     }
 
+    /**
+     * Takes in what has come by now, where nobody has looked for a while: a loop that was held up must not work on
+     * anything before the news that came meanwhile.
+     */
+    void look() {
+        if (!taking && channel != null && channel.isActive() && loop.clock() - lookedAt > limits.feedLook()) {
+            lookedAt = loop.clock();
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        }
+    }
+
     /** After the end of the connection that is followed; one left behind by a new address opens none. */
     private void reopen(Channel ended) {
         if (ended == channel && reopening == null && !address.isEmpty()) {
@@ -149,10 +163,24 @@
             }
             if (answered && message instanceof HttpContent content) {
                 ByteBuf bytes = content.content();
-                events.take(bytes);
+                taking = true;
+                try {
+                    events.take(bytes);
+                } finally {
+                    taking = false;
+                }
+                if (events.heard() && stream.channel().isOpen()) {
+                    loop.submit(new Input.FeedHeard());
+                }
             }
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            lookedAt = loop.clock();
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             reopen(ctx.channel());
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -69,6 +69,7 @@
     private final Map<Long, ClientConnection> clients = new LinkedHashMap<>();  // the longest open first
     private final BoundedLog complaints;
     private final Queue<Input> inbox = new ArrayDeque<>();
+    private final Queue<Input> news = new ArrayDeque<>();  // of the coordinator; goes before all else
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final FleetSocket fleet = new FleetSocket(this);
@@ -262,10 +263,18 @@
     /** Takes an input on the loop's thread; one that comes while another is worked on waits its turn. */
     @Override
     public void submit(Input input) {
-        inbox.add(input);
+        (input instanceof Input.Update || input instanceof Input.FeedHeard ? news : inbox).add(input);
         work();
     }
 
+    /** The next input: what the coordinator has told by now stands before all that may be decided by it. */
+    private Input next() {
+        if (!inbox.isEmpty()) {
+            coordinator.look();
+        }
+        return news.isEmpty() ? inbox.poll() : news.poll();
+    }
+
     private void work() {
         if (working) {
             return;
@@ -273,7 +282,7 @@
         working = true;
         try {
             carryOut();
-            for (Input input = inbox.poll(); input != null; input = inbox.poll()) {
+            for (Input input = next(); input != null; input = next()) {
                 reducer.accept(clock(), input, effects::add);
                 carryOut();
             }
--- a/src/main/java/pumicemoor/net/ServerSentEvents.java
+++ b/src/main/java/pumicemoor/net/ServerSentEvents.java
@@ -15,6 +15,7 @@
     private static final int LONGEST = 4 * 1_048_576;
 
     private final Consumer<String> sink;
+    private boolean heard;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private StringBuilder data;
     private boolean afterReturn;
@@ -42,7 +43,15 @@
         }
     }
 
+    /** Whether a whole event or a comment has come since this was asked last. */
+    boolean heard() {
+        boolean was = heard;
+        heard = false;
+        return was;
+    }
+
     private void line(String text) {
+        heard |= text.isEmpty() || text.startsWith(":");
         if (text.isEmpty()) {
             if (data != null) {
                 String event = data.toString();
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -31,6 +31,7 @@
 import pumicemoor.RouterApi.Lookup;
 import pumicemoor.RouterApi.Member;
 import pumicemoor.RouterApi.MembersListed;
+import pumicemoor.RouterApi.NewsHeard;
 import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.Purged;
 import pumicemoor.RouterApi.Refuse;
@@ -208,6 +209,8 @@
             end(attempts.get(b.attempt()), Outcome.RESET);
         } else if (input instanceof Input.Update u) {
             updated(u.json());
+        } else if (input instanceof Input.FeedHeard) {
+            events.add(new NewsHeard());
         } else if (input instanceof Input.FromFleet f) {
             fleet.ifPresent(x -> x.heard(now, f.bytes()));
         } else if (input instanceof Input.Command c) {
@@ -538,6 +541,8 @@
             drive();
         }
         lastUpdate = Math.max(lastUpdate, config.knownIndex());
+        events.add(new NewsHeard());
+        drive();
         this.config = config;
         followHierarchy();
         followFleet();
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -13,7 +13,7 @@
         long sweep, long clientFirst, long clientIdle, long clientLeave, long clientStall, int streamsKnown,
         int misuses, long longestTtl, long pushback, int complaints, int linesPerMember, int attemptsPerLine,
         long connectTimeout, long unwritten, long lineIdle, long lineAbandoned, long lineQuiet, long lineDead,
-        long idKept, long feedSilence, long feedConnect, long feedRetry, long answerGuard, long quietAfterTerm,
+        long idKept, long feedSilence, long feedConnect, long feedRetry, long feedLook, long answerGuard, long quietAfterTerm,
         long lastAfterTerm, int rehearsals, long rehearsalTime, int fleetLines) {
 
     private static final long MILLI = 1_000;
@@ -39,7 +39,7 @@
                 Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()),
                 bound, unwritten, figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 300 * MILLI, 500 * MILLI,
-                longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI,
+                longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI, unwritten / 4,
                 settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
                 Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND, 50);
     }
--- a/src/test/java/pumicemoor/RulesTest.java
+++ b/src/test/java/pumicemoor/RulesTest.java
@@ -21,6 +21,7 @@
 import pumicemoor.RouterApi.FillNote;
 import pumicemoor.RouterApi.Lookup;
 import pumicemoor.RouterApi.Outcome;
+import pumicemoor.RouterApi.NewsHeard;
 import pumicemoor.RouterApi.Purged;
 import pumicemoor.RouterApi.Refuse;
 import pumicemoor.RouterApi.RepeatGroup;
@@ -162,6 +163,20 @@
         assertTrue(fetch(r.ask("a")).oldest() <= 6_100 * MILLI);
     }
 
+    @Test
+    void whileNoNewsComesNoCopyWillDoThatIsOlderThanAPurgeThatCountsAsTold() {
+        RouterHarness r = new RouterHarness().fleet(1, 1).start();
+        r.handle(new NewsHeard());
+        r.now += 5 * SECOND;
+        assertEquals(0, fetch(r.ask("a")).oldest(), "a copy is good until it is purged");
+        r.now += 4 * SECOND;
+        assertEquals(7 * SECOND, fetch(r.ask("b")).oldest(), "a purge of 8.5 s ago counts as told, one of 6 s ago does not");
+        r.handle(new Purged("c", 4, 2 * SECOND));
+        assertEquals(2 * SECOND, fetch(r.ask("c")).oldest());
+        r.handle(new NewsHeard());
+        assertEquals(0, fetch(r.ask("d")).oldest());
+    }
+
     @Test
     void purgeOfAGroupHoldsForAllItsObjects() {
         RouterHarness r = new RouterHarness().fleet(3, 2).start();
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -173,6 +173,19 @@
                 got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
     }
 
+    @Test
+    void aRequestThatWaitedTooLongForItsConnectionIsNotWrittenThoughItsTimeOutComesLater() throws Exception {
+        onLoop(() -> {
+            lines.ask(ask(1, "a"));
+            loop.time += limits.unwritten() + 1;  // the loop is held up; the connection comes up meanwhile
+            lines.ask(ask(2, "b"));
+        });
+        assertEquals(new Input.Unreached(1), next());
+        assertEquals(new Input.Written(2), next());
+        assertEquals("ASK b cls=segment,item=o,chunk=0,limit=100 0",
+                got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
+    }
+
     @Test
     void whenAConnectionEndsWhatWasWrittenMayHaveRun() throws Exception {
         Got first = sent(1, "a");
--- a/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
+++ b/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
@@ -88,7 +88,7 @@
         take("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 42\ndata: {\"i\r\n");
         assertEquals(0, loop.inputs.size());
         take("a\r\nndex\":42}\n\r\n1\r\n\n\r\n");
-        assertEquals(List.of(new Input.Update("{\"index\":42}")), List.copyOf(loop.inputs));
+        assertEquals(List.of(new Input.Update("{\"index\":42}"), new Input.FeedHeard()), List.copyOf(loop.inputs));
     }
 
     @Test
@@ -101,6 +101,14 @@
         assertTrue(limits.feedSilence() + limits.feedRetry() + limits.feedConnect() < 4_000_000);
     }
 
+    @Test
+    void aCommentSaysThatAllHasComeAndAnAnswerAloneDoesNot() {
+        take("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+        assertEquals(0, loop.inputs.size());
+        take(": \n\n");
+        assertEquals(List.of(new Input.FeedHeard()), List.copyOf(loop.inputs));
+    }
+
     @Test
     void halfAnEventIsNeverHandedOn() {
         take("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 42\ndata: {\"index\":42}");
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -19,8 +19,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import pumicemoor.node.NodeTestConfig;
 import pumicemoor.operator.OperatorConfig;
@@ -50,6 +52,23 @@
         server.start();
     }
 
+    /** Holds the router's loop up until it is let go, for long enough that what was read before counts as old. */
+    CountDownLatch holdLoop() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch letGo = new CountDownLatch(1);
+        server.execute(() -> {
+            held.countDown();
+            try {
+                letGo.await();
+                Thread.sleep(300);  // what the test has prepared is older than any look at the feed
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(held.await(PATIENCE, TimeUnit.MILLISECONDS));
+        return letGo;
+    }
+
     /** Anything that listens; each connection has a thread that ends with it. */
     abstract class StandIn implements AutoCloseable {
         final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -175,6 +194,7 @@
     final class Coordinator extends StandIn {
         final BlockingQueue<String> lastEventIds = new LinkedBlockingQueue<>();
         final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        final AtomicInteger written = new AtomicInteger();
 
         Coordinator() throws IOException {
         }
@@ -194,6 +214,7 @@
             try {
                 while (true) {
                     out.write((events.take() + "\n\n").getBytes(StandardCharsets.UTF_8));
+                    written.incrementAndGet();
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
