Release clients' connections in order, and take in all that came before a held-up loop goes on

Now: ClientConnection has one Stage (opening, open, draining, ending, releasing, closed). Before the end of the process all connections are accepted and read (Effect.ReadAll, Input.AllRead); what is found is answered first, and refused once time is up. A loop that was held up (over 60 ms without an input, which the decisions' tick rules out otherwise) reads the coordinator and all clients first; news goes first, then who has left. Rehearsal ends when its client is let go in the middle (it wrote to a closed channel).

CacheLinesTest, sign of life: it raced with the loop's own note of having heard (seen to fail once); it waits for the loop now.

ReducerTest: found requests put the end off; refused when time is up.

--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -16,12 +16,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
@@ -72,9 +74,15 @@
             }
         }
         boolean fresh = line == null;
+        if (fresh && !roomForAnother()) {
+            lines.remove(ask.instance(), List.of());
+            ask.body().release();
+            loop.submit(new Input.Crowded(ask.attempt()));
+            return;
+        }
         if (fresh) {
             line = new Line(ask.instance(), ask.address());
-            pool.add(line);
+            lines.computeIfAbsent(ask.instance(), i -> new ArrayList<>()).add(line);
         }
         lineOfAttempt.put(ask.attempt(), line);
         line.queue.add(new Queued(ask, loop.clock()));
@@ -85,6 +93,17 @@
         }
     }
 
+    /** At the bound on all connections, the one unused for longest goes; none can, where all are in use. */
+    private boolean roomForAnother() {
+        List<Line> all = lines.values().stream().flatMap(List::stream).toList();
+        if (all.size() < limits.lines()) {
+            return true;
+        }
+        Optional<Line> unused = all.stream().filter(Line::empty).min(Comparator.comparingLong(l -> l.usedAt));
+        unused.ifPresent(Line::close);
+        return unused.isPresent();
+    }
+
     void quit(Effect.Quit quit) {
         Line line = lineOfAttempt.remove(quit.attempt());
         if (line != null) {
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -46,7 +46,6 @@
     private String address = "";
     private Channel channel;
     private Future<?> reopening;
-    private long lookedAt;
     private boolean taking;  // in the middle of what was read
 
     CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Loop loop) {
@@ -93,13 +92,9 @@
         }));
     }
 
-    /**
-     * Takes in what has come by now, where nobody has looked for a while: a loop that was held up must not work on
-     * anything before the news that came meanwhile.
-     */
+    /** Takes in what has come by now: a loop that was held up must not go on before the news that came meanwhile. */
     void look() {
-        if (!taking && channel != null && channel.isActive() && loop.clock() - lookedAt > limits.feedLook()) {
-            lookedAt = loop.clock();
+        if (!taking && channel != null && channel.isActive()) {
             ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
         }
     }
@@ -175,12 +170,6 @@
             }
         }
 
-        @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) {
-            lookedAt = loop.clock();
-            ctx.fireChannelReadComplete();
-        }
-
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             reopen(ctx.channel());
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -22,14 +23,17 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.Logic;
@@ -67,9 +71,11 @@
     private final CacheLines lines;
     private final CoordinatorStream coordinator;
     private final Map<Long, ClientConnection> clients = new LinkedHashMap<>();  // the longest open first
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();  // those too that are being let go
     private final BoundedLog complaints;
     private final Queue<Input> inbox = new ArrayDeque<>();
     private final Queue<Input> news = new ArrayDeque<>();  // of the coordinator; goes before all else
+    private final Queue<Input> gone = new ArrayDeque<>();  // clients that wait no more; go before what is left
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final FleetSocket fleet = new FleetSocket(this);
@@ -79,6 +85,7 @@
     private boolean working;
     private boolean draining;
     private long wakeAt = Long.MAX_VALUE;
+    private long turnedAt;
 
     /** A router with the platform's configuration, and what the operator has set beyond it. */
     public NodeServer(NodeConfig config, OperatorConfig operator) {
@@ -142,8 +149,11 @@
                         }
                         ch.config().setWriteBufferWaterMark(new WriteBufferWaterMark(
                                 limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
-                        ch.pipeline().addLast(new FrameDecoder(limits.frameBytes()),
-                                new ClientConnection(++lastClient, limits, budget, counters, NodeServer.this));
+                        ClientConnection client =
+                                new ClientConnection(++lastClient, limits, budget, counters, NodeServer.this);
+                        connections.add(client);
+                        ch.closeFuture().addListener(done -> connections.remove(client));
+                        ch.pipeline().addLast(new FrameDecoder(limits.frameBytes()), client);
                     }
                 }).bind(new InetSocketAddress(config.listen().substring(0, colon),
                         Integer.parseInt(config.listen().substring(colon + 1)))).sync().channel();
@@ -155,16 +165,18 @@
      * longest, so that whoever holds connections without use keeps nobody out.
      */
     private boolean makeRoom() {
+        if (connections.size() >= limits.clients() + limits.clients() / 8) {  // few may be on their way out at once
+            connections.stream().filter(c -> c.stage() == ClientConnection.Stage.RELEASING).findFirst()
+                    .ifPresent(c -> c.cut("it was told to go, and its place is needed"));
+        }
         if (clients.size() < limits.clients()) {
             return true;
         }
         Optional<ClientConnection> silent = clients.values().stream().filter(ClientConnection::silent).findFirst();
         silent.ifPresent(c -> c.turnAway("it said nothing, and its place is needed"));
-        Optional<ClientConnection> idle = silent.isPresent() ? Optional.empty() : clients.values().stream()
-                .filter(c -> c.idleSince() < Long.MAX_VALUE)
-                .min(Comparator.comparingLong(ClientConnection::idleSince));
-        idle.ifPresent(ClientConnection::makeWay);
-        return silent.isPresent() || idle.isPresent();
+        return silent.isPresent() || clients.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
+                .sorted(Comparator.comparingLong(ClientConnection::idleSince)).toList().stream()
+                .anyMatch(ClientConnection::makeWay);
     }
 
     private void sweep() {
@@ -263,16 +275,45 @@
     /** Takes an input on the loop's thread; one that comes while another is worked on waits its turn. */
     @Override
     public void submit(Input input) {
-        (input instanceof Input.Update || input instanceof Input.FeedHeard ? news : inbox).add(input);
+        if (input instanceof Input.Update || input instanceof Input.FeedHeard) {
+            news.add(input);
+        } else if (input instanceof Input.ClientClosed c) {
+            leave(c, r -> r.connection() == c.connection());
+        } else if (input instanceof Input.Withdrawn w) {
+            leave(w, r -> r.connection() == w.connection() && r.stream() == w.stream());
+        } else {
+            inbox.add(input);
+        }
         work();
     }
 
-    /** The next input: what the coordinator has told by now stands before all that may be decided by it. */
+    /** A client waits no more: what of it was not worked on yet never will be. */
+    private void leave(Input how, Predicate<Input.Request> whose) {
+        gone.add(how);
+        inbox.removeIf(i -> {
+            boolean its = i instanceof Input.Request r && whose.test(r);
+            if (its) {
+                counters.add(Name.WITHDRAWN);
+                ((Input.Request) i).body().release();
+            }
+            return its;
+        });
+    }
+
+    /**
+     * The next input: first what the coordinator has told by now, then who has left, then all that may be decided by
+     * either. The decisions ask to be called far more often than a loop that turns freely could miss; one that was held
+     * up, whatever by, first takes in all that came meanwhile.
+     */
     private Input next() {
-        if (!inbox.isEmpty()) {
+        long now = clock();
+        if (now - turnedAt > limits.heldUp()) {
+            turnedAt = now;
             coordinator.look();
+            List.copyOf(clients.values()).forEach(ClientConnection::look);
         }
-        return news.isEmpty() ? inbox.poll() : news.poll();
+        turnedAt = now;
+        return !news.isEmpty() ? news.poll() : !gone.isEmpty() ? gone.poll() : inbox.poll();
     }
 
     private void work() {
@@ -352,11 +393,23 @@
             if (clients.containsKey(told.connection())) {
                 clients.get(told.connection()).told(told);
             }
+        } else if (effect instanceof Effect.ReadAll) {
+            readAll();
         } else if (effect instanceof Effect.Exit) {
             end();
         }
     }
 
+    /** Takes in who has connected and what has been asked by now, to the last. */
+    private void readAll() {
+        for (long before = -1; listener != null && before != lastClient;) {
+            before = lastClient;
+            ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
+        }
+        List.copyOf(clients.values()).forEach(ClientConnection::look);
+        submit(new Input.AllRead());
+    }
+
     private void end() {
         if (listener != null) {
             listener.close();
@@ -367,7 +420,7 @@
         lines.closeAll();
         // answers still on their way to a slow client are given the time that they take
         PromiseCombiner flushed = new PromiseCombiner(loop);
-        clients.values().stream().toList().forEach(c -> flushed.add(c.close()));
+        List.copyOf(connections).forEach(c -> flushed.add(c.release()));
         Promise<Void> all = loop.newPromise();
         flushed.finish(all);
         all.addListener(done -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -66,6 +66,9 @@
             if (reducer.nextDue() <= clock) {
                 submit(new Input.Due());
             }
+            if (!fromClient.isOpen()) {
+                break;
+            }
             fromClient.writeInbound(request(i));
             for (Effect.Ask ask = asked.poll(); ask != null; ask = asked.poll()) {
                 answer(ask, i);
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -79,6 +79,10 @@
     record Due() implements Input {
     }
 
+    /** All that clients had written when that was asked has been taken in. */
+    record AllRead() implements Input {
+    }
+
     /** The process was asked to end. */
     record Terminate() implements Input {
     }
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -110,7 +110,7 @@
     private final HitCount hits = new HitCount();
     private final BoundedLog fleetLog;
     private long terminatedAt = -1;
-    private boolean exited;
+    private Exit exit = Exit.NOT_YET;
 
     /** What a client's connection and a stream on it name together. */
     private record Stream(long connection, int stream) {
@@ -120,6 +120,9 @@
     private record Endpoint(String instance, String address, long started) {
     }
 
+    /** How far the end has come: what has arrived by then is read once more before the last step. */
+    private enum Exit { NOT_YET, READING, DONE }
+
     private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, FLEET, EXIT_IF_QUIET, EXIT }
 
     private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
@@ -225,10 +228,15 @@
         drive();
         followHierarchy();
         followFleet();
-        if (terminatedAt >= 0 && !exited && unanswered.isEmpty()
+        if (terminatedAt >= 0 && exit == Exit.NOT_YET && unanswered.isEmpty()
                 && now >= terminatedAt + limits.quietAfterTerm()) {
-            exited = true;
-            out.accept(new Effect.Exit());
+            exit = Exit.READING;
+            out.accept(new Effect.ReadAll());
+        } else if (exit == Exit.READING && input instanceof Input.AllRead) {
+            exit = unanswered.isEmpty() ? Exit.DONE : Exit.NOT_YET;
+            if (exit == Exit.DONE) {
+                out.accept(new Effect.Exit());
+            }
         }
     }
 
@@ -266,7 +274,8 @@
             if (!named) {
                 out.accept(new Effect.Misused(asked.connection()));
             }
-        } else if (unanswered.size() > limits.openRequests()) {
+        } else if (unanswered.size() > limits.openRequests() || exit == Exit.DONE
+                || terminatedAt >= 0 && now >= terminatedAt + limits.lastAfterTerm()) {
             counters.add(Name.TURNED_AWAY);
             answer(request, Code.REFUSED, false, limits.pushback(), Bytes.NONE);
         } else {
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -340,6 +340,7 @@
         raw(first, "b absent - 0\r\n\r\n");
         assertEquals(2, ((Input.Answered) next()).attempt());
         assertEquals(true, same(first, second));
+        onLoop(() -> { });  // what has come is taken in to its end
         loop.time += limits.lineQuiet() + 1;
         onLoop(() -> lines.sweep(loop.time));
         assertEquals("NOOP life", got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -478,7 +478,44 @@
         pass(600 * MILLI);
         assertTrue(of(effects, Effect.Exit.class).isEmpty(), "a request is still open");
         take(answered(asks.get(0).attempt(), Word.DATA, Bytes.NONE));
+        exitsOnceAllIsRead();
+    }
+
+    /** The last step: what has come is read first, and only when nothing was found is it over. */
+    private void exitsOnceAllIsRead() {
+        assertEquals(1, of(effects, Effect.ReadAll.class).size());
+        assertTrue(of(effects, Effect.Exit.class).isEmpty());
+        take(new Input.AllRead());
+        assertEquals(1, of(effects, Effect.Exit.class).size());
+    }
+
+    @Test
+    void aRequestThatIsFoundWhenAllIsReadPutsTheEndOffUntilItIsAnswered() {
+        fetchOnArrival(0, 0);
+        take(new Input.Terminate());
+        pass(800 * MILLI);
+        assertEquals(1, of(effects, Effect.ReadAll.class).size());
+        request(1, "segment", Bytes.NONE);
+        take(new Input.AllRead());
+        assertTrue(of(effects, Effect.Exit.class).isEmpty(), "a request was found");
+        int before = effects.size();
+        take(answered(ask().attempt(), Word.DATA, Bytes.NONE));
+        effects.subList(0, before).clear();
+        exitsOnceAllIsRead();
+    }
+
+    @Test
+    void aRequestFoundWhenAllTimeIsUpIsRefusedAndNeverSent() {
+        fetchOnArrival(0, 0);
+        take(new Input.Terminate());
+        pass(3_650 * MILLI);
+        request(1, "segment", Bytes.NONE);
+        assertTrue(of(effects, Effect.Ask.class).isEmpty());
+        assertEquals(Code.REFUSED, of(effects, Effect.Answer.class).get(0).code());
+        take(new Input.AllRead());
         assertEquals(1, of(effects, Effect.Exit.class).size());
+        request(2, "segment", Bytes.NONE);
+        assertTrue(of(effects, Effect.Ask.class).isEmpty(), "nothing is sent on after the end");
     }
 
     @Test
@@ -487,7 +524,7 @@
         pass(700 * MILLI);
         assertTrue(of(effects, Effect.Exit.class).isEmpty());
         pass(100 * MILLI);
-        assertEquals(1, of(effects, Effect.Exit.class).size());
+        exitsOnceAllIsRead();
     }
 
     @Test
@@ -496,7 +533,7 @@
         take(new Input.Request(1, 9, "a", "segment", "b", 0, 0, null, 60_000, false, Bytes.NONE));
         pass(3_650 * MILLI);
         assertEquals(Code.FAILED, of(effects, Effect.Answer.class).get(0).code());
-        assertEquals(1, of(effects, Effect.Exit.class).size());
+        exitsOnceAllIsRead();
     }
 
     @Test
