Read a list whole before it is applied, each part of an event by itself, and spread the feed's retries

Read line by line: Reducer.listed put endpoints one by one and threw at the first bad line, after lastUpdate had moved on, so that half of a list was taken, the decisions were told nothing and the rest was never asked for again; a purge behind a bad list in one event was lost; an address that is none reached the connections' code. A whole list with one bad line would now retire that member, so a member that is named, if not readably, stays. A list with no line that can be read is skipped as before.

Now the purge, the list and the shape of an event are read and applied each by itself, a bad line costs that line, counted (bad-input). CoordinatorStream opens anew after half to one and a half of the retry time, at chance: a hundred routers that lost the coordinator together came back in step.

Tests: ReducerTest, five kinds of bad lines before a good one with a purge in the same event, and a bad purge beside a list; on the code before, the first throws at the bad line (no list told, no purge). The spread of the retries rests on chance and has no test.

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -23,6 +23,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -102,8 +103,9 @@
     /** After the end of the connection that is followed; one left behind by a new address opens none. */
     private void reopen(Channel ended) {
         if (ended == channel && reopening == null && !address.isEmpty()) {
-            reopening = bootstrap.config().group().next()
-                    .schedule(this::open, limits.feedRetry(), TimeUnit.MICROSECONDS);
+            // at chance within half of the time to either side: many routers that lost it together come back spread out
+            long wait = limits.feedRetry() / 2 + ThreadLocalRandom.current().nextLong(limits.feedRetry() + 1);
+            reopening = bootstrap.config().group().next().schedule(this::open, wait, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/pumicemoor/node/NodeConfig.java
+++ b/src/main/java/pumicemoor/node/NodeConfig.java
@@ -50,7 +50,7 @@
         return FIXED.stream().filter(f -> !Objects.equals(whole.value(f), other.whole.value(f))).findFirst();
     }
 
-    private static String address(Message all, String field) throws WireException {
+    static String address(Message all, String field) throws WireException {
         String address = all.text(field);
         if (!address.matches("[^:\\s]+:\\d{1,5}")
                 || Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) > LAST_PORT) {
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -728,32 +729,73 @@
         }
         lastUpdate = index;
         counters.add(Name.UPDATES);
-        if (update.has("endpoints")) {
-            listed(update.object("endpoints"));
-        }
-        if (update.has("shape")) {
-            shapeTold(ShapeNews.read(update.object("shape")));
+        part(index, "evict", update, this::purged);  // each by itself: one that can't be read costs no other
+        part(index, "endpoints", update, this::listed);
+        part(index, "shape", update, shape -> shapeTold(ShapeNews.read(shape)));
+    }
+
+    /** One part of an event; it is read as a whole before anything follows from it. */
+    private interface Part {
+        void take(Message part) throws WireException;
+    }
+
+    private void part(long index, String name, Message update, Part reader) {
+        if (update.has(name)) {
+            try {
+                reader.take(update.object(name));
+            } catch (WireException e) {
+                counters.add(Name.BAD_INPUT);
+                complaints.warn(now, "'" + name + "' of event " + index + " was skipped: " + e.getMessage());
+            }
         }
-        if (update.has("evict")) {
-            counters.add(Name.PURGES);
-            Message purge = update.object("evict");
-            long age = Math.max(0, now - purge.integer("unix_ms") * MILLI);
-            events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1), age));
+    }
+
+    private void purged(Message purge) throws WireException {
+        counters.add(Name.PURGES);
+        long age = Math.max(0, now - purge.integer("unix_ms") * MILLI);
+        events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1), age));
+    }
+
+    /** A line of a list that could be read. */
+    private record Line(Member member, Endpoint endpoint) {
+    }
+
+    private Line line(Message line) throws WireException {
+        String instance = line.text("instanceId");
+        State state = STATES.get(line.text("lifecycle"));
+        if (state == null) {
+            throw new WireException("unknown lifecycle '" + line.text("lifecycle") + "'");
         }
+        Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
+                words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
+                line.integer("startedAtMs", 0) * MILLI, state);
+        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), member.started()));
     }
 
+    /** A list: all of it is read before any of it is applied, and a line that can't be read costs that member's news alone. */
     private void listed(Message list) throws WireException {
-        List<Member> members = new ArrayList<>();
-        for (Message line : list.objects("instances")) {
+        boolean whole = list.flag("reset");
+        long version = list.integer("generation", 0);
+        List<Line> lines = new ArrayList<>();
+        Set<Long> unread = new HashSet<>();
+        for (Message each : list.objects("instances")) {
             counters.add(Name.LIST_LINES);
-            String instance = line.text("instanceId");
-            State state = STATES.get(line.text("lifecycle"));
-            if (state == null) {
-                throw new WireException("unknown lifecycle '" + line.text("lifecycle") + "'");
+            try {
+                lines.add(line(each));
+            } catch (WireException e) {
+                counters.add(Name.BAD_INPUT);
+                complaints.warn(now, "a line of a list was skipped: " + e.getMessage());
+                unread.add(memberId(String.valueOf(each.value("instanceId"))));
             }
-            Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
-                    words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
-                    line.integer("startedAtMs", 0) * MILLI, state);
+        }
+        if (lines.isEmpty() && !unread.isEmpty()) {
+            return;  // nothing of it can be used
+        }
+        List<Member> members = new ArrayList<>();
+        for (Line line : lines) {
+            Member member = line.member();
+            State state = member.state();
+            String instance = line.endpoint().instance();
             members.add(member);
             if (state == State.GONE) {
                 fleetMembers.remove(member.id());
@@ -761,24 +803,23 @@
                 fleetMembers.put(member.id(), new Fleet.Listed(instance, member.role(), member.started(),
                         state == State.READY));
             }
-            Endpoint before = endpoints.put(member.id(),
-                    new Endpoint(instance, line.text("hostPort"), member.started()));
+            Endpoint before = endpoints.put(member.id(), line.endpoint());
             if (state == State.GONE) {
                 gone(member.id());
             } else if (before != null && before.started() != member.started()) {
                 out.accept(new Effect.Drop(instance, member.started()));
             }
         }
-        if (list.flag("reset")) {  // who is not in a whole list has been removed
+        if (whole) {  // who is not in a whole list has been removed
             Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
+            listed.addAll(unread);
             endpoints.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::gone);
             fleetMembers.keySet().retainAll(listed);
         }
         fleet.ifPresent(f -> f.members(now, fleetMembers));
         hierarchy.ifPresent(h -> h.members(endpoints.values().stream()
                 .collect(Collectors.toMap(Endpoint::instance, Endpoint::started, Math::max))));
-        MembersListed news = new MembersListed(list.flag("reset") ? ListKind.WHOLE : ListKind.CHANGES,
-                list.integer("generation", 0), members);
+        MembersListed news = new MembersListed(whole ? ListKind.WHOLE : ListKind.CHANGES, version, members);
         if (drained.isEmpty()) {
             events.add(news);
         } else {
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -434,6 +434,42 @@
         assertEquals(2, counters.get(Counters.Name.BAD_INPUT));
     }
 
+    @Test
+    void aLineThatCannotBeReadCostsThatMembersNewsAloneAndNeitherTheOthersNorAPurge() {
+        String s1 = NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0);
+        String[] bad = {NodeTestConfig.member("p-1", "127.0.0.1:12", "box", "sleeping", 0),
+            NodeTestConfig.member("p-1", "nowhere", "shield", "active", 0),
+            NodeTestConfig.member("p-1", "127.0.0.1:12", "cupboard", "active", 0), "{\"instanceId\":7}", "{}"};
+        long index = 2;
+        int skipped = 0;
+        for (String line : bad) {
+            events.clear();
+            effects.clear();
+            String list = NodeTestConfig.list(index, true, line, s1);
+            take(new Input.Update(list.substring(0, list.length() - 1) + ",\"evict\":{\"ref\":\"7f3a\",\"unix_ms\":"
+                    + START / MILLI + "}}"));
+            assertEquals(index++, reducer.lastUpdate());
+            assertEquals(1, of(events, MembersListed.class).size(), line);
+            assertEquals(1, of(events, MembersListed.class).get(0).members().size(), line);
+            assertEquals(1, of(events, Purged.class).size(), line);
+            boolean named = line.contains("p-1");
+            assertEquals(named, of(effects, Effect.Retire.class).stream().noneMatch(r -> r.instance().equals("p-1")),
+                    "who is listed, if not readably, has not left: " + line);
+            assertEquals(++skipped, counters.get(Counters.Name.BAD_INPUT));
+            take(new Input.Update(NodeTestConfig.list(index++, false,
+                    NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
+        }
+    }
+
+    @Test
+    void aPurgeThatCannotBeReadCostsNoList() {
+        take(new Input.Update("{\"index\":2,\"evict\":{\"unix_ms\":\"soon\"},\"endpoints\":{\"generation\":1,\"reset\":false,"
+                + "\"instances\":[" + NodeTestConfig.member("s-7", "127.0.0.1:17", "box", "active", 0) + "]}}"));
+        assertEquals(1, of(events, MembersListed.class).size());
+        assertTrue(of(events, Purged.class).isEmpty());
+        assertEquals(1, counters.get(Counters.Name.BAD_INPUT));
+    }
+
     @Test
     void aMemberThatLeavesOrStartsAnewLosesItsOldConnections() {
         take(new Input.Update(NodeTestConfig.list(2, false,
