--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -351,6 +351,37 @@
         assertEquals(new Input.Broken(1), next());
     }
 
+    @Test
+    void atTheBoundOnAllConnectionsTheOneUnusedForLongestGoesAndWithoutSuchTheAttemptNeverRan() throws Exception {
+        NodeConfig small = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "")
+                .replace("\"sockets\":1024", "\"sockets\":32"));
+        limits = ResourceLimits.of(small.words().settings(), small.figures());
+        lines = new CacheLines(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
+                new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        Got oldest = null;
+        for (int i = 1; i <= limits.lines(); i++) {
+            loop.time++;
+            Effect.Ask ask = askOf("s-" + i, i);
+            onLoop(() -> lines.ask(ask));
+            assertEquals(new Input.Written(i), next());
+            Got line = got.poll(PATIENCE, TimeUnit.MILLISECONDS);
+            oldest = oldest == null ? line : oldest;
+        }
+        Effect.Ask another = askOf("s-another", 100);
+        onLoop(() -> lines.ask(another));
+        assertEquals(new Input.Crowded(100), next(), "all are in use");
+        answer(oldest, "i1", "absent");
+        assertEquals(1, ((Input.Answered) next()).attempt());
+        onLoop(() -> lines.ask(another));
+        assertEquals(new Input.Written(100), next());
+        assertEquals(-1, oldest.from().getInputStream().read(), "it gave its place");
+    }
+
+    private Effect.Ask askOf(String instance, long attempt) {
+        return new Effect.Ask(attempt, instance, "127.0.0.1:" + listener.getLocalPort(), "i" + attempt, "segment", "o", 0, 100,
+                null, 0, 0, false, false, false, false, null, true, List.of(), Bytes.NONE);
+    }
+
     @Test
     void anAnswerThatStopsShortEndsItsConnection() throws Exception {
         Got first = sent(1, "a");
