--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -85,7 +85,7 @@
     private boolean working;
     private boolean draining;
     private long wakeAt = Long.MAX_VALUE;
-    private long turnedAt;
+    private long turnedAt, unreadFor, unreadUntil;
 
     /** A router with the platform's configuration, and what the operator has set beyond it. */
     public NodeServer(NodeConfig config, OperatorConfig operator) {
@@ -282,7 +282,7 @@
         } else if (input instanceof Input.Withdrawn w) {
             leave(w, r -> r.connection() == w.connection() && r.stream() == w.stream());
         } else {
-            inbox.add(input);
+            inbox.add(input instanceof Input.Request r && clock() < unreadUntil ? r.unreadFor(unreadFor) : input);
         }
         work();
     }
@@ -308,9 +308,18 @@
     private Input next() {
         long now = clock();
         if (now - turnedAt > limits.heldUp()) {
+            long gap = turnedAt == 0 ? 0 : now - turnedAt;
             turnedAt = now;
+            unreadUntil = 0;
             coordinator.look();
             List.copyOf(clients.values()).forEach(ClientConnection::look);
+            // nobody knows how long each of these has waited: as long as the loop was held up, at most
+            for (int i = inbox.size(); i > 0; i--) {
+                Input input = inbox.poll();
+                inbox.add(input instanceof Input.Request r ? r.unreadFor(gap) : input);
+            }
+            unreadFor = gap;
+            unreadUntil = now + limits.heldUp() / 3;  // who is only accepted now
         }
         turnedAt = now;
         return !news.isEmpty() ? news.poll() : !gone.isEmpty() ? gone.poll() : inbox.poll();
--- a/src/main/java/pumicemoor/node/Input.java
+++ b/src/main/java/pumicemoor/node/Input.java
@@ -13,6 +13,12 @@
     /** A client's request; the part defaults to 0, the group to -1, the tag to null where absent. */
     record Request(long connection, int stream, String call, String requestClass, String object, int part,
             int group, String tag, long ttlMillis, boolean repeat, Bytes body) implements Input {
+
+        /** The same, where it may have lain unread for so long: its client has waited meanwhile. */
+        public Request unreadFor(long micros) {
+            return new Request(connection, stream, call, requestClass, object, part, group, tag,
+                    Math.max(0, ttlMillis - micros / 1_000), repeat, body);
+        }
     }
 
     /**
--- a/src/test/java/pumicemoor/net/CrossingsTest.java
+++ b/src/test/java/pumicemoor/net/CrossingsTest.java
@@ -38,6 +38,25 @@
         assertTrue(line.contains("within="), "decided on older news: " + line);
     }
 
+    @Test
+    void aRequestThatLayUnreadWhileTheLoopWasHeldUpHasSoMuchLessTimeLeft() throws Exception {
+        Cache cache = new Cache("data");
+        start("", NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        Client client = new Client();
+        client.request(1, "segment", new byte[0]);
+        assertEquals(1, client.next().code());
+        cache.next();
+        CountDownLatch letGo = holdLoop();
+        client.request(2, "segment", new byte[0]);
+        letGo.countDown();
+        assertEquals(1, client.next().code());
+        assertTrue(limit(cache.next()) <= 1_500, "it lay unread for 300 ms at least");
+    }
+
+    private static int limit(Asked asked) {
+        return Integer.parseInt(asked.line().replaceAll(".*limit=(\\d+).*", "$1"));
+    }
+
     /** A router that was asked to end some time ago and has one request left, whose answer the test withholds. */
     private Asked lastOne(Cache cache, Client client) throws Exception {
         client.request(1, "segment", new byte[0]);
