--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -55,7 +55,7 @@
  * puts first. It takes time, packets, the list of members and what the decisions tell; packets, events for the
  * decisions and lines for people are fetched from it.
  */
-public final class Fleet {
+public final class Fleet implements FleetPart {
 
     private static final int ASKS_A_LEASE = 5;
     private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
@@ -207,6 +207,7 @@
     // ---- what comes in --------------------------------------------------------------------------------
 
     /** Takes a packet, whatever it is. */
+    @Override
     public void heard(long time, byte[] bytes) {
         now = Math.max(now, time);
         Packet packet;
@@ -255,6 +256,7 @@
     }
 
     /** The members as they are listed now, by their number. */
+    @Override
     public void members(long time, Map<Long, Listed> listed) {
         now = Math.max(now, time);
         if (listed.equals(members)) {
@@ -293,6 +295,7 @@
     }
 
     /** What the decisions wanted of an allowance. */
+    @Override
     public void wanted(Wanted w) {
         leases.forEach((id, lease) -> {
             if (lease.limit().member() == w.member() && lease.limit().measure() == w.measure()) {
@@ -302,6 +305,7 @@
     }
 
     /** What the decisions hold of a member now. */
+    @Override
     public void judged(long time, Judged j) {
         now = Math.max(now, time);
         Listed m = members.get(j.member());
@@ -320,6 +324,7 @@
     }
 
     /** Ends this router's part in good order. */
+    @Override
     public void leave(long time) {
         now = Math.max(now, time);
         membership.leave();
@@ -327,12 +332,14 @@
 
     // ---- time -----------------------------------------------------------------------------------------
 
+    @Override
     public long nextDue() {
         long due = Math.min(Math.min(membership.nextDue(), askAt), verdicts.nextEnd(now));
         return Math.min(due, drains.map(d -> Math.min(planAt, d.nextDue(now))).orElse(Long.MAX_VALUE));
     }
 
     /** Lives on to this time. */
+    @Override
     public void advance(long time) {
         long before = now;
         now = Math.max(now, time);
@@ -364,6 +371,7 @@
     }
 
     /** How many routers the fleet is taken for. */
+    @Override
     public int routers() {
         return Math.max(setup.size(), membership.known());
     }
@@ -595,6 +603,7 @@
     }
 
     /** What the decisions are to go by where members are taken out in order; empty where that is as before. */
+    @Override
     public Optional<Drains.View> takeView() {
         Optional<Drains.View> view = drains.filter(d -> membersNew || d.viewMayChange(now)).map(d -> d.takeView(now, world()));
         membersNew = false;
@@ -602,6 +611,7 @@
     }
 
     /** Whether members may be used: not before it is known which are out, or could have been. */
+    @Override
     public boolean settled() {
         return drains.map(Drains::settled).orElse(true);
     }
@@ -612,11 +622,13 @@
     }
 
     /** Whether members are taken out in order. */
+    @Override
     public boolean drains() {
         return drains.isPresent();
     }
 
     /** Takes an operator's command and says what becomes of it, in one line. */
+    @Override
     public String command(long time, Map<String, String> fields) {
         now = Math.max(now, time);
         if (drains.isEmpty()) {
@@ -695,11 +707,13 @@
     }
 
     /** The packets to be sent, each given out once. */
+    @Override
     public List<Datagram> takePackets() {
         return takeAll(outbox);
     }
 
     /** What the decisions are to be told, each given out once. */
+    @Override
     public List<Event> takeEvents() {
         if (allowancesNew && !setup.limits().isEmpty()) {
             events.add(new AllowancesGiven(leases.values().stream().map(this::allowance).toList()));
@@ -718,6 +732,7 @@
                 lease.leased(now) ? lease.until() : Long.MAX_VALUE, lease.after(routers()));
     }
 
+    @Override
     public List<Notice> takeNotices() {
         return takeAll(notices);
     }
@@ -731,6 +746,7 @@
     // ---- what can be seen -----------------------------------------------------------------------------
 
     /** Counters and the state in short, by name. */
+    @Override
     public Map<String, String> fields() {
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("fleet-routers", Integer.toString(routers()));
@@ -748,6 +764,7 @@
     }
 
     /** Rows for people and programs about one subject; empty where there is none of that name. */
+    @Override
     public Optional<List<Map<String, Object>>> rows(String subject) {
         return switch (subject) {
             case "members" -> Optional.of(membership.table().stream().map(this::row).toList());
--- a/src/main/java/pumicemoor/fleet/FleetSetup.java
+++ b/src/main/java/pumicemoor/fleet/FleetSetup.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import pumicemoor.RouterApi.Measure;
+import pumicemoor.fleet.cells.CellSetup;
 import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
@@ -13,7 +14,14 @@
  * spend alone and what a majority is are counted from it, or from those known where that is more.
  */
 public record FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times,
-        List<LimitRule> limits, Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains) {
+        List<LimitRule> limits, Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains,
+        Optional<CellSetup> cells) {
+
+    /** One flat fleet. */
+    public FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times, List<LimitRule> limits,
+            Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains) {
+        this(cluster, membership, size, times, limits, verdicts, drains, Optional.empty());
+    }
 
     /** Without drains. */
     public FleetSetup(String cluster, Membership.Setup membership, int size, LeaseTimes times, List<LimitRule> limits,
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -45,6 +45,7 @@
 import pumicemoor.RouterApi.Wanted;
 import pumicemoor.RouterApi;
 import pumicemoor.fleet.Fleet;
+import pumicemoor.fleet.FleetPart;
 import pumicemoor.fleet.drains.Drains;
 import pumicemoor.hierarchy.Hierarchy;
 import pumicemoor.hierarchy.ShapeCheck.Problem;
@@ -105,7 +106,7 @@
     private OperatorConfig operator = OperatorConfig.NONE;
     private Optional<Hierarchy> hierarchy = Optional.empty();
     private long hierarchyDue = Long.MAX_VALUE;
-    private Optional<Fleet> fleet = Optional.empty();
+    private Optional<FleetPart> fleet = Optional.empty();
     private long fleetDue = Long.MAX_VALUE;
     private Optional<DrainedMembers> drained = Optional.empty();
     private final HitCount hits = new HitCount();
@@ -523,7 +524,7 @@
 
     /** Whether new requests are wanted: the members are known and the process is not about to end. */
     public boolean ready() {
-        return terminatedAt < 0 && !endpoints.isEmpty() && fleet.map(Fleet::settled).orElse(true);
+        return terminatedAt < 0 && !endpoints.isEmpty() && fleet.map(FleetPart::settled).orElse(true);
     }
 
     // ---- what the coordinator tells -------------------------------------------------------------------
@@ -576,7 +577,7 @@
                     return hits.of(now, member);
                 }
             }));
-            drained = fleet.filter(Fleet::drains).map(x -> new DrainedMembers());
+            drained = fleet.filter(FleetPart::drains).map(x -> new DrainedMembers());
         });
         set.hierarchy().ifPresent(h -> {
             long coldTime = settings.rules().parent().warmAfter();
@@ -612,7 +613,7 @@
         if (fleet.isEmpty()) {
             return;
         }
-        Fleet f = fleet.get();
+        FleetPart f = fleet.get();
         // whom to leave alone comes before anything that could send: what a router reports it has to go by
         f.takeView().flatMap(view -> drained.get().follow(view)).ifPresent(events::add);
         drive();
