Add cells: a level for each cell's routers and one for the delegates of all cells

Compiles; not tested yet. The lease book can count a holder for several routers, votes carry weights, accusations their number of accusers; the flat fleet's calls are the old ones.

--- a/src/main/java/pumicemoor/fleet/BadPacketException.java
+++ b/src/main/java/pumicemoor/fleet/BadPacketException.java
@@ -1,7 +1,7 @@
 package pumicemoor.fleet;
 
 /** A packet that is not used; the reason is the name it is counted under. */
-final class BadPacketException extends Exception {
+public final class BadPacketException extends Exception {
 
     private static final long serialVersionUID = 1;
 
--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -23,6 +23,8 @@
 import pumicemoor.fleet.FleetSetup.Scope;
 import pumicemoor.fleet.Packet.Ask;
 import pumicemoor.fleet.Packet.Body;
+import pumicemoor.fleet.Packet.CellAsk;
+import pumicemoor.fleet.Packet.CellWant;
 import pumicemoor.fleet.Packet.DrainAsk;
 import pumicemoor.fleet.Packet.Grant;
 import pumicemoor.fleet.Packet.News;
@@ -37,9 +39,11 @@
 import pumicemoor.fleet.drains.Plan;
 import pumicemoor.fleet.drains.Tier;
 import pumicemoor.fleet.drains.World;
+import pumicemoor.fleet.limits.CellShare;
 import pumicemoor.fleet.limits.FleetLimit;
 import pumicemoor.fleet.limits.HeldLease;
 import pumicemoor.fleet.limits.LeaseBook;
+import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
 import pumicemoor.fleet.membership.RouterNews;
 import pumicemoor.fleet.membership.Standing;
@@ -53,11 +57,13 @@
  * One router's part in its fleet: membership, leases and verdicts over the same packets. It owns the packets' numbers,
  * what rides along with them, and who reports to whom: every router reports to the living one that the cluster's hash
  * puts first. It takes time, packets, the list of members and what the decisions tell; packets, events for the
- * decisions and lines for people are fetched from it.
+ * decisions and lines for people are fetched from it. In a large fleet it is one level of two: that of a cell's routers,
+ * or that of the cells' delegates (docs/fleet-design.md, "Cells").
  */
 public final class Fleet implements FleetPart {
 
     private static final int ASKS_A_LEASE = 5;
+    private static final int VOTE = 3;  // leases that a vote binds a router in a cell; it outlasts its cell's own vote
     private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
     private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
 
@@ -73,7 +79,24 @@
     private record Accused(Accusation accusation, long until) {
     }
 
+    /** A whole fleet; the routers of a cell; the delegates of all cells. */
+    private enum Level { FLAT, CELL, UPPER }
+
+    private static final Drains.Usage NOTHING = new Drains.Usage() {
+        @Override
+        public int underWay(long member) {
+            return 0;
+        }
+
+        @Override
+        public double hits(long member) {
+            return 0;
+        }
+    };
+
     private final FleetSetup setup;
+    private final Level level;
+    private final LeaseTimes times;
     private final PacketCodec codec;
     private final Membership membership;
     private final Votes votes;
@@ -81,6 +104,8 @@
     private final Rumours<Long> verdictNews = new Rumours<>();  // the members meant; the verdict is told as it stands
     private final Map<Long, HeldLease> leases = new TreeMap<>();
     private final Map<Long, LeaseBook> books = new HashMap<>();
+    private final Map<Long, CellShare> shares = new TreeMap<>();  // of its own cell, where this is the level above
+    private final List<Verdict> passing = new ArrayList<>();  // verdicts that are new here, for the other level
     private final Map<Long, Want> wants = new HashMap<>();
     private final VerdictTable verdicts = new VerdictTable();
     private final Bench bench;
@@ -107,33 +132,49 @@
     private boolean verdictsNew = true;
     private boolean membersNew;
     private int routersTold;
+    private Fleet below;  // the own cell, where this is the level above
+    private Fleet above;  // the level above, where this is a cell and this router is a delegate
+    private String accusedTo = "";  // the cell's grantor that accusations were last told
+    private long accusedAt;
 
     /** One whose router has nothing under way. */
     public Fleet(FleetSetup setup, long time, long seed) {
-        this(setup, time, seed, new Drains.Usage() {
-            @Override
-            public int underWay(long member) {
-                return 0;
-            }
-
-            @Override
-            public double hits(long member) {
-                return 0;
-            }
-        });
+        this(setup, time, seed, NOTHING);
     }
 
     /** Starts at this time (Unix microseconds). */
     public Fleet(FleetSetup setup, long time, long seed, Drains.Usage usage) {
+        this(setup, time, seed, usage, Level.FLAT, 0);
+    }
+
+    /** The level of a cell's routers, for a process of this instance (0 for one that starts now). */
+    public static Fleet ofCell(FleetSetup setup, long time, long seed, long instance) {
+        return new Fleet(setup, time, seed, NOTHING, Level.CELL, instance);
+    }
+
+    /** The level of the cells' delegates, for a process of this instance in this cell. */
+    public static Fleet ofDelegates(FleetSetup setup, long time, long seed, long instance, Fleet cell) {
+        Fleet upper = new Fleet(setup, time, seed, NOTHING, Level.UPPER, instance);
+        upper.below = cell;
+        return upper;
+    }
+
+    private Fleet(FleetSetup setup, long time, long seed, Drains.Usage usage, Level level, long instance) {
+        this.level = level;
+        this.times = switch (level) {
+            case FLAT -> setup.times();
+            case CELL -> setup.times().inCells();
+            case UPPER -> setup.times().ofCells();
+        };
         this.setup = setup;
         this.now = time;
         this.startedAt = time;
         this.codec = new PacketCodec(setup.cluster());
-        this.votes = new Votes(setup.membership().name(), setup.times().lease(), time);
+        this.votes = new Votes(setup.membership().name(), (level == Level.CELL ? VOTE : 1) * times.lease(), time);
         this.bench = new Bench(setup.verdicts().orElse(new Bench.Rules(0, 1, 1, 1)));
         this.askAt = time + setup.membership().period();
         this.gossipAt = askAt;
-        this.membership = new Membership(setup.membership(), time, seed, new Membership.Outlet() {
+        this.membership = new Membership(setup.membership(), time, seed, instance, new Membership.Outlet() {
             @Override
             public long send(String address, Body body) {
                 return Fleet.this.send(address, body);
@@ -222,6 +263,8 @@
             packet.verdicts().forEach(this::take);
             if (packet.body() instanceof Ask a) {
                 asked(packet, a);
+            } else if (packet.body() instanceof CellAsk a) {
+                asked(packet, a);
             } else if (packet.body() instanceof Grant g) {
                 granted(packet, g);
             } else {
@@ -246,7 +289,7 @@
             if (d.take(p)) {
                 planAt = now;  // the keeper waits for a majority that holds it
             }
-        } else if (ofDrains(packet.body()) && !grantor().name().equals(setup.membership().name())) {
+        } else if (ofDrains(packet.body()) && !grants()) {
             drop("asked-not-grantor");
         } else if (packet.body() instanceof PlanReport r) {
             d.reported(world(), peer(from), packet.number(), r);
@@ -271,9 +314,15 @@
         setup.limits().stream().filter(r -> r.scope() == Scope.ACROSS_ZONES).forEach(r -> limits.put(Hashes.of(r.name()),
                 new FleetLimit(r.name(), Allowance.ACROSS_ZONES, r.measure(), r.amount())));
         leases.keySet().retainAll(limits.keySet());
+        shares.keySet().retainAll(limits.keySet());
         books.keySet().retainAll(limits.keySet());
         wants.keySet().retainAll(limits.keySet());
-        limits.forEach((id, limit) -> leases.computeIfAbsent(id, i -> new HeldLease(limit, setup.times(), startedAt)));
+        if (level == Level.UPPER) {
+            limits.forEach((id, limit) -> shares.computeIfAbsent(id, i -> new CellShare(limit, times,
+                    setup.times().lease(), startedAt)));
+        } else {
+            limits.forEach((id, limit) -> leases.computeIfAbsent(id, i -> new HeldLease(limit, times, startedAt)));
+        }
         accused.entrySet().removeIf(e -> !members.containsKey(e.getKey())
                 || members.get(e.getKey()).started() != e.getValue().accusation().started());
         allowancesNew = true;
@@ -351,10 +400,14 @@
             }
         }
         if (now >= askAt) {
-            askAt = now + setup.times().lease() / ASKS_A_LEASE;
+            askAt = now + times.lease() / ASKS_A_LEASE;
             askedAt = now;
             accused.values().removeIf(a -> now >= a.until());
-            report();
+            if (level == Level.UPPER) {
+                reportCell();
+            } else {
+                report();
+            }
         }
         if (now >= planAt) {
             drains.ifPresent(this::reportPlan);
@@ -390,16 +443,104 @@
         return first;
     }
 
+    /** Whether all report to this router, as far as it knows. */
+    public boolean grants() {
+        return grantor().name().equals(setup.membership().name());
+    }
+
+    // ---- the two levels -------------------------------------------------------------------------------
+
+    /** The first so many of those that live, by the cluster's hash: a cell's delegates, its grantor before the others. */
+    public List<RouterNews> first(int count) {
+        long cluster = Hashes.of(setup.cluster());
+        List<RouterNews> all = new ArrayList<>(membership.living());
+        all.add(membership.self());
+        all.sort((a, b) -> Long.compareUnsigned(Hashes.mix(Hashes.of(b.name()) ^ cluster),
+                Hashes.mix(Hashes.of(a.name()) ^ cluster)));
+        return List.copyOf(all.subList(0, Math.min(count, all.size())));
+    }
+
+    /** Those known to live on this level, without this router. */
+    public List<RouterNews> living() {
+        return membership.living();
+    }
+
+    /** This router as it tells of itself on this level. */
+    public RouterNews self() {
+        return membership.self();
+    }
+
+    /** The number of this level's cluster, as it stands in its packets. */
+    public long cluster() {
+        return codec.cluster();
+    }
+
+    /** Sets the level above this cell; null for none, which may be only once all of its shares are over. */
+    public void setAbove(Fleet upper) {
+        above = upper;
+    }
+
+    /** Sets the cell whose delegate this is. */
+    public void setBelow(Fleet cell) {
+        below = cell;
+    }
+
+    /** Whether nothing that was lent to this cell can be counted on any more. */
+    public boolean sharesOver(long time) {
+        return shares.values().stream().allMatch(s -> s.over(time));
+    }
+
+    /** Passes terms and verdicts between this cell and the level above, both ways. */
+    public void meet(long time, Fleet upper) {
+        now = Math.max(now, time);
+        upper.now = Math.max(upper.now, time);
+        votes.heard(upper.votes.term());
+        upper.votes.heard(votes.term());
+        while (!passing.isEmpty() || !upper.passing.isEmpty()) {
+            takeAll(passing).forEach(v -> upper.take(upper.asOf(v, this)));
+            takeAll(upper.passing).forEach(v -> take(asOf(v, upper)));
+        }
+    }
+
+    /** A verdict with the time that is left of it at the other level. */
+    private Verdict asOf(Verdict v, Fleet other) {
+        VerdictTable.Held h = other.verdicts.on(v.member());
+        return h != null && h.verdict().version() == v.version() ? v.withLeft(Math.max(0, h.until() - other.now)) : v;
+    }
+
+    /**
+     * Goes on in place of an older level of the same process, whose cell was split: with its leases and books, which
+     * name processes and not cells, and all that was told to it. Its votes are as those of a fresh process.
+     */
+    public void succeed(Fleet old) {
+        leases.putAll(old.leases);
+        books.putAll(old.books);
+        wants.putAll(old.wants);
+        accused.putAll(old.accused);
+        accusedTo = old.accusedTo;
+        accusedAt = old.accusedAt;
+        numbers = old.numbers;
+        sent = old.sent;
+        sentBytes = old.sentBytes;
+        heard = old.heard;
+        old.dropped.forEach((what, count) -> dropped.merge(what, count, Long::sum));
+        members = old.members;
+        votes.heard(old.votes.term());
+        old.verdicts.all().forEach(h -> take(h.verdict().withLeft(Math.max(0, h.until() - now))));
+        allowancesNew = true;
+        verdictsNew = true;
+    }
+
     // ---- reports and grants ---------------------------------------------------------------------------
 
     private void report() {
         RouterNews to = grantor();
         boolean own = to.name().equals(setup.membership().name());
         boolean vote = votes.vote(now, to.name(), to.instance());
-        List<Accusation> accusations = accused.values().stream().map(Accused::accusation)
-                .limit(PacketCodec.ACCUSATIONS).toList();
+        List<Accusation> accusations = mayAccuse(to.name()) ? accused.values().stream().map(Accused::accusation)
+                .limit(PacketCodec.ACCUSATIONS).toList() : List.of();
         if (own) {
-            bench.reported(to.name(), ++numbers, now + setup.times().lease(), accusations);
+            bench.reported(to.name(), ++numbers, now + times.lease(), accusations);
             keepOwn(to);
             sit();
             return;
@@ -418,6 +559,126 @@
         }
     }
 
+    /** In a cell, whether another grantor can count what this router accuses in its sum no more. */
+    private boolean mayAccuse(String to) {
+        if (level == Level.CELL && !accused.isEmpty()) {
+            if (!to.equals(accusedTo) && !accusedTo.isEmpty() && now < accusedAt + times.shrink()) {
+                return false;
+            }
+            accusedTo = to;
+            accusedAt = now;
+        }
+        return true;
+    }
+
+    /** What the cell wants, as its grantor tells it to whom it takes for the grantor of the level above. */
+    private void reportCell() {
+        if (!below.grants()) {
+            return;
+        }
+        RouterNews to = grantor();
+        boolean own = to.name().equals(setup.membership().name());
+        boolean vote = votes.vote(now, to.name(), to.instance());
+        List<Accusation> accusations = below.bench.inSum(now).stream().limit(PacketCodec.ACCUSATIONS).toList();
+        List<Long> ids = shares.keySet().stream().filter(id -> below.held(id, now) > 0).toList();
+        if (own) {
+            bench.reported(to.name(), ++numbers, now + times.lease(), accusations);
+            for (long id : ids) {
+                CellWant w = cellWant(id, to, ++numbers);
+                if (w.holds() >= 0) {
+                    granted(shares.get(id), to.name(), to.instance(), numbers, ask(to.name(), to.instance(), numbers, w));
+                }
+            }
+            sit();
+            return;
+        }
+        Votes.Backing backing = below.votes.backing(now + times.lease());
+        for (int from = 0; from == 0 || from < ids.size(); from += PacketCodec.CELL_WANTS) {
+            List<CellWant> list = ids.subList(from, Math.min(ids.size(), from + PacketCodec.CELL_WANTS)).stream()
+                    .map(id -> cellWant(id, to, numbers + 1)).filter(w -> w.holds() >= 0).toList();
+            send(to.address(), new CellAsk(vote, votes.seen(to.name(), to.instance()), votes.term(), backing.routers(),
+                    Math.min(backing.term(), votes.term()), list, accusations));
+        }
+    }
+
+    private CellWant cellWant(long id, RouterNews to, long number) {
+        LeaseBook book = below.books.get(id);
+        return new CellWant(id, shares.get(id).asks(now, to.name(), to.instance(), number, book.held()), book.held(),
+                book.wanted(), book.countedOfHolders(routers()));
+    }
+
+    private double ask(String name, long instance, long number, CellWant w) {
+        return book(w.limit()).ask(now, new LeaseBook.Asker(name, instance, number, w.holds(), w.routers()), w.wanted(),
+                w.inUse(), routers(), held -> held * limitOf(w.limit()).evenPart(routers()));
+    }
+
+    /** How many routers this cell's book of a limit holds now. */
+    private int held(long id, long time) {
+        LeaseBook book = books.get(id);
+        if (book == null) {
+            return 0;
+        }
+        book.expire(time);
+        return book.held();
+    }
+
+    /** What this cell may lend, in a cell: its share, or the even parts of those that its book holds. */
+    private double pool(long id, int held) {
+        CellShare share = above == null ? null : above.shares.get(id);
+        return share == null ? held * limitOf(id).evenPart(routers()) : share.pool(now, held, routers());
+    }
+
+    private FleetLimit limitOf(long id) {
+        return level == Level.UPPER ? shares.get(id).limit() : leases.get(id).limit();
+    }
+
+    private double ask(String name, long instance, long number, Want w) {
+        double inUse = limitOf(w.limit()).measure().whole ? w.inUse() : 0;
+        return book(w.limit()).ask(now, new LeaseBook.Asker(name, instance, number, w.holds(), 1), w.wanted(), inUse,
+                routers(), held -> pool(w.limit(), held));
+    }
+
+    private void asked(Packet packet, CellAsk a) {
+        RouterNews from = packet.from();
+        if (level != Level.UPPER || !grants()) {
+            drop("asked-not-grantor");
+            return;
+        }
+        votes.heard(a.term());
+        votes.reported(from.name(), from.instance(), a.vote(), a.seen(), a.known(), a.backing());
+        bench.reported(from.name(), packet.number(), now + times.lease(), a.accusations());
+        List<Part> parts = new ArrayList<>();
+        for (CellWant w : a.wants()) {
+            if (!shares.containsKey(w.limit())) {
+                drop("unknown-limit");
+                continue;
+            }
+            double part = w.routers() == 0 ? -1 : ask(from.name(), from.instance(), packet.number(), w);
+            if (part >= 0) {
+                parts.add(new Part(w.limit(), part));
+            } else {
+                drop("late-ask");
+            }
+        }
+        sit();
+        votes.sent(now, from.name(), numbers + 1);
+        send(from.address(), new Grant(packet.number(), votes.term(), parts));
+    }
+
+    private boolean granted(CellShare share, String name, long instance, long ask, double part) {
+        String grantorBefore = share.grantor();
+        boolean before = share.leased(now);
+        if (!share.granted(now, name, instance, ask, part)) {
+            return false;
+        }
+        if (!before || !grantorBefore.equals(name)) {
+            notice("the cell's share of " + share.limit().name() + " from " + name + ": " + part, Map.of("limit",
+                    share.limit().name(), "member", nameOf(share.limit().member()), "grantor", name, "part", part,
+                    "cause", before ? "another grantor" : "none was held"));
+        }
+        return true;
+    }
+
     private void reportPlan(Drains d) {
         plannedAt = now;
         RouterNews to = grantor();
@@ -426,7 +687,7 @@
         } else {
             d.report(now, to.address(), votes.term());
         }
-        planAt = now + (d.inHaste() ? setup.membership().period() : setup.times().lease() / ASKS_A_LEASE);
+        planAt = now + (d.inHaste() ? setup.membership().period() : times.lease() / ASKS_A_LEASE);
     }
 
     /** The grantor's own leases are in its own book like all others. */
@@ -436,33 +697,31 @@
             long holds = lease.asks(now, self.name(), self.instance(), number);
             Want w = wants.getOrDefault(id, new Want(id, 0, 0, 0));
             if (holds >= 0) {
-                double part = book(id).ask(now, self.name(), self.instance(), number, holds, w.wanted(), w.inUse(),
-                        routers());
+                double part = ask(self.name(), self.instance(), number, new Want(id, holds, w.wanted(), w.inUse()));
                 granted(lease, self.name(), self.instance(), number, part);
             }
         });
     }
 
     private LeaseBook book(long id) {
-        return books.computeIfAbsent(id, i -> new LeaseBook(leases.get(i).limit(), setup.times()));
+        return books.computeIfAbsent(id, i -> new LeaseBook(limitOf(i), times));
     }
 
     private void asked(Packet packet, Ask a) {
         RouterNews from = packet.from();
-        if (!grantor().name().equals(setup.membership().name())) {
+        if (level == Level.UPPER || !grants()) {
             drop("asked-not-grantor");
             return;
         }
         votes.reported(from.name(), from.instance(), a.vote(), a.seen(), a.term());
-        bench.reported(from.name(), packet.number(), now + setup.times().lease(), a.accusations());
+        bench.reported(from.name(), packet.number(), now + times.lease(), a.accusations());
         List<Part> parts = new ArrayList<>();
         for (Want w : a.wants()) {
             if (!leases.containsKey(w.limit())) {
                 drop("unknown-limit");
                 continue;
             }
-            double part = book(w.limit()).ask(now, from.name(), from.instance(), packet.number(), w.holds(), w.wanted(),
-                    w.inUse(), routers());
+            double part = ask(from.name(), from.instance(), packet.number(), w);
             if (part >= 0) {
                 parts.add(new Part(w.limit(), part));
             } else {
@@ -480,11 +739,13 @@
         votes.saw(from.name(), from.instance(), packet.number());
         for (Part p : g.parts()) {
             HeldLease lease = leases.get(p.limit());
-            if (lease == null) {
+            CellShare share = shares.get(p.limit());
+            if (lease == null && share == null) {
                 drop("unknown-limit");
-            } else if (p.amount() > lease.limit().amount()) {
+            } else if (p.amount() > limitOf(p.limit()).amount()) {
                 drop("oversized-lease");
-            } else if (!granted(lease, from.name(), from.instance(), g.ask(), p.amount())) {
+            } else if (share != null ? !granted(share, from.name(), from.instance(), g.ask(), p.amount())
+                    : !granted(lease, from.name(), from.instance(), g.ask(), p.amount())) {
                 drop("late-grant");
             }
         }
@@ -509,7 +770,8 @@
 
     /** Whether this router is the keeper now. */
     private boolean office() {
-        boolean office = votes.inOffice(now, routers());
+        boolean office = level != Level.CELL && votes.inOffice(now, routers(),
+                level == Level.FLAT ? Votes.Backing.ONE : below.votes.backing(now));
         if (office != inOffice) {
             inOffice = office;
             notice(office ? "this router is the keeper of term " + votes.ownTerm()
@@ -541,6 +803,9 @@
             return;
         }
         bench.heard(verdicts.on(v.member()));
+        if (level != Level.FLAT) {
+            passing.add(v);
+        }
         verdictNews.put(Long.toString(v.member()), v.member());
         verdictsNew = true;
         if (stood != v.failing()) {
--- a/src/main/java/pumicemoor/fleet/Packet.java
+++ b/src/main/java/pumicemoor/fleet/Packet.java
@@ -92,4 +92,30 @@
     /** An operator's command, passed on. */
     public record DrainAsk(DrainCommand command) implements Body {
     }
+
+    /**
+     * What a cell wants of a limit, for so many routers that its book holds: holds is the ask whose grant it lives by, 0 for
+     * none, and in use the most that its book must count its routers with.
+     */
+    public record CellWant(long limit, long holds, int routers, double wanted, double inUse) {
+    }
+
+    /**
+     * A cell's report to whom its grantor takes for the grantor of the level above. Vote, seen and term are as in an ask;
+     * backing tells how many routers are bound to the sender for a lease's time more, and known a term that they all know.
+     */
+    public record CellAsk(boolean vote, long seen, long term, int backing, long known, List<CellWant> wants,
+            List<Accusation> accusations) implements Body {
+    }
+
+    /** Where are the routers of my cell? The depth is that of the sender's cell; hops is how often it was passed on. */
+    public record Join(String root, int depth, int hops) implements Body {
+    }
+
+    /**
+     * The answer to a join by its number, or 0 where a cell is being split: how deep the cell of who asked is split (-1
+     * for not known), some addresses of it, and some of delegates.
+     */
+    public record Place(long join, int depth, List<String> cell, List<String> delegates) implements Body {
+    }
 }
--- a/src/main/java/pumicemoor/fleet/PacketCodec.java
+++ b/src/main/java/pumicemoor/fleet/PacketCodec.java
@@ -32,17 +32,23 @@
     public static final int LONGEST_NAME = 64;
     static final int WANTS = 24;  // of limits in one packet
     static final int ACCUSATIONS = 12;  // in one packet
+    static final int CELL_WANTS = 14;  // of limits in one packet
+    public static final int PLACES = 8;  // addresses of one kind in one packet
+    public static final int MOST_DEPTH = 16;  // that a cell can be split to
+    public static final int MOST_HOPS = 4;  // that a join is passed on
+    static final int MOST_ROUTERS = 1_000_000;  // that a packet can speak for
     static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     static final Pattern ADDRESS = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}");
 
     private static final int MAGIC = 0x504d4631;  // PMF1
     private static final int VERDICT_BYTES = 48;
 
-    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT, PLAN_REPORT, PLAN_GRANT, PIECE, DRAIN_ASK }
+    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT, PLAN_REPORT, PLAN_GRANT, PIECE, DRAIN_ASK, CELL_ASK, JOIN,
+        PLACE }
 
     private final long cluster;
 
-    PacketCodec(String cluster) {
+    public PacketCodec(String cluster) {
         this.cluster = Hashes.of(cluster);
     }
 
@@ -54,7 +60,17 @@
         return VERDICT_BYTES + verdict.keeper().length();
     }
 
-    byte[] write(Packet packet) {
+    /** The cluster that a packet says it is of; 0 for none. */
+    public static long cluster(byte[] bytes) {
+        return bytes.length < 12 ? 0 : ByteBuffer.wrap(bytes).getLong(4);
+    }
+
+    /** The number of this codec's cluster, as it stands in its packets. */
+    public long cluster() {
+        return cluster;
+    }
+
+    public byte[] write(Packet packet) {
         ByteBuffer out = ByteBuffer.allocate(LONGEST);
         out.putInt(MAGIC).putLong(cluster);
         write(out, packet.from());
@@ -112,8 +128,7 @@
             a.wants().forEach(w -> out.putLong(w.limit()).putLong(w.holds()).putFloat((float) w.wanted())
                     .putFloat((float) w.inUse()));
             out.put((byte) a.accusations().size());
-            a.accusations().forEach(c -> out.putLong(c.member()).putLong(c.started()).put((byte) c.cause().ordinal())
-                    .putShort((short) Math.min(c.strikes(), Short.MAX_VALUE)).putFloat((float) c.failShare()));
+            a.accusations().forEach(c -> write(out, c));
         } else if (body instanceof Packet.Grant g) {
             out.put((byte) Type.GRANT.ordinal()).putLong(g.ask()).putLong(g.term()).put((byte) g.parts().size());
             g.parts().forEach(p -> out.putLong(p.limit()).putDouble(p.amount()));
@@ -132,11 +147,39 @@
             out.put((byte) Type.DRAIN_ASK.ordinal()).put((byte) c.kind().ordinal()).putLong(c.id()).putInt(c.mostOut())
                     .putInt(c.leastServing()).putLong(c.fence()).put((byte) c.members().size());
             c.members().forEach(out::putLong);
+        } else if (body instanceof Packet.CellAsk a) {
+            out.put((byte) Type.CELL_ASK.ordinal()).put((byte) (a.vote() ? 1 : 0)).putLong(a.seen()).putLong(a.term())
+                    .putInt(a.backing()).putLong(a.known()).put((byte) a.wants().size());
+            a.wants().forEach(w -> out.putLong(w.limit()).putLong(w.holds()).putInt(w.routers()).putDouble(w.wanted())
+                    .putDouble(w.inUse()));
+            out.put((byte) a.accusations().size());
+            a.accusations().forEach(c -> {
+                write(out, c);
+                out.putShort((short) Math.min(c.accusers(), Short.MAX_VALUE));
+            });
+        } else if (body instanceof Packet.Join j) {
+            out.put((byte) Type.JOIN.ordinal());
+            write(out, j.root());
+            out.put((byte) j.depth()).put((byte) j.hops());
+        } else if (body instanceof Packet.Place p) {
+            out.put((byte) Type.PLACE.ordinal()).putLong(p.join()).put((byte) p.depth());
+            write(out, p.cell());
+            write(out, p.delegates());
         }
     }
 
+    private static void write(ByteBuffer out, Accusation c) {
+        out.putLong(c.member()).putLong(c.started()).put((byte) c.cause().ordinal())
+                .putShort((short) Math.min(c.strikes(), Short.MAX_VALUE)).putFloat((float) c.failShare());
+    }
+
+    private static void write(ByteBuffer out, List<String> texts) {
+        out.put((byte) texts.size());
+        texts.forEach(t -> write(out, t));
+    }
+
     /** Reads a packet whole; incarnations past the given one can't be. */
-    Packet read(byte[] bytes, long lastIncarnation) throws BadPacketException {
+    public Packet read(byte[] bytes, long lastIncarnation) throws BadPacketException {
         if (bytes.length > LONGEST) {
             throw new BadPacketException(Reason.UNREADABLE);
         }
@@ -270,6 +313,16 @@
                 yield new Packet.Piece(stamp, index, count, bytes);
             }
             case DRAIN_ASK -> drainAsk(in);
+            case CELL_ASK -> cellAsk(in);
+            case JOIN -> new Packet.Join(text(in, NAME), count(in.get(), MOST_DEPTH), count(in.get(), MOST_HOPS));
+            case PLACE -> {
+                long join = in.getLong();
+                int depth = in.get();
+                if (join < 0 || depth < -1 || depth > MOST_DEPTH) {
+                    throw new BadPacketException(Reason.IMPOSSIBLE);
+                }
+                yield new Packet.Place(join, depth, addresses(in), addresses(in));
+            }
         };
     }
 
@@ -323,6 +376,40 @@
         return new Packet.DrainAsk(new DrainCommand(kind, id, mostOut, leastServing, fence, members));
     }
 
+    private static int count(int value, int most) throws BadPacketException {
+        if (value < 0 || value > most) {
+            throw new BadPacketException(Reason.IMPOSSIBLE);
+        }
+        return value;
+    }
+
+    private static List<String> addresses(ByteBuffer in) throws BadPacketException {
+        List<String> addresses = new ArrayList<>();
+        for (int left = count(in.get(), PLACES); left > 0; left--) {
+            addresses.add(address(in));
+        }
+        return addresses;
+    }
+
+    private static Packet.CellAsk cellAsk(ByteBuffer in) throws BadPacketException {
+        boolean vote = in.get() == 1;
+        long seen = in.getLong();
+        long term = term(in.getLong());
+        int backing = count(in.getInt(), MOST_ROUTERS);
+        long known = term(in.getLong());
+        List<Packet.CellWant> wants = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            wants.add(new Packet.CellWant(in.getLong(), in.getLong(), count(in.getInt(), MOST_ROUTERS),
+                    amount(in.getDouble()), amount(in.getDouble())));
+        }
+        List<Accusation> accusations = new ArrayList<>();
+        for (int left = in.get() & 0xff; left > 0; left--) {
+            accusations.add(new Accusation(in.getLong(), in.getLong(), of(Cause.values(), in.get()), in.getShort(),
+                    in.getFloat(), count(in.getShort(), Short.MAX_VALUE)));
+        }
+        return new Packet.CellAsk(vote, seen, term, backing, known, wants, accusations);
+    }
+
     private static Packet.Ask ask(ByteBuffer in) throws BadPacketException {
         boolean vote = in.get() == 1;
         long seen = in.getLong();
--- a/src/main/java/pumicemoor/fleet/Votes.java
+++ b/src/main/java/pumicemoor/fleet/Votes.java
@@ -1,6 +1,7 @@
 package pumicemoor.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -16,7 +17,7 @@
     private record Seen(String name, long instance) {
     }
 
-    private record Vote(long instance, long until, long term) {
+    private record Vote(long instance, long until, long term, int weight) {
     }
 
     private final String self;
@@ -82,20 +83,48 @@
 
     /** A report came; where it is a vote for this router it counts from the packet that its giver had seen. */
     void reported(String from, long instance, boolean vote, long seen, long knownTerm) {
+        reported(from, instance, vote, seen, knownTerm, 1);
+    }
+
+    /**
+     * The same of one that brings the votes of so many routers, all of which know this term and are bound for a lease's
+     * time from now on.
+     */
+    void reported(String from, long instance, boolean vote, long seen, long knownTerm, int weight) {
         heard(knownTerm);
         Long left = sent.getOrDefault(from, Map.of()).get(seen);
         if (vote && left != null) {
             Vote before = votes.get(from);
-            votes.put(from, new Vote(instance, before == null ? left + lease : Math.max(before.until, left + lease),
-                    knownTerm));
+            boolean longer = before != null && before.until > left + lease;  // what it promised before is not made more of
+            votes.put(from, new Vote(instance, longer ? before.until : left + lease, knownTerm,
+                    longer ? Math.min(before.weight, weight) : weight));
         }
     }
 
+    /** How many routers are bound to this one until then, itself among them, and the highest term that all of these know. */
+    Backing backing(long until) {
+        boolean own = bound != null && bound.name().equals(self) && until < free;
+        List<Vote> lasting = votes.values().stream().filter(v -> until < v.until).toList();
+        return new Backing(lasting.stream().mapToInt(Vote::weight).sum() + (own ? 1 : 0),
+                lasting.stream().mapToLong(Vote::term).min().orElse(own ? term : 0));
+    }
+
+    /** So many routers' votes, and a term that all of them know. */
+    record Backing(int routers, long term) {
+
+        static final Backing ONE = new Backing(1, Long.MAX_VALUE);
+    }
+
     /** Whether this router is the keeper now, in a fleet of so many, and most of its givers know the term. */
     boolean inOffice(long now, int routers) {
+        return inOffice(now, routers, Backing.ONE);
+    }
+
+    /** The same where this one's own vote is that of so many routers. */
+    boolean inOffice(long now, int routers, Backing self) {
         votes.values().removeIf(v -> now >= v.until);
-        boolean own = bound != null && bound.name().equals(self) && now < free;
-        if (2 * (votes.size() + (own ? 1 : 0)) <= routers) {
+        boolean own = bound != null && bound.name().equals(this.self) && now < free;
+        if (2 * (votes.values().stream().mapToInt(Vote::weight).sum() + (own ? self.routers() : 0)) <= routers) {
             ownTerm = 0;
             return false;
         }
@@ -104,7 +133,8 @@
             term = ownTerm;
             officeSince = now;
         }
-        long knowing = votes.values().stream().filter(v -> v.term >= ownTerm).count() + (own ? 1 : 0);
+        long knowing = votes.values().stream().filter(v -> v.term >= ownTerm).mapToInt(Vote::weight).sum()
+                + (own && self.term() >= ownTerm ? self.routers() : 0);
         return 2 * knowing > routers;
     }
 
--- a/src/main/java/pumicemoor/fleet/limits/LeaseBook.java
+++ b/src/main/java/pumicemoor/fleet/limits/LeaseBook.java
@@ -1,6 +1,7 @@
 package pumicemoor.fleet.limits;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,7 +9,8 @@
 /**
  * What a grantor has given of one limit, and so what is left. Every router of the fleet that holds no lease of this
  * grantor counts with its even part, which is what it may spend by itself, wherever it is; one that holds leases counts
- * with the largest that it may still live by. So the sum stays within the limit whatever the grantor can't see.
+ * with the largest that it may still live by. So the sum stays within the limit whatever the grantor can't see. A holder
+ * may stand for several routers, a cell: it counts with as many even parts, and at least with what its own book counts.
  */
 public final class LeaseBook {
 
@@ -17,12 +19,23 @@
     private record Given(long number, double amount, long until) {
     }
 
+    /** Who asks: a process, the number of its ask, the ask whose grant it lives by, and for how many routers. */
+    public record Asker(String name, long instance, long number, long holds, int routers) {
+    }
+
+    /** What the holders of a book may be spending together, by how many routers they stand for. */
+    public interface Pool {
+
+        double of(int held);
+    }
+
     private static final class Holder {
         long instance;
         long lastAsk;
         long shown;  // the grant that it last showed to live by, 0 for none
         double wanted;
         double inUse;
+        int routers = 1;  // that it stands for
         final List<Given> given = new ArrayList<>();
 
         /**
@@ -31,7 +44,7 @@
          */
         double counts(double even) {
             boolean leased = given.stream().anyMatch(g -> g.number() == shown);
-            return Math.max(leased ? inUse : Math.max(inUse, even),
+            return Math.max(leased ? inUse : Math.max(inUse, even * routers),
                     given.stream().mapToDouble(Given::amount).max().orElse(0));
         }
     }
@@ -50,11 +63,25 @@
         return holders.size();
     }
 
+    /** How many routers the holders stand for. */
+    public int held() {
+        return holders.values().stream().mapToInt(h -> h.routers).sum();
+    }
+
+    /** The most that the holders may be spending together, of what they count with. */
+    public double countedOfHolders(int routers) {
+        double even = limit.evenPart(routers);
+        return holders.values().stream().mapToDouble(h -> h.counts(even)).sum();
+    }
+
+    /** What the holders want together. */
+    public double wanted() {
+        return holders.values().stream().mapToDouble(h -> h.wanted).sum();
+    }
+
     /** The sum of all that may be spent, as far as this grantor must count. */
     public double counted(int routers) {
-        double even = limit.evenPart(routers);
-        return holders.values().stream().mapToDouble(h -> h.counts(even)).sum()
-                + Math.max(0, routers - holders.size()) * even;
+        return countedOfHolders(routers) + Math.max(0, routers - held()) * limit.evenPart(routers);
     }
 
     /**
@@ -63,51 +90,65 @@
      */
     public double ask(long now, String router, long instance, long number, long holds, double wanted, double inUse,
             int routers) {
+        return ask(now, new Asker(router, instance, number, holds, 1), wanted, limit.measure().whole ? inUse : 0, routers,
+                held -> held * limit.evenPart(routers));
+    }
+
+    /** The same for one who may stand for several routers; in use is the least that it counts with. */
+    public double ask(long now, Asker asker, double wanted, double inUse, int routers, Pool pool) {
         expire(now);
-        Holder h = holders.computeIfAbsent(router, r -> new Holder());
-        if (h.instance != instance) {
-            if (instance < h.instance) {
+        Holder h = holders.computeIfAbsent(asker.name(), r -> new Holder());
+        if (h.instance != asker.instance()) {
+            if (asker.instance() < h.instance) {
                 return -1;
             }
-            h.instance = instance;  // what its process before held is counted until it ends
+            h.instance = asker.instance();  // what its process before held is counted until it ends
             h.lastAsk = 0;
         }
-        if (number <= h.lastAsk) {
+        if (asker.number() <= h.lastAsk) {
             return -1;
         }
-        h.lastAsk = number;
+        h.lastAsk = asker.number();
         h.wanted = Math.min(limit.amount(), wanted);
-        h.inUse = limit.measure().whole ? inUse : 0;
+        h.inUse = inUse;
+        h.routers = asker.routers();
         // a lease shown that is not in the book has ended here: who shows it may be on its even part by now
-        h.shown = h.given.stream().anyMatch(g -> g.number() == holds) ? holds : 0;
+        h.shown = h.given.stream().anyMatch(g -> g.number() == asker.holds()) ? asker.holds() : 0;
         h.given.removeIf(g -> g.number() < h.shown);
-        double part = part(h, routers);
-        h.given.add(new Given(number, part, now + times.lease()));
+        double part = part(h, routers, Math.min(limit.amount(), pool.of(held())));
+        h.given.add(new Given(asker.number(), part, now + times.lease()));
         return part;
     }
 
-    private double part(Holder asker, int routers) {
+    private double part(Holder asker, int routers, double pool) {
         double even = limit.evenPart(routers);
-        double pool = Math.min(limit.amount(), holders.size() * even);
         double others = holders.values().stream().filter(h -> h != asker).mapToDouble(h -> h.counts(even)).sum();
-        double part = Math.max(limit.leastPart(routers), Math.min(fair(asker, pool), pool - others));
-        return limit.measure().whole ? Math.max(1, Math.floor(part + 1e-9)) : part;
+        double part = Math.max(limit.leastPart(routers) * asker.routers, Math.min(fair(asker, pool), pool - others));
+        return limit.measure().whole ? Math.max(asker.routers, Math.floor(part + 1e-9)) : part;
     }
 
-    /** The even share of the pool among those that want more than it, each other's whole wish, and of what is left. */
+    /**
+     * The even share of the pool, for each router stood for, among those that want more than it, each other's whole wish,
+     * and of what is left.
+     */
     private double fair(Holder asker, double pool) {
-        double[] wishes = holders.values().stream().mapToDouble(this::wish).sorted().toArray();
+        List<Holder> modest = new ArrayList<>(holders.values());
+        modest.sort(Comparator.comparingDouble(h -> wish(h) / h.routers));
         double left = Math.max(0, pool);
+        int all = held();
+        int routers = all;
         double level = 0;
-        for (int i = 0; i < wishes.length; i++) {
-            level = left / (wishes.length - i);
-            if (wishes[i] > level) {
+        for (Holder h : modest) {
+            level = left / routers;
+            if (wish(h) > level * h.routers) {
                 break;
             }
-            left -= wishes[i];
+            left -= wish(h);
+            routers -= h.routers;
             level = Double.MAX_VALUE;
         }
-        return level == Double.MAX_VALUE ? wish(asker) + left / wishes.length : Math.min(level, wish(asker));
+        return level == Double.MAX_VALUE ? wish(asker) + left * asker.routers / all
+                : Math.min(level * asker.routers, wish(asker));
     }
 
     private double wish(Holder h) {
--- a/src/main/java/pumicemoor/fleet/membership/Membership.java
+++ b/src/main/java/pumicemoor/fleet/membership/Membership.java
@@ -87,11 +87,16 @@
 
     /** Begins at this time, which also tells this start from earlier ones of the name (Unix microseconds). */
     public Membership(Setup setup, long time, long seed, Outlet outlet) {
+        this(setup, time, seed, 0, outlet);
+    }
+
+    /** The same for a process that has an instance already; 0 for none. */
+    public Membership(Setup setup, long time, long seed, long known, Outlet outlet) {
         this.setup = setup;
         this.outlet = outlet;
         this.random = new Random(seed);
         this.now = time;
-        this.instance = Math.max(1, (time / 1_000 << 20) | random.nextInt(1 << 20));
+        this.instance = known != 0 ? known : Math.max(1, (time / 1_000 << 20) | random.nextInt(1 << 20));
         this.incarnation = Math.max(1, time / 1_000);
         this.tickAt = time + 1;
     }
--- a/src/main/java/pumicemoor/fleet/verdicts/Bench.java
+++ b/src/main/java/pumicemoor/fleet/verdicts/Bench.java
@@ -55,12 +55,10 @@
             VerdictTable table, int routers) {
         reports.values().removeIf(r -> now >= r.until);
         placesUntil.values().removeIf(until -> now >= until);
-        Map<Long, List<Accusation>> byMember = reports.values().stream().flatMap(r -> r.accusations().stream())
-                .filter(a -> tiers.containsKey(a.member()))
-                .collect(Collectors.groupingBy(Accusation::member, TreeMap::new, Collectors.toList()));
-        byMember.values().forEach(Bench::keepNewestProcess);
+        Map<Long, List<Accusation>> byMember = byMember();
+        byMember.keySet().retainAll(tiers.keySet());
         Set<Long> guilty = byMember.entrySet().stream()
-                .filter(e -> e.getValue().size() >= Math.min(rules.witnesses(), routers))
+                .filter(e -> count(e.getValue()) >= Math.min(rules.witnesses(), routers))
                 .map(Map.Entry::getKey).collect(Collectors.toSet());
         List<Verdict> given = new ArrayList<>();
         for (VerdictTable.Held held : table.standing(now)) {
@@ -76,7 +74,7 @@
         if (fresh) {
             Set<Long> out = table.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
             byMember.entrySet().stream().filter(e -> guilty.contains(e.getKey()) && !out.contains(e.getKey()))
-                    .sorted(Comparator.comparingInt((Map.Entry<Long, List<Accusation>> e) -> -e.getValue().size()))
+                    .sorted(Comparator.comparingInt((Map.Entry<Long, List<Accusation>> e) -> -count(e.getValue())))
                     .forEach(e -> {
                         if (room(e.getKey(), tiers)) {
                             given.add(place(now, verdict(e.getKey(), e.getValue().get(0).started(), table, term, true,
@@ -87,6 +85,25 @@
         return given;
     }
 
+    private Map<Long, List<Accusation>> byMember() {
+        Map<Long, List<Accusation>> byMember = reports.values().stream().flatMap(r -> r.accusations().stream())
+                .collect(Collectors.groupingBy(Accusation::member, TreeMap::new, Collectors.toList()));
+        byMember.values().forEach(Bench::keepNewestProcess);
+        return byMember;
+    }
+
+    private static int count(List<Accusation> accusations) {
+        return accusations.stream().mapToInt(Accusation::accusers).sum();
+    }
+
+    /** One accusation of each member by all that accuse it now, those with the most accusers first. */
+    public List<Accusation> inSum(long now) {
+        reports.values().removeIf(r -> now >= r.until);
+        return byMember().values().stream().map(l -> new Accusation(l.get(0).member(), l.get(0).started(), l.get(0).cause(),
+                l.get(0).strikes(), l.get(0).failShare(), count(l)))
+                .sorted(Comparator.comparingInt(Accusation::accusers).reversed()).toList();
+    }
+
     private static void keepNewestProcess(List<Accusation> accusations) {
         long started = accusations.stream().mapToLong(Accusation::started).max().orElse(0);
         accusations.removeIf(a -> a.started() != started);
@@ -111,14 +128,15 @@
         VerdictTable.Held held = table.on(member);
         Accusation worst = evidence.isEmpty() ? null : evidence.get(0);
         return new Verdict(member, started, Verdict.next(held == null ? 0 : held.verdict().version(), term), failing,
-                rules.hold(), evidence.size(), worst == null ? Accusation.Cause.FAILING : worst.cause(),
+                rules.hold(), Math.min(count(evidence), Short.MAX_VALUE), worst == null ? Accusation.Cause.FAILING : worst.cause(),
                 worst == null ? 0 : worst.strikes(), worst == null ? 0 : worst.failShare(), keeper);
     }
 
     /** How many accuse each member now. */
     public Map<Long, Long> accusers() {
         return reports.values().stream().flatMap(r -> r.accusations().stream())
-                .collect(Collectors.groupingBy(Accusation::member, TreeMap::new, Collectors.counting()));
+                .collect(Collectors.groupingBy(Accusation::member, TreeMap::new,
+                        Collectors.summingLong(Accusation::accusers)));
     }
 
     /** The members whose places are taken. */
