Keep a grantor through a split, and report only once a cell is known

The order of a cell's routers now hashes its root. A fresh router waits eight periods before its first report, since each wrong grantor costs it a lease and a shrink time.

--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -63,6 +63,7 @@
 public final class Fleet implements FleetPart {
 
     private static final int ASKS_A_LEASE = 5;
+    private static final int QUIET = 8;  // periods until a router in a cell knows to whom to report; it changes that slowly
     private static final int VOTE = 3;  // leases that a vote binds a router in a cell; it outlasts its cell's own vote
     private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
     private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
@@ -96,6 +97,7 @@
 
     private final FleetSetup setup;
     private final Level level;
+    private final long order;
     private final LeaseTimes times;
     private final PacketCodec codec;
     private final Membership membership;
@@ -144,23 +146,27 @@
 
     /** Starts at this time (Unix microseconds). */
     public Fleet(FleetSetup setup, long time, long seed, Drains.Usage usage) {
-        this(setup, time, seed, usage, Level.FLAT, 0);
+        this(setup, setup.cluster(), time, seed, usage, Level.FLAT, 0);
     }
 
-    /** The level of a cell's routers, for a process of this instance (0 for one that starts now). */
-    public static Fleet ofCell(FleetSetup setup, long time, long seed, long instance) {
-        return new Fleet(setup, time, seed, NOTHING, Level.CELL, instance);
+    /**
+     * The level of a cell's routers, for a process of this instance. The order names whose hash orders its routers: that of
+     * the cell before all splits, so that a grantor is still that of its part after one.
+     */
+    public static Fleet ofCell(FleetSetup setup, String order, long time, long seed, long instance) {
+        return new Fleet(setup, order, time, seed, NOTHING, Level.CELL, instance);
     }
 
     /** The level of the cells' delegates, for a process of this instance in this cell. */
     public static Fleet ofDelegates(FleetSetup setup, long time, long seed, long instance, Fleet cell) {
-        Fleet upper = new Fleet(setup, time, seed, NOTHING, Level.UPPER, instance);
+        Fleet upper = new Fleet(setup, setup.cluster(), time, seed, NOTHING, Level.UPPER, instance);
         upper.below = cell;
         return upper;
     }
 
-    private Fleet(FleetSetup setup, long time, long seed, Drains.Usage usage, Level level, long instance) {
+    private Fleet(FleetSetup setup, String order, long time, long seed, Drains.Usage usage, Level level, long instance) {
         this.level = level;
+        this.order = Hashes.of(order);
         this.times = switch (level) {
             case FLAT -> setup.times();
             case CELL -> setup.times().inCells();
@@ -405,7 +411,7 @@
             accused.values().removeIf(a -> now >= a.until());
             if (level == Level.UPPER) {
                 reportCell();
-            } else {
+            } else if (level == Level.FLAT || now >= startedAt + QUIET * setup.membership().period()) {
                 report();
             }
         }
@@ -432,17 +438,19 @@
     /** To whom all report: of those that live the one that the cluster's hash puts first. */
     private RouterNews grantor() {
         RouterNews self = membership.self();
-        long cluster = Hashes.of(setup.cluster());
         RouterNews first = self;
         for (RouterNews n : membership.living()) {
-            if (Long.compareUnsigned(Hashes.mix(Hashes.of(n.name()) ^ cluster),
-                    Hashes.mix(Hashes.of(first.name()) ^ cluster)) > 0) {
+            if (Long.compareUnsigned(place(n), place(first)) > 0) {
                 first = n;
             }
         }
         return first;
     }
 
+    private long place(RouterNews n) {
+        return Hashes.mix(Hashes.of(n.name()) ^ order);
+    }
+
     /** Whether all report to this router, as far as it knows. */
     public boolean grants() {
         return grantor().name().equals(setup.membership().name());
@@ -452,11 +460,9 @@
 
     /** The first so many of those that live, by the cluster's hash: a cell's delegates, its grantor before the others. */
     public List<RouterNews> first(int count) {
-        long cluster = Hashes.of(setup.cluster());
         List<RouterNews> all = new ArrayList<>(membership.living());
         all.add(membership.self());
-        all.sort((a, b) -> Long.compareUnsigned(Hashes.mix(Hashes.of(b.name()) ^ cluster),
-                Hashes.mix(Hashes.of(a.name()) ^ cluster)));
+        all.sort((a, b) -> Long.compareUnsigned(place(b), place(a)));
         return List.copyOf(all.subList(0, Math.min(count, all.size())));
     }
 
--- a/src/main/java/pumicemoor/fleet/cells/CellFleet.java
+++ b/src/main/java/pumicemoor/fleet/cells/CellFleet.java
@@ -39,11 +39,12 @@
  */
 public final class CellFleet implements FleetPart {
 
-    private static final int UPPER_PERIOD = 5;  // cells' periods, between delegates: the way between regions is longer
+    /** Cells' periods between delegates: the way between regions is longer. */
+    public static final int UPPER_PERIOD = 5;
     private static final int UPPER_MOST = 8_192;  // delegates in the table
     private static final int SETTLING = 24;  // periods in a cell before a router counts itself among its delegates
     private static final int OVER = 10;  // periods that a cell is over its bound before it is split
-    private static final int MOVING = 4;  // leases, from the first word of a split until its grantor itself moves
+    private static final int MOVING = 2;  // leases, from the first word of a split until its grantor itself moves
     private static final int TOLD = 16;  // routers that are told of a split, a period
     private static final int FIRST_WAIT = 2;  // periods until a join is sent again, doubled each time
     private static final int LAST_WAIT = 64;  // periods, between joins that only look for what was missed
@@ -145,8 +146,8 @@
     }
 
     private Fleet newCell() {
-        return Fleet.ofCell(level(setup.cluster() + "/" + cellName(), name, cellSeeds, period, 4 * cells.most() + 64), now,
-                random.nextLong(), instance);
+        return Fleet.ofCell(level(setup.cluster() + "/" + cellName(), name, cellSeeds, period, 4 * cells.most() + 64),
+                setup.cluster() + "/" + cells.root(), now, random.nextLong(), instance);
     }
 
     // ---- what comes in --------------------------------------------------------------------------------
