Begin a new term where the office may have been another's between two looks

A keeper that lost the grantor's place never looked again; when the votes came back it was in office in its old term with its old begin, so it gave verdicts at once that a keeper between may have filled the share of. Now a router in office looks at each of its asks whether it is grantor or not, and an office not seen for half a lease, or under a term heard since, is a new one. Also: Membership.probe searched a list for each router of another, a square of the fleet at each period; no packet changes.

--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -409,6 +409,9 @@
             askAt = now + times.lease() / ASKS_A_LEASE;
             askedAt = now;
             accused.values().removeIf(a -> now >= a.until());
+            if (inOffice) {
+                office();  // also where nobody reports here any more
+            }
             if (level == Level.UPPER) {
                 reportCell();
             } else if (level == Level.FLAT || now >= startedAt + QUIET * setup.membership().period()) {
--- a/src/main/java/pumicemoor/fleet/Votes.java
+++ b/src/main/java/pumicemoor/fleet/Votes.java
@@ -30,6 +30,7 @@
     private long term;  // the highest known
     private long ownTerm;  // of this router's time in office; 0 for none
     private long officeSince;
+    private long lookedAt;  // when it was last seen to be in office
 
     /** A fresh process does not know whom it voted for: it votes for nobody until that has ended. */
     Votes(String self, long lease, long startedAt) {
@@ -128,11 +129,13 @@
             ownTerm = 0;
             return false;
         }
-        if (ownTerm == 0) {
+        // between two looks so near nobody else can have been in office: a vote binds for longer; else this is a new time
+        if (ownTerm == 0 || now - lookedAt > lease / 2 || term > ownTerm) {
             ownTerm = term + 1;
             term = ownTerm;
             officeSince = now;
         }
+        lookedAt = now;
         long knowing = votes.values().stream().filter(v -> v.term >= ownTerm).mapToInt(Vote::weight).sum()
                 + (own && self.term() >= ownTerm ? self.routers() : 0);
         return 2 * knowing > routers;
--- a/src/main/java/pumicemoor/fleet/membership/Membership.java
+++ b/src/main/java/pumicemoor/fleet/membership/Membership.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -205,7 +206,8 @@
     private void probe() {
         probed = null;
         relayAt = Long.MAX_VALUE;
-        List<String> living = living().stream().map(RouterNews::name).toList();
+        Set<String> living = new LinkedHashSet<>();
+        living().forEach(n -> living.add(n.name()));
         order.removeIf(n -> !living.contains(n));
         if (order.isEmpty()) {
             order.addAll(living);
