Read the section fleet.cells of the operator's file

Cause: the cells that are being built need a root, a largest cell and a number of delegates; nothing could set them. Change: fleet.cells {root, most, delegates} with defaults 96 and 2, each error with line and key; fleet.size up to 100000 there and 2000 without; fleet.drains together with fleet.cells is refused in one line; FleetSetup.cells carries it. Tables of rows show a column for each key of any row (a level is there in some rows alone), '-' where a row has none. Seen: FleetSectionTest, OperatorFileTest and FleetRowsTest pass. Nothing takes the part of cells yet.

--- a/src/main/java/pumicemoor/cli/FleetRows.java
+++ b/src/main/java/pumicemoor/cli/FleetRows.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -31,14 +33,16 @@
         System.out.print(json ? Rows.json(rows) + "\n" : table(rows));
     }
 
-    /** Columns as wide as their widest cell; a line that says so where there are no rows. */
+    /** A column for each key of any row, as wide as its widest cell; a line that says so where there are no rows. */
     static String table(List<Map<String, Object>> rows) {
         if (rows.isEmpty()) {
             return "(none)\n";
         }
-        List<String> names = new ArrayList<>(rows.get(0).keySet());
+        Set<String> keys = new LinkedHashSet<>();
+        rows.forEach(r -> keys.addAll(r.keySet()));  // the level, for one, is there in rows of the upper level alone
+        List<String> names = List.copyOf(keys);
         List<List<String>> lines = new ArrayList<>(List.of(names));
-        rows.forEach(r -> lines.add(names.stream().map(n -> String.valueOf(r.get(n))).toList()));
+        rows.forEach(r -> lines.add(names.stream().map(n -> r.containsKey(n) ? String.valueOf(r.get(n)) : "-").toList()));
         List<Integer> widths = new ArrayList<>();
         for (int i = 0; i < names.size(); i++) {
             int column = i;
--- a/src/main/java/pumicemoor/operator/FleetSection.java
+++ b/src/main/java/pumicemoor/operator/FleetSection.java
@@ -5,6 +5,7 @@
 import pumicemoor.RouterApi;
 import pumicemoor.fleet.FleetSetup;
 import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.cells.CellSetup;
 import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.membership.Membership;
@@ -12,11 +13,11 @@
 
 /**
  * The section 'fleet': where this router hears the others of its cluster, how many there are at most, what they hold
- * together. Listen is where it hears them, advertise how they reach it. Times are microseconds.
+ * together, and whether that is one flat fleet or cells. Listen is where it hears them, advertise how they reach it. Times are microseconds.
  */
 public record FleetSection(String cluster, String listen, String advertise, List<String> seeds, int size, long period,
         int indirect, int fanout, long remember, LeaseTimes times, List<LimitRule> limits,
-        Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains) {
+        Optional<Bench.Rules> verdicts, Optional<DrainTimes> drains, Optional<CellSetup> cells) {
 
     private static final int ROUTERS = 2_000;  // that are kept in the table
 
@@ -24,6 +25,6 @@
     public FleetSetup setup(String name, RouterApi.Rules rules) {
         return new FleetSetup(cluster, new Membership.Setup(name, advertise, seeds, period, indirect, fanout, remember,
                 ROUTERS), size, times, limits, verdicts,
-                drains.map(d -> d.warming(rules.cache().warmAfter(), rules.parent().warmAfter())));
+                drains.map(d -> d.warming(rules.cache().warmAfter(), rules.parent().warmAfter())), cells);
     }
 }
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -33,6 +33,7 @@
 import pumicemoor.fleet.FleetSetup.LimitRule;
 import pumicemoor.fleet.FleetSetup.Scope;
 import pumicemoor.fleet.PacketCodec;
+import pumicemoor.fleet.cells.CellSetup;
 import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
 import pumicemoor.fleet.verdicts.Bench;
@@ -56,6 +57,9 @@
 
     private static final long MILLI = 1_000;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+    private static final Pattern ROOT = Pattern.compile("[A-Za-z0-9_-]{1,24}");
+    private static final int FLAT_SIZE = 2_000;  // routers that each can know of each
+    private static final int CELLS_SIZE = 100_000;
     private static final int LONGEST_TIME = 24 * 3_600_000;  // milliseconds
     private static final YAMLMapper YAML = YAMLMapper.builder()
             .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
@@ -75,7 +79,11 @@
     private record FleetForm(String cluster, String listen, String advertise, List<String> seeds, Integer size,
             @JsonProperty("period-ms") Integer period, Integer indirect, Integer fanout,
             @JsonProperty("remember-ms") Integer remember, @JsonProperty("lease-ms") Integer lease,
-            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts, DrainsForm drains) {
+            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts, DrainsForm drains,
+            CellsForm cells) {
+    }
+
+    private record CellsForm(String root, Integer most, Integer delegates) {
     }
 
     private record DrainsForm(@JsonProperty("least-ms") Integer least, @JsonProperty("drain-ms") Integer drain,
@@ -214,8 +222,13 @@
         for (String seed : form.seeds() == null ? List.<String>of() : form.seeds()) {
             seeds.add(fleetAddress(seed, "fleet.seeds"));
         }
-        if (form.size() == null || form.size() < 1 || form.size() > 2_000) {
-            throw wrong("fleet.size", "it is missing or out of range: 1 to 2000 routers");
+        int largest = form.cells() == null ? FLAT_SIZE : CELLS_SIZE;
+        if (form.size() == null || form.size() < 1 || form.size() > largest) {
+            throw wrong("fleet.size", "it is missing or out of range: 1 to " + largest + " routers"
+                    + (form.cells() == null ? ", to " + CELLS_SIZE + " with fleet.cells" : ""));
+        }
+        if (form.cells() != null && form.drains() != null) {
+            throw wrong("fleet.drains", "not together with fleet.cells: cells do not take members out in order yet");
         }
         long period = MILLI * time(form.period(), 200, 20, "fleet.period-ms");
         long lease = MILLI * time(form.lease(), 5_000, 500, "fleet.lease-ms");
@@ -237,7 +250,22 @@
                 MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"), new LeaseTimes(lease, guard),
                 List.copyOf(limits), verdicts, form.drains() == null ? Optional.empty()
                         : Optional.of(drains(form.drains(), lease + guard, MILLI * time(form.remember(), 600_000, 1_000,
-                        "fleet.remember-ms"))));
+                        "fleet.remember-ms"))), form.cells() == null ? Optional.empty() : Optional.of(cells(form.cells())));
+    }
+
+    private CellSetup cells(CellsForm form) throws OperatorException {
+        if (form.root() == null || !ROOT.matcher(form.root()).matches()) {
+            throw wrong("fleet.cells.root", "it is missing, or not of 1 to 24 letters, digits, dashes, underscores");
+        }
+        int most = form.most() == null ? 96 : form.most();
+        if (most < 4 || most > 512) {
+            throw wrong("fleet.cells.most", most + " is out of range: 4 to 512 routers");
+        }
+        int delegates = form.delegates() == null ? 2 : form.delegates();
+        if (delegates < 1 || delegates > 5) {
+            throw wrong("fleet.cells.delegates", delegates + " is out of range: 1 to 5 routers");
+        }
+        return new CellSetup(form.root(), most, delegates);
     }
 
     private DrainTimes drains(DrainsForm form, long touch, long remember) throws OperatorException {
--- a/src/test/java/pumicemoor/operator/FleetSectionTest.java
+++ b/src/test/java/pumicemoor/operator/FleetSectionTest.java
@@ -7,8 +7,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Measure;
+import pumicemoor.fleet.FleetSetup;
 import pumicemoor.fleet.FleetSetup.Scope;
+import pumicemoor.fleet.cells.CellSetup;
+import pumicemoor.node.NodeTestConfig;
 
 class FleetSectionTest {
 
@@ -71,4 +75,69 @@
         OperatorException e = assertThrows(OperatorException.class, () -> OperatorFile.parse("f", GOOD.replace(from, to)));
         assertTrue(e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
     }
+
+    private static final String CELLS = GOOD.replace("size: 8", "size: 18000").replace("in-flight: 16", "in-flight: 18000")
+            .replace("drains: {drain-ms: 4000}", "cells: {root: zone-a, most: 64, delegates: 3}");
+
+    @Test
+    void cellsAreReadWithTheirDefaults() throws Exception {
+        FleetSection f = OperatorFile.parse("f", CELLS).fleet().orElseThrow();
+        assertEquals(18_000, f.size());
+        assertEquals(new CellSetup("zone-a", 64, 3), f.cells().orElseThrow());
+        assertEquals(new CellSetup("site_7", 96, 2), OperatorFile.parse("f", CELLS.replace(
+                "{root: zone-a, most: 64, delegates: 3}", "{root: site_7}")).fleet().orElseThrow().cells().orElseThrow());
+        assertEquals(100_000, OperatorFile.parse("f", CELLS.replace("18000", "100000")).fleet().orElseThrow().size());
+        assertTrue(OperatorFile.parse("f", GOOD).fleet().orElseThrow().cells().isEmpty(), "off unless it is there");
+    }
+
+    /** What a router's part is set up with carries the cells, and none where the section has none. */
+    @Test
+    void theSetupCarriesTheCells() throws Exception {
+        RouterApi.Rules rules = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "127.0.0.1:1")).words()
+                .settings().rules();
+        FleetSetup cells = OperatorFile.parse("f", CELLS).fleet().orElseThrow().setup("r", rules);
+        assertEquals("zone-a", cells.cells().orElseThrow().root());
+        assertEquals(18_000, cells.size());
+        assertTrue(OperatorFile.parse("f", GOOD).fleet().orElseThrow().setup("r", rules).cells().isEmpty());
+    }
+
+    /** What is changed in the section with cells, and the line and words of the error. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "size: 18000|size: 100001|5|fleet.size: it is missing or out of range: 1 to 100000 routers",
+        "size: 18000|size: 0|5|fleet.size",
+        "in-flight: 18000|in-flight: 17999|8|whole parts among 18000 routers",
+        "root: zone-a, ||12|fleet.cells.root: it is missing",
+        "root: zone-a|root: zone.a|12|fleet.cells.root",
+        "root: zone-a|root: ''|12|fleet.cells.root",
+        "root: zone-a|root: abcdefghijklmnopqrstuvwxy|12|fleet.cells.root",
+        "root: zone-a|root: 7|12|wrong type",
+        "most: 64|most: 3|12|fleet.cells.most: 3 is out of range: 4 to 512",
+        "most: 64|most: 513|12|fleet.cells.most: 513 is out of range",
+        "most: 64|most: 6.5|12|a whole number",
+        "delegates: 3|delegates: 0|12|fleet.cells.delegates: 0 is out of range: 1 to 5",
+        "delegates: 3|delegates: 6|12|fleet.cells.delegates: 6 is out of range",
+        "delegates: 3|delegate: 3|12|unknown key; known here: delegates, most, root",
+    })
+    void anErrorInCellsNamesItsLineAndKey(String from, String to, int line, String words) {
+        assertTrue(CELLS.contains(from));
+        OperatorException e = assertThrows(OperatorException.class,
+                () -> OperatorFile.parse("f", CELLS.replace(from, to == null ? "" : to)));
+        assertEquals(1, e.getMessage().lines().count(), e.getMessage());
+        assertTrue(e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
+    }
+
+    @Test
+    void aFlatFleetKeepsItsLargestSize() throws Exception {
+        String flat = CELLS.replace("  cells: {root: zone-a, most: 64, delegates: 3}\n", "");
+        assertEquals(2_000, OperatorFile.parse("f", flat.replace("18000", "2000")).fleet().orElseThrow().size());
+        assertEquals("f:5: fleet.size: it is missing or out of range: 1 to 2000 routers, to 100000 with fleet.cells",
+                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", flat)).getMessage());
+    }
+
+    @Test
+    void drainsWithCellsAreRefusedInOneLine() {
+        assertEquals("f:13: fleet.drains: not together with fleet.cells: cells do not take members out in order yet",
+                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", CELLS + "  drains: {}\n")).getMessage());
+    }
 }
--- a/src/test/java/pumicemoor/operator/OperatorFileTest.java
+++ b/src/test/java/pumicemoor/operator/OperatorFileTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import pumicemoor.fleet.cells.CellSetup;
 import pumicemoor.hierarchy.Hierarchy.News;
 
 class OperatorFileTest {
@@ -44,6 +46,17 @@
         assertTrue(OperatorFile.read(Path.of("deploy/operator.example.yaml")).hierarchy().isPresent());
     }
 
+    /** The example's fleet is commented out; with the marks taken away, but for drains, each key of cells is read as it says. */
+    @Test
+    void theCellsOfTheExampleAreUsable() throws Exception {
+        String example = Files.readString(Path.of("deploy/operator.example.yaml"));
+        String fleet = example.substring(example.indexOf("# fleet:")).replaceAll("(?m)^# ", "");
+        String cells = fleet.substring(0, fleet.indexOf("  drains:")) + fleet.substring(fleet.indexOf("  cells:"));
+        assertEquals(new CellSetup("zone-a", 96, 2), OperatorFile.parse("f", cells).fleet().orElseThrow().cells().orElseThrow());
+        assertTrue(assertThrows(OperatorException.class, () -> OperatorFile.parse("f", fleet)).getMessage()
+                .contains("fleet.drains: not together with fleet.cells"));
+    }
+
     /** What is changed in the good file, and the line and words that must stand in the one line of the error. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
