--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -8,13 +8,16 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import pumicemoor.lab.LabRun;
+import pumicemoor.lab.ProcessRun;
 
 /** The way into the lab; it must never be needed by serving. */
 @Usage.Text("plays scenarios with stand-ins on loopback against the real program: lab run FILE")
 public final class LabCommand extends NestedCommand {
 
-    @Argument(handler = SubCommandHandler.class, metaVar = "run", required = true)
-    @SubCommands(@SubCommand(name = "run", impl = Run.class))
+    @Argument(handler = SubCommandHandler.class, metaVar = "run|processes", required = true)
+    @SubCommands({
+        @SubCommand(name = "run", impl = Run.class),
+        @SubCommand(name = "processes", impl = Processes.class)})
     private Command command;
 
     @Override
@@ -41,4 +44,21 @@
             System.out.print(table);
         }
     }
+
+    /** Measures what its fleet costs a router as a real process. */
+    @Usage.Text("measures bytes, processor time and memory of real router processes, calm, with a fleet and without")
+    public static final class Processes extends Command {
+        @Argument(metaVar = "FILE", required = true, usage = "the sizes and the fleet's times, as YAML (docs/lab.md)")
+        private String file;
+
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where results and logs go (default: logs/processes)")
+        private String folder = "logs/processes";
+
+        @Override
+        void run() throws IOException, InterruptedException {
+            String tables = ProcessRun.table(Path.of(file), Path.of(folder), System.out);
+            System.out.println();
+            System.out.print(tables);
+        }
+    }
 }
--- a/src/main/java/pumicemoor/lab/FaultNetwork.java
+++ b/src/main/java/pumicemoor/lab/FaultNetwork.java
@@ -11,11 +11,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.BiPredicate;
+import java.util.stream.IntStream;
 
 /**
  * The network between router processes on loopback: each is reached at an address of this network, which passes packets
- * on, or loses, delays, doubles, reorders and cuts them. It knows who sent by the port that a process listens on. It
+ * on, or loses, delays, doubles, reorders and cuts them, and counts them. It knows who sent by the port that a process listens on. It
  * owns its sockets and what is on its way, and must never read a packet.
  */
 final class FaultNetwork implements AutoCloseable {
@@ -30,6 +32,7 @@
         return t;
     });
     private final Random random;
+    private final AtomicLongArray counts;  // for each process: packets and bytes that it sent, packets and bytes that came
     private volatile BiPredicate<Integer, Integer> cut = (from, to) -> false;
     private volatile double loss;
     private volatile double doubled;
@@ -38,6 +41,7 @@
     /** A network for so many processes; its draws come from the seed. */
     FaultNetwork(int processes, long seed) throws IOException {
         this.random = new Random(seed);
+        this.counts = new AtomicLongArray(4 * processes);
         for (int i = 0; i < processes; i++) {
             doors.add(new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0)));
             listens.add(FreePorts.take());
@@ -84,6 +88,9 @@
                 DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
                 door.receive(packet);
                 int from = listens.indexOf(packet.getPort());
+                if (from >= 0) {
+                    count(4 * from, packet.getLength());
+                }
                 if (from >= 0 && (cut.test(from, to) || draw() < loss)) {
                     continue;
                 }
@@ -97,7 +104,18 @@
         }
     }
 
+    private void count(int at, int bytes) {
+        counts.incrementAndGet(at);
+        counts.addAndGet(at + 1, bytes);
+    }
+
+    /** What a process sent and what came to it so far: packets and bytes out, packets and bytes in. */
+    long[] counted(int process) {
+        return IntStream.range(4 * process, 4 * process + 4).mapToLong(counts::get).toArray();
+    }
+
     private void arrive(int to, byte[] bytes) {
+        count(4 * to + 2, bytes.length);
         try {
             doors.get(to).send(new DatagramPacket(bytes, bytes.length,
                     new InetSocketAddress(InetAddress.getByName("127.0.0.1"), listens.get(to))));
--- a/src/main/java/pumicemoor/lab/LabConfig.java
+++ b/src/main/java/pumicemoor/lab/LabConfig.java
@@ -9,9 +9,13 @@
     }
 
     static String json(int number, String listen, Scenario scenario, String coordinator, List<String> known) {
+        return json("router-" + number, number, listen, scenario, coordinator, known);
+    }
+
+    static String json(String name, int number, String listen, Scenario scenario, String coordinator, List<String> known) {
         long cold = scenario.change().cold() * 1_000L;
         return """
-                {"name":"router-%d","listen":"%s","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+                {"name":"%s","listen":"%s","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "coordinator":"%s","known":{"index":%d,"updates":[%s]},
                  "settings":{"az":"home","zones":["home","hub"],"kinds":["cache","hub","origin"],"me":%d,"siblings":%d,
                   "classes":[{"name":"file","aim-us":400000,"aim-stretch":2.0,"deadline-us":%d,"worth":2,
@@ -28,7 +32,7 @@
                    "notice-time-us":500000,"purge-settles-us":2000000,"parent-starts-at":0.1,
                    "upper-cold-us":%d,"parent-fall-multiple":2},
                   "telemetry":{"how":"none","columns":[]},"weights":"rough"}}
-                """.formatted(number, listen, scenario.seed() + number, coordinator, known.size(),
+                """.formatted(name, listen, scenario.seed() + number, coordinator, known.size(),
                 String.join(",", known), number, scenario.routers(), scenario.deadlineMillis() * 1_000L,
                 scenario.deadlineMillis() * 1_000L, cold, scenario.routers(), cold);
     }
--- a/src/main/java/pumicemoor/lab/LabRun.java
+++ b/src/main/java/pumicemoor/lab/LabRun.java
@@ -272,6 +272,10 @@
                 + m.startedAt + "}";
     }
 
+    static String activeLine(MemberStandIn m) {
+        return line(m, "active");
+    }
+
     private String operator() {
         Scenario.Change c = scenario.change();
         return "hierarchy:\n  news: " + (c.by() == Way.FEED ? "feed" : "file") + "\n  lead-ms: " + c.lead()
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -1,11 +1,15 @@
 package pumicemoor.lab;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import pumicemoor.client.FrameClient;
 
@@ -13,6 +17,16 @@
 final class RouterProcess implements AutoCloseable {
 
     private static final long READY_WITHIN = 30_000;  // milliseconds
+
+    /** A few processes at a time. */
+    static final List<String> ROOMY = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m");
+
+    /** Dozens of processes: what deploy/balancer.toml starts a router with, without the archive of classes. */
+    static final List<String> TIGHT = List.of("-XX:+UseSerialGC", "-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-Xms48m",
+            "-Xmx48m", "-Xss256k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=20m",
+            "-XX:MaxDirectMemorySize=48m", "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=1", "-Dio.netty.allocator.maxOrder=6");
+
     private static final int READY_ASKED = 1;
     private static final int READY = 2;
 
@@ -20,12 +34,19 @@
     private final Path folder;
     private final int port;
     private final Integer cpu;
+    private final List<String> machine;
     private Process process;
 
     /** The cpu is that core alone, where the system has taskset; null for any. */
     RouterProcess(String name, Path folder, Integer cpu) throws IOException {
+        this(name, folder, cpu, ROOMY);
+    }
+
+    /** The same with settings of the virtual machine of its own, ROOMY or TIGHT. */
+    RouterProcess(String name, Path folder, Integer cpu, List<String> machine) throws IOException {
         this.name = name;
         this.cpu = cpu;
+        this.machine = machine;
         this.folder = folder;
         this.port = FreePorts.take();
     }
@@ -47,10 +68,10 @@
         Path file = Files.writeString(folder.resolve(name + "-config.json"), config);
         Files.writeString(operatorFile(), operator);
         List<String> command = new ArrayList<>(cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString()));
-        command.addAll(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx96m", "-cp", System.getProperty("java.class.path"),
-                "pumicemoor.cli.Main", verb, "--operator", operatorFile().toString()));
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(machine);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicemoor.cli.Main", verb, "--operator",
+                operatorFile().toString()));
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
                 .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
@@ -94,14 +115,64 @@
 
     /** What it holds of the machine's memory, as the system counts it; 0 where that is not told. */
     long residentMiB() {
+        return residentKiB() / 1_024;
+    }
+
+    /** The same in KiB (VmRSS). */
+    long residentKiB() {
         try {
             return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                    .filter(l -> l.startsWith("VmRSS:")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum() / 1_024;
+                    .filter(l -> l.startsWith("VmRSS:")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
         } catch (IOException e) {
             return 0;
         }
     }
 
+    /**
+     * Processor time that each of its threads has had, in nanoseconds by thread number; empty where the system does not
+     * tell. Of two readings the difference counts for threads that are in both or new in the later one.
+     */
+    Map<String, Long> processorTimes() {
+        Map<String, Long> times = new HashMap<>();
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path thread : threads) {
+                threadTime(thread).ifPresent(t -> times.put(thread.getFileName().toString(), t));
+            }
+        } catch (IOException e) {
+            // it has ended
+        }
+        return times;
+    }
+
+    private static Optional<Long> threadTime(Path thread) {
+        try {
+            return Optional.of(Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]));
+        } catch (IOException e) {
+            return Optional.empty();  // this thread has ended
+        }
+    }
+
+    /** Processor time of the whole process in milliseconds, in ticks of 10 ms (/proc/PID/stat); -1 where not told. */
+    long processorMillis() {
+        try {
+            String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 10;
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** Bytes of its heap that are in use after a collection, which this has it make; -1 where it does not say. */
+    long liveHeap() throws IOException, InterruptedException {
+        Process asked = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(), "-J-Xmx32m",
+                "-J-XX:+UseSerialGC", Long.toString(process.pid()), "GC.class_histogram").redirectErrorStream(true).start();
+        String said = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        asked.waitFor();
+        return said.lines().filter(l -> l.startsWith("Total")).mapToLong(l -> Long.parseLong(l.trim().split("\\s+")[2]))
+                .findFirst().orElse(-1);
+    }
+
     void terminate() throws InterruptedException {
         process.destroy();
         if (!process.waitFor(10, TimeUnit.SECONDS)) {
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import pumicemoor.client.FrameClient;
 import pumicemoor.lab.MemberStandIn.Kind;
 import pumicemoor.lab.Scenario.Change;
@@ -31,8 +31,11 @@
     });
     private final CoordinatorStandIn coordinator;
     private final Scenario scenario;
-    private final String fleet;  // empty: no such section
+    private final IntFunction<String> fleets;  // the end of the section, by router; empty: no such section
+    private final List<Integer> seeds;
+    private final List<String> machine;
     private final UnaryOperator<String>[] shapes;  // of the configuration, by router, in turn
+    private static final UnaryOperator<String>[] NO_SHAPES = noShapes();
     private final long began = System.nanoTime();
     private long asked;
     private double askedUntil;
@@ -48,7 +51,21 @@
     @SafeVarargs
     FleetRig(Path folder, int routerCount, int caches, double rate, int cold, String fleet, UnaryOperator<String>... shapes)
             throws Exception {
-        this.fleet = fleet;
+        this(folder, routerCount, routerCount, caches, rate, cold, r -> fleet, routerCount < 2 ? List.of(0) : List.of(0, 1),
+                RouterProcess.ROOMY, shapes);
+    }
+
+    /** One of many small processes, of which the first so many are started here; each has its own end of the section. */
+    static FleetRig ofMany(Path folder, int routerCount, int started, int caches, double rate, IntFunction<String> fleets,
+            List<Integer> seeds) throws Exception {
+        return new FleetRig(folder, routerCount, started, caches, rate, 1, fleets, seeds, RouterProcess.TIGHT, NO_SHAPES);
+    }
+
+    private FleetRig(Path folder, int routerCount, int started, int caches, double rate, int cold, IntFunction<String> fleets,
+            List<Integer> seeds, List<String> machine, UnaryOperator<String>[] shapes) throws Exception {
+        this.fleets = fleets;
+        this.seeds = seeds;
+        this.machine = machine;
         this.shapes = shapes;
         scenario = new Scenario("fleet", 3, 60, rate, 4_000, routerCount, caches, 1_000, 2, 1_500,
                 new Change(Way.FEED, 1, 1, 1, cold, 1), Map.of(), Map.of(), List.of(), null, null);
@@ -61,15 +78,22 @@
         coordinator.tell("\"endpoints\":{\"generation\":1,\"reset\":true,\"instances\":["
                 + members.stream().map(FleetRig::line).collect(Collectors.joining(",")) + "]}");
         for (int i = 0; i < routerCount; i++) {
-            routers.add(new RouterProcess("router-" + i, folder, null));
+            routers.add(new RouterProcess("router-" + i, folder, null, machine));
+        }
+        for (int i = 0; i < started; i++) {
             start(i);
         }
-        for (RouterProcess r : routers) {
+        for (RouterProcess r : routers.subList(0, started)) {
             r.awaitReady();
         }
         clients = new LoadClients(scenario, record, routers.stream().map(RouterProcess::address).toList());
     }
 
+    @SafeVarargs
+    private static UnaryOperator<String>[] noShapes(UnaryOperator<String>... none) {
+        return none;
+    }
+
     private void add(String name, Kind kind) throws IOException {
         members.add(new MemberStandIn(name, kind, scenario.cacheHolds(), scenario.fillMillis(), record,
                 n -> members.stream().filter(m -> m.name.equals(n)).findFirst().orElse(null), work));
@@ -82,12 +106,12 @@
     }
 
     void start(int i) throws IOException {
-        String seeds = IntStream.range(0, Math.min(2, scenario.routers())).mapToObj(network::advertise)
-                .collect(Collectors.joining(", "));
+        String fleet = fleets.apply(i);
+        String asked = seeds.stream().map(network::advertise).collect(Collectors.joining(", "));
         String config = LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(), coordinator.known());
         routers.get(i).start(shapes.length == 0 ? config : shapes[i % shapes.length].apply(config), fleet.isEmpty()
                 ? "log: {format: json}\n" : "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
-                + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + seeds + "]\n  size: "
+                + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + asked + "]\n  size: "
                 + scenario.routers() + "\n" + fleet);
     }
 
