Let a router take part in a fleet of cells where its operator's file has the section

Cause: the program made a flat fleet whatever the section said. Change: node.FleetParts picks CellFleet where the setup has cells, else Fleet; Reducer speaks with FleetPart alone. Seen: FleetPartsTest, FleetSectionTest, FleetRowsTest, OperatorFileTest, ArchitectureTest, MainTest pass. Runs of processes (ProcessRunTest, CellProcessesTest) not run yet.

--- a/src/main/java/pumicemoor/cli/Usage.java
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -28,7 +28,7 @@
               verdicts       show the fleet's verdicts on caches and parents: verdicts HOST:PORT [--json]
               drain          take members out for work in order: drain request|done|cancel|status HOST:PORT
               hierarchy      check a hierarchy, or plan the change from one to another: hierarchy check|plan
-              lab            play a scenario with stand-ins on loopback: lab run FILE
+              lab            play a scenario with stand-ins on loopback: lab run|processes FILE
               version        print the version
             COMMAND --help says more of each""";
 
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -565,7 +565,7 @@
     public void operate(long time, OperatorConfig set, String location, String name, long seed) {
         operator = set;
         set.fleet().ifPresent(f -> {
-            fleet = Optional.of(new Fleet(f.setup(name, settings.rules()), time, seed, new Drains.Usage() {
+            fleet = Optional.of(FleetParts.of(f.setup(name, settings.rules()), time, seed, new Drains.Usage() {
                 @Override
                 public int underWay(long member) {
                     return (int) attempts.values().stream().filter(a -> a.member == member || a.source == member
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -248,7 +248,7 @@
     @Test
     void everyCommandTellsItsUsage() throws Exception {
         for (String words : List.of("serve", "drill", "status", "self-check", "check-config", "version", "hierarchy",
-                "hierarchy check", "hierarchy plan", "lab", "lab run")) {
+                "hierarchy check", "hierarchy plan", "lab", "lab run", "lab processes")) {
             Ended ended = run(null, (words + " --help").split(" "));
             assertEquals(0, ended.code(), words + ended.err());
             assertTrue(ended.out().contains("--help"), words);
--- a/src/test/java/pumicemoor/lab/CellProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/CellProcessesTest.java
@@ -110,7 +110,7 @@
         cells.values().forEach(c -> c.forEach(r -> size.put(r, c.size())));
         return size.entrySet().stream().allMatch(e -> {
             List<Map<String, Object>> limits = rig.rows(e.getKey(), "limits");
-            return rig.rows(e.getKey(), "members").stream().filter(m -> !m.containsKey("level")
+            return rig.rows(e.getKey(), "members").stream().filter(m -> m.get("level").equals("cell")
                     && m.get("standing").equals("alive")).count() == e.getValue()
                     && limits.size() == CACHES + 1 && limits.stream().allMatch(l -> l.get("state").equals("leased"));
         });
