--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -8,13 +8,14 @@
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import pumicemoor.lab.LabRun;
+import pumicemoor.lab.scale.ScaleRun;
 
 /** The way into the lab; it must never be needed by serving. */
-@Usage.Text("plays scenarios with stand-ins on loopback against the real program: lab run FILE")
+@Usage.Text("plays scenarios with stand-ins on loopback (lab run FILE), measures costs by size (lab scale FILE)")
 public final class LabCommand extends NestedCommand {
 
-    @Argument(handler = SubCommandHandler.class, metaVar = "run", required = true)
-    @SubCommands(@SubCommand(name = "run", impl = Run.class))
+    @Argument(handler = SubCommandHandler.class, metaVar = "run|scale", required = true)
+    @SubCommands({@SubCommand(name = "run", impl = Run.class), @SubCommand(name = "scale", impl = Scale.class)})
     private Command command;
 
     @Override
@@ -41,4 +42,20 @@
             System.out.print(table);
         }
     }
+
+    /** Measures what each role costs at several sizes of a fleet. */
+    @Usage.Text("measures what each role costs as a fleet grows, in virtual time; scale.json, scale.md and plots stay in"
+            + " the folder")
+    public static final class Scale extends Command {
+        @Argument(metaVar = "FILE", required = true, usage = "what is measured, as YAML (docs/lab.md, \"Scale\")")
+        private String file;
+
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where the report goes (default: logs/scale)")
+        private String folder = "logs/scale";
+
+        @Override
+        void run() throws IOException {
+            System.out.print(ScaleRun.run(Path.of(file), Path.of(folder), System.err));
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -0,0 +1,444 @@
+package pumicemoor.lab.scale;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.Predicate;
+import pumicemoor.RouterApi.Judged;
+import pumicemoor.RouterApi.Measure;
+import pumicemoor.RouterApi.Role;
+import pumicemoor.RouterApi.Wanted;
+import pumicemoor.fleet.Datagram;
+import pumicemoor.fleet.Fleet;
+import pumicemoor.fleet.FleetPart;
+import pumicemoor.fleet.FleetSetup;
+import pumicemoor.fleet.FleetSetup.LimitRule;
+import pumicemoor.fleet.FleetSetup.Scope;
+import pumicemoor.fleet.cells.CellSetup;
+import pumicemoor.fleet.drains.DrainTimes;
+import pumicemoor.fleet.limits.LeaseTimes;
+import pumicemoor.fleet.membership.Membership;
+import pumicemoor.fleet.verdicts.Bench;
+
+/**
+ * A fleet of hollow routers in one process: the real deciding code of each, no sockets, in virtual time. It owns the
+ * network between them (delays, losses, cuts), their starts and ends, and what each was counted to cost. Bytes are
+ * those of the real packets as they are encoded, without the headers of UDP and IP. It must never change what a router decides,
+ * and counts are the same each time for the same seed. Virtual times are microseconds, processor times nanoseconds.
+ */
+final class HollowFleet {
+
+    static final long MILLI = 1_000;
+    static final long SECOND = 1_000_000;
+    static final int TABLE = 2_000;  // routers that a real flat fleet keeps in its table at most
+    private static final long EPOCH = 1_790_000_000L * SECOND;
+    private static final long ORIGIN = 99;
+    private static final double LIMIT = 10_000;
+    private static final int SEEDS = 3;
+
+    /** What a router does in its fleet beside being a member; one that does several is the last of them. */
+    enum Kind {
+        MEMBER("member"), DELEGATE("delegate"), CELL_GRANTOR("cell grantor"), GRANTOR("grantor"),
+        UPPER("upper grantor");
+
+        final String role;
+
+        Kind(String role) {
+            this.role = role;
+        }
+    }
+
+    /** One fleet's setup beside the configuration: routers, the limits as so many caches with one each, drains. */
+    record Shape(int routers, int limits, boolean drains) {
+    }
+
+    /** One hollow router and what it was counted to cost in the window. */
+    final class Router {
+        final String name;
+        final String address;
+        final Geography.Place place;
+        final double wanted;
+        FleetPart part;
+        boolean running;
+        private long timerAt = Long.MAX_VALUE;  // of the one timer in the queue that counts
+        private long cpu;
+        private long packetsIn;
+        private long packetsOut;
+        private int[] bytesIn = new int[0];  // by second of the window
+        private int[] bytesOut = new int[0];
+
+        Router(int number, Geography.Place place) {
+            this.name = String.format("router-%05d", number);
+            this.address = "10." + (number >> 16) + '.' + (number >> 8 & 255) + '.' + (number & 255) + ":7100";
+            this.place = place;
+            this.wanted = 2 * LIMIT / shape.routers * random.nextDouble();
+        }
+    }
+
+    /** A packet on its way, a router's timer (bytes and task are null) or something that happens. */
+    private record Due(long at, long order, Router router, byte[] bytes, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    final List<Router> routers = new ArrayList<>();
+    final Geography geography;
+    private final ScaleConfig config;
+    private final Shape shape;
+    private final Random random;
+    private final Map<String, Router> byAddress = new HashMap<>();
+    private final Map<Long, Fleet.Listed> listed = new HashMap<>();
+    private final List<String> seeds = new ArrayList<>();
+    private final List<LimitRule> limits;
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final long readingTakes;
+    private final Map<Integer, String> roots = new HashMap<>();
+    private long order;
+    private long flying;
+    private long began = EPOCH;
+    private int windowSeconds;
+    private double share = 1;  // of its churn that this size has
+    private BiPredicate<Geography.Place, Geography.Place> cut = (a, b) -> false;
+    long now = EPOCH;
+    long packets;
+    long bytes;
+
+    HollowFleet(ScaleConfig config, Shape shape) {
+        this.config = config;
+        this.shape = shape;
+        this.random = new Random(config.seed() * 31 + shape.routers);
+        int n = shape.routers;
+        int largest = Math.max(n, config.routers().stream().mapToInt(Integer::intValue).max().orElse(n));
+        this.share = (double) n / largest;
+        int regions = part(config.regions(), 1);
+        int zones = part(config.zones(), regions);
+        int sites = part(config.sites(), zones);
+        this.geography = new Geography(n, sites, zones, regions, config.farMillis().get(0) * MILLI,
+                config.farMillis().get(1) * MILLI, config.seed());
+        for (int i = 0; i < n; i++) {
+            Router r = new Router(i, geography.place(i));
+            routers.add(r);
+            byAddress.put(r.address, r);
+            if (i < SEEDS) {
+                seeds.add(r.address);
+            }
+        }
+        listed.put(ORIGIN, new Fleet.Listed("origin", Role.ORIGIN, 0));
+        int caches = shape.limits > 1 ? shape.limits : config.caches();
+        for (int i = 0; i < caches; i++) {
+            listed.put(1_000L + i, new Fleet.Listed("cache-" + i, Role.CACHE, 0));
+        }
+        this.limits = List.of(shape.limits > 1 ? new LimitRule("caches", Scope.EACH_CACHE, "", Measure.PER_SECOND, LIMIT)
+                : new LimitRule("origin", Scope.ORIGIN, "", Measure.PER_SECOND, LIMIT));
+        this.readingTakes = readingTakes();
+    }
+
+    /** So many of what the largest size has, at least as many as that and two where the largest has two. */
+    private int part(int ofLargest, int least) {
+        return Math.max(Math.max(least, Math.min(2, ofLargest)), (int) Math.round(ofLargest * share));
+    }
+
+    /** What reading the thread's processor time takes by itself: the median of many. */
+    private long readingTakes() {
+        long[] takes = new long[2_001];
+        for (int round = 0; round < 5; round++) {
+            for (int i = 0; i < takes.length; i++) {
+                long before = cpu();
+                takes[i] = cpu() - before;
+            }
+        }
+        java.util.Arrays.sort(takes);
+        return takes[takes.length / 2];
+    }
+
+    private long cpu() {
+        return threads.getCurrentThreadCpuTime();
+    }
+
+    // ---- routers --------------------------------------------------------------------------------------
+
+    /** All start within one period, as fresh processes do that were told at once. */
+    void startAll() {
+        routers.forEach(r -> later((long) (random.nextDouble() * config.periodMillis() * MILLI), () -> start(r)));
+    }
+
+    /** Starts a fresh process of a router. */
+    void start(Router r) {
+        Optional<Bench.Rules> verdicts = config.verdicts() ? Optional.of(new Bench.Rules(0.2, 2, 5 * SECOND,
+                2_500 * MILLI)) : Optional.empty();
+        Optional<DrainTimes> drains = shape.drains ? Optional.of(new DrainTimes(2 * SECOND, 10 * SECOND,
+                60 * SECOND, 600 * SECOND, 5 * SECOND, 5 * SECOND)) : Optional.empty();
+        Optional<CellSetup> cells = Optional.ofNullable(config.cells()).map(c -> new CellSetup(
+                roots.computeIfAbsent(r.place.zone(), z -> "zone-" + z), c.most(), c.delegates()));
+        FleetSetup setup = new FleetSetup("scale", new Membership.Setup(r.name, r.address, seeds,
+                config.periodMillis() * MILLI, 3, 2, 600 * SECOND, cells.isPresent() ? TABLE
+                        : Math.max(TABLE, shape.routers)), shape.routers,
+                new LeaseTimes(config.leaseMillis() * MILLI, config.guardMillis() * MILLI), limits, verdicts, drains, cells);
+        long before = cpu();
+        r.part = part(setup, now, random.nextLong());
+        r.part.members(now, listed);
+        r.running = true;
+        step(r, before);
+    }
+
+    /** The one place that knows which kind of fleet a setup asks for. */
+    private static FleetPart part(FleetSetup setup, long time, long seed) {
+        if (setup.cells().isPresent()) {
+            throw new UnsupportedOperationException("cells: there is no fleet of cells in this program yet");
+        }
+        return new Fleet(setup, time, seed);
+    }
+
+    /** Ends a router's process without a word. */
+    void kill(Router r) {
+        r.running = false;
+        r.part = null;
+        r.timerAt = Long.MAX_VALUE;
+    }
+
+    /** Kills those of a kind now and starts fresh processes of them so much later. */
+    int restart(Predicate<Router> which, long after) {
+        List<Router> chosen = routers.stream().filter(r -> r.running && which.test(r)).toList();
+        chosen.forEach(this::kill);
+        chosen.forEach(r -> later(after, () -> start(r)));
+        return chosen.size();
+    }
+
+    /** From now on processes end and come back some seconds later, one after the other at the configured rate. */
+    void churn() {
+        double rate = config.churn() * share;
+        if (rate > 0) {
+            later((long) (-Math.log(1 - random.nextDouble()) / rate * SECOND), () -> {
+                Router r = routers.get(random.nextInt(routers.size()));
+                restart(r::equals, 2 * SECOND + (long) (random.nextDouble() * 8 * SECOND));
+                churn();
+            });
+        }
+    }
+
+    /** The places between which no packet passes, from now on. */
+    void cut(BiPredicate<Geography.Place, Geography.Place> between) {
+        cut = between;
+    }
+
+    /** Every running router accuses the first cache, once a second from now on, or takes it back once. */
+    void accuse(long until) {
+        for (Router r : routers) {
+            accuse(r, until, (long) (random.nextDouble() * SECOND));
+        }
+    }
+
+    private void accuse(Router r, long until, long after) {
+        later(after, () -> {
+            boolean failing = now < until;
+            if (r.running) {
+                long before = cpu();
+                r.part.judged(now, new Judged(1_000, failing, true, 2, 0.5, now + 2 * SECOND));
+                step(r, before);
+            }
+            if (failing) {
+                accuse(r, until, SECOND);
+            }
+        });
+    }
+
+    // ---- time -----------------------------------------------------------------------------------------
+
+    private void later(long after, Runnable task) {
+        queue.add(new Due(now + after, order++, null, null, task));
+    }
+
+    /** Lives on for so long; stops earlier, and says so by false, once the tick that is called each virtual second does. */
+    boolean run(long time, Predicate<HollowFleet> tick) {
+        long end = now + time;
+        long nextTick = now + SECOND;
+        while (!queue.isEmpty() && queue.peek().at <= end) {
+            Due d = queue.poll();
+            now = Math.max(now, d.at);
+            if (d.task != null) {
+                d.task.run();
+            } else if (d.bytes != null) {
+                flying -= d.bytes.length;
+                heard(d.router, d.bytes);
+            } else if (d.at == d.router.timerAt) {
+                timer(d.router);
+            }
+            if (now >= nextTick) {
+                nextTick += SECOND;
+                if (!tick.test(this)) {
+                    return false;
+                }
+            }
+        }
+        now = end;
+        return true;
+    }
+
+    private void heard(Router r, byte[] packet) {
+        if (!r.running) {
+            return;
+        }
+        r.packetsIn++;
+        count(r.bytesIn, packet.length);
+        long before = cpu();
+        r.part.heard(now, packet);
+        step(r, before);
+    }
+
+    private void timer(Router r) {
+        r.timerAt = Long.MAX_VALUE;
+        long before = cpu();
+        if (r.part.nextDue() <= now) {
+            r.part.wanted(new Wanted(shape.limits > 1 ? 1_000 : ORIGIN, Measure.PER_SECOND, r.wanted, 0));
+            r.part.advance(now);
+        }
+        step(r, before);
+    }
+
+    /** Fetches what a router has to say; before is the processor time at which its step began. */
+    private void step(Router r, long before) {
+        r.part.takeView();
+        List<Datagram> out = r.part.takePackets();
+        r.part.takeEvents();
+        r.part.takeNotices();
+        long due = Math.max(now + 1, r.part.nextDue());
+        r.cpu += cpu() - before - readingTakes;
+        if (due < r.timerAt) {
+            r.timerAt = due;
+            queue.add(new Due(due, order++, r, null, null));
+        }
+        for (Datagram d : out) {
+            send(r, d);
+        }
+    }
+
+    private void send(Router from, Datagram d) {
+        packets++;
+        bytes += d.bytes().length;
+        from.packetsOut++;
+        count(from.bytesOut, d.bytes().length);
+        Router to = byAddress.get(d.address());
+        if (to == null || cut.test(from.place, to.place) || random.nextDouble() < config.loss()) {
+            return;
+        }
+        flying += d.bytes().length;
+        queue.add(new Due(now + geography.delay(from.place, to.place, random.nextDouble()), order++, to, d.bytes(), null));
+    }
+
+    // ---- counting -------------------------------------------------------------------------------------
+
+    private void count(int[] bySecond, int length) {
+        if (bySecond.length > 0) {
+            bySecond[(int) Math.min(bySecond.length - 1, (now - began) / SECOND)] += length;
+        }
+    }
+
+    /** Begins a window of so many seconds: from here on costs are counted anew. */
+    void window(int seconds) {
+        began = now;
+        windowSeconds = seconds;
+        for (Router r : routers) {
+            r.cpu = 0;
+            r.packetsIn = 0;
+            r.packetsOut = 0;
+            r.bytesIn = new int[seconds];
+            r.bytesOut = new int[seconds];
+        }
+    }
+
+    /** Which of the running routers are of which kind now, by what they say of themselves. */
+    Map<Kind, List<Router>> kinds() {
+        Map<Kind, List<Router>> kinds = new EnumMap<>(Kind.class);
+        for (Router r : routers) {
+            if (r.running) {
+                kinds.computeIfAbsent(kind(r), k -> new ArrayList<>()).add(r);
+            }
+        }
+        return kinds;
+    }
+
+    private static Kind kind(Router r) {
+        Map<String, String> fields = r.part.fields();
+        boolean grantor = r.name.equals(fields.get("fleet-grantor"));
+        if (!fields.containsKey("fleet-cell")) {
+            return grantor ? Kind.GRANTOR : Kind.MEMBER;
+        }
+        if ("yes".equals(fields.get("fleet-keeper"))) {
+            return Kind.UPPER;
+        }
+        return grantor ? Kind.CELL_GRANTOR : "yes".equals(fields.get("fleet-delegate")) ? Kind.DELEGATE : Kind.MEMBER;
+    }
+
+    /** What each kind of router cost in the window, which must have been lived through whole. */
+    List<Sample> samples(String scenario) {
+        List<Sample> samples = new ArrayList<>();
+        kinds().forEach((kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
+        return samples;
+    }
+
+    private Map<String, Double> figures(List<Router> of) {
+        Map<String, Double> f = new java.util.LinkedHashMap<>();
+        double s = windowSeconds;
+        double n = of.size() * s;
+        f.put("routers", (double) of.size());
+        double in = of.stream().mapToLong(r -> sum(r.bytesIn)).sum() / n;
+        double out = of.stream().mapToLong(r -> sum(r.bytesOut)).sum() / n;
+        f.put("bytes/s", in + out);
+        f.put("bytes in/s", in);
+        f.put("bytes out/s", out);
+        f.put("packets in/s", of.stream().mapToLong(r -> r.packetsIn).sum() / n);
+        f.put("packets out/s", of.stream().mapToLong(r -> r.packetsOut).sum() / n);
+        f.put("cpu ms/s", of.stream().mapToLong(r -> r.cpu).sum() / n / 1e6);
+        Router worst = of.get(0);
+        Router burst = worst;
+        int second = 0;
+        for (Router r : of) {
+            if (sum(r.bytesIn) + sum(r.bytesOut) > sum(worst.bytesIn) + sum(worst.bytesOut)) {
+                worst = r;
+            }
+            for (int i = 0; i < r.bytesIn.length; i++) {
+                if (r.bytesIn[i] + r.bytesOut[i] > burst.bytesIn[second] + burst.bytesOut[second]) {
+                    burst = r;
+                    second = i;
+                }
+            }
+        }
+        f.put("worst router bytes/s", (sum(worst.bytesIn) + sum(worst.bytesOut)) / s);
+        f.put("worst router bytes in/s", sum(worst.bytesIn) / s);
+        f.put("worst router bytes out/s", sum(worst.bytesOut) / s);
+        f.put("worst router cpu ms/s", of.stream().mapToLong(r -> r.cpu).max().orElse(0) / s / 1e6);
+        f.put("worst second bytes/s", (double) burst.bytesIn[second] + burst.bytesOut[second]);
+        f.put("worst second bytes in/s", (double) burst.bytesIn[second]);
+        f.put("worst second bytes out/s", (double) burst.bytesOut[second]);
+        f.put("living known", of.stream().mapToDouble(r -> Double.parseDouble(
+                r.part.fields().getOrDefault("fleet-living", "0"))).average().orElse(0));
+        return f;
+    }
+
+    private static long sum(int[] bySecond) {
+        long sum = 0;
+        for (int b : bySecond) {
+            sum += b;
+        }
+        return sum;
+    }
+
+    /** The heap in use after a collection, less what is on its way in the network: bytes of the whole process. */
+    long heap() {
+        for (int i = 0; i < 2; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() - flying - queue.size() * 96L;
+    }
+}
--- a/src/main/java/pumicemoor/lab/scale/ScaleConfig.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleConfig.java
@@ -13,7 +13,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Collectors;
 
 /**
@@ -34,6 +37,7 @@
         Integer caches,
         Double churn,
         Double loss,
+        @JsonProperty("far-ms") List<Integer> farMillis,
         Double seconds,
         Double settle,
         @JsonProperty("period-ms") Integer periodMillis,
@@ -45,6 +49,7 @@
         Cells cells,
         Faults faults,
         List<Role> roles,
+        Double minutes,
         Integer target) {
 
     /** The groups of roles that can be measured. */
@@ -80,35 +85,42 @@
     public ScaleConfig {
         name = name == null ? "scale" : name;
         seed = seed == null ? 1L : seed;
-        routers = routers == null ? List.of(30, 100, 300) : List.copyOf(routers);
-        int largest = routers.stream().mapToInt(Integer::intValue).max().orElse(1);
+        routers = routers == null ? List.of(30, 100, 300) : copy(routers);
+        int largest = routers.stream().filter(Objects::nonNull).mapToInt(Integer::intValue).max().orElse(1);
         sites = sites == null ? Math.max(1, largest / 12) : sites;
         zones = zones == null ? Math.max(1, largest / 140) : zones;
         regions = regions == null ? Math.max(1, largest / 346) : regions;
-        members = members == null ? List.of(100, 300, 1_000, 3_000, 8_700) : List.copyOf(members);
-        purges = purges == null ? List.of(0.0, 10.0, 50.0, 100.0, 210.0) : List.copyOf(purges);
-        configurations = configurations == null ? List.of(0.42) : List.copyOf(configurations);
+        members = members == null ? List.of(100, 300, 1_000, 3_000, 8_700) : copy(members);
+        purges = purges == null ? List.of(0.0, 10.0, 50.0, 100.0, 210.0) : copy(purges);
+        configurations = configurations == null ? List.of(0.42) : copy(configurations);
         caches = caches == null ? 20 : caches;
         churn = churn == null ? 0.0 : churn;
         loss = loss == null ? 0.001 : loss;
+        farMillis = farMillis == null ? List.of(20, 75) : copy(farMillis);
         seconds = seconds == null ? 20.0 : seconds;
         settle = settle == null ? 40.0 : settle;
         periodMillis = periodMillis == null ? 200 : periodMillis;
         leaseMillis = leaseMillis == null ? 5_000 : leaseMillis;
         guardMillis = guardMillis == null ? 500 : guardMillis;
-        limits = limits == null ? List.of(1, 10, 100, 400) : List.copyOf(limits);
+        limits = limits == null ? List.of(1, 10, 100, 400) : copy(limits);
         verdicts = verdicts == null || verdicts;
-        drains = drains == null ? List.of() : List.copyOf(drains);
+        drains = drains == null ? List.of() : copy(drains);
         if (cells != null) {
             cells = new Cells(cells.most() == null ? 96 : cells.most(), cells.delegates() == null ? 2 : cells.delegates());
         }
         Faults f = faults == null ? new Faults(null, null, null) : faults;
         faults = new Faults(f.zoneSeconds() == null ? 0.0 : f.zoneSeconds(), f.cutSeconds() == null ? 0.0 : f.cutSeconds(),
                 f.restartShare() == null ? 0.0 : f.restartShare());
-        roles = roles == null ? List.of(Role.FLEET) : List.copyOf(roles);
+        roles = roles == null ? List.of(Role.FLEET) : copy(roles);
+        minutes = minutes == null ? 60.0 : minutes;
         target = target == null ? 18_000 : target;
     }
 
+    /** As it stands, absent values too: those are refused later, by a line that names the key. */
+    private static <T> List<T> copy(List<T> list) {
+        return Collections.unmodifiableList(new ArrayList<>(list));
+    }
+
     /** Reads and checks a file; what is wrong is told in one line that names the file and the key. */
     public static ScaleConfig read(Path file) throws IOException {
         return parse(Files.readString(file), file.toString());
@@ -156,6 +168,10 @@
         b.range("caches", List.of(caches), 1, 10_000);
         b.range("churn", List.of(churn), 0, 1_000);
         b.range("loss", List.of(loss), 0, 0.9);
+        b.range("far-ms", farMillis, 1, 1_000);
+        if (farMillis.size() != 2 || farMillis.get(0) > farMillis.get(1)) {
+            throw new IOException(where + ": far-ms: it is not the least and the most");
+        }
         b.range("seconds", List.of(seconds), 1, 3_600);
         b.range("settle", List.of(settle), 0, 3_600);
         b.range("period-ms", List.of(periodMillis), 20, 10_000);
@@ -172,8 +188,9 @@
         b.range("faults.zone-seconds", List.of(faults.zoneSeconds()), 0, 3_600);
         b.range("faults.cut-seconds", List.of(faults.cutSeconds()), 0, 3_600);
         b.range("faults.restart-share", List.of(faults.restartShare()), 0, 1);
+        b.range("minutes", List.of(minutes), 0.01, 600);
         b.range("target", List.of(target), 2, 10_000_000);
-        if (roles.isEmpty() || roles.contains(null)) {
+        if (roles.isEmpty() || roles.stream().anyMatch(Objects::isNull)) {
             throw new IOException(where + ": roles: it names none");
         }
         if (roles.contains(Role.DRAINS) && (cells != null || drains.isEmpty())) {
