Write the scale report: JSON, a table, fits of the slopes and plots

Cause: figures by size say nothing about 18,000 without a fit and its range. Change: Fit (power of the size with its 95 % interval, worst residual, best of n^0, log n, n, n log n, where the budget is left), ScaleReport, SlopePlot; processes started in a window are counted apart. No tests yet.

--- a/src/main/java/pumicemoor/lab/scale/FleetRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/FleetRoles.java
@@ -22,6 +22,7 @@
     private static final int RESTART = 10;  // seconds measured after a share was started anew
     private static final int HOLDERS = 30;  // routers of the fleet in which limits are counted
     private static final int ACCUSED = 10;  // seconds for which every router accuses one member
+    private static final int WARM = 60;  // routers of the fleet that is not measured
     private static final long TALK = 10_000_000_000L;  // nanoseconds between two lines of progress
 
     private ScaleConfig config;
@@ -52,7 +53,7 @@
     /** The first figures would else be those of code that is not compiled yet. */
     private void warm() {
         begin("warming up");
-        HollowFleet fleet = new HollowFleet(config, new Shape(Math.min(60, config.routers().get(0)), 1, false));
+        HollowFleet fleet = new HollowFleet(config, new Shape(WARM, 1, false));
         fleet.startAll();
         live(fleet, 20, "warming up");
     }
@@ -133,7 +134,7 @@
         if (!live(fleet, Math.ceil(config.seconds()), "calm")) {
             return;
         }
-        fleet.samples("calm").forEach(s -> samples.add(new Sample((s.role().startsWith("member") ? "holder" : s.role()
+        fleet.samples("calm", false).forEach(s -> samples.add(new Sample((s.role().startsWith("member") ? "holder" : s.role()
                 .replace(", calm", "")) + " at " + HOLDERS + " routers, by limits", limits, s.figures())));
     }
 
@@ -159,7 +160,7 @@
             return false;
         }
         if (scenario != null) {
-            List<Sample> measured = fleet.samples(scenario);
+            List<Sample> measured = fleet.samples(scenario, scenario.equals("start"));
             measured.forEach(s -> say(line(s)));
             samples.addAll(measured);
         }
--- a/src/main/java/pumicemoor/lab/scale/HollowFleet.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -68,6 +68,7 @@
         final double wanted;
         FleetPart part;
         boolean running;
+        private long startedAt;
         private long timerAt = Long.MAX_VALUE;  // of the one timer in the queue that counts
         private long cpu;
         private long packetsIn;
@@ -189,6 +190,7 @@
         r.part = part(setup, now, random.nextLong());
         r.part.members(now, listed);
         r.running = true;
+        r.startedAt = now;
         step(r, before);
     }
 
@@ -211,7 +213,7 @@
     int restart(Predicate<Router> which, long after) {
         List<Router> chosen = routers.stream().filter(r -> r.running && which.test(r)).toList();
         chosen.forEach(this::kill);
-        chosen.forEach(r -> later(after, () -> start(r)));
+        chosen.forEach(r -> later(after + 1, () -> start(r)));
         return chosen.size();
     }
 
@@ -357,14 +359,10 @@
         }
     }
 
-    /** Which of the running routers are of which kind now, by what they say of themselves. */
-    Map<Kind, List<Router>> kinds() {
+    /** Which of some routers are of which kind now, by what they say of themselves. */
+    private static Map<Kind, List<Router>> kinds(List<Router> of) {
         Map<Kind, List<Router>> kinds = new EnumMap<>(Kind.class);
-        for (Router r : routers) {
-            if (r.running) {
-                kinds.computeIfAbsent(kind(r), k -> new ArrayList<>()).add(r);
-            }
-        }
+        of.forEach(r -> kinds.computeIfAbsent(kind(r), k -> new ArrayList<>()).add(r));
         return kinds;
     }
 
@@ -380,10 +378,18 @@
         return grantor ? Kind.CELL_GRANTOR : "yes".equals(fields.get("fleet-delegate")) ? Kind.DELEGATE : Kind.MEMBER;
     }
 
-    /** What each kind of router cost in the window, which must have been lived through whole. */
-    List<Sample> samples(String scenario) {
+    /**
+     * What each kind of router cost in the window, which must have been lived through whole. Processes that were started
+     * in it are told apart as fresh, but for a start of all.
+     */
+    List<Sample> samples(String scenario, boolean startOfAll) {
         List<Sample> samples = new ArrayList<>();
-        kinds().forEach((kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
+        List<Router> old = routers.stream().filter(r -> r.running && (startOfAll || r.startedAt < began)).toList();
+        List<Router> fresh = routers.stream().filter(r -> r.running && !startOfAll && r.startedAt >= began).toList();
+        kinds(old).forEach((kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
+        if (!fresh.isEmpty()) {
+            samples.add(new Sample("fresh, " + scenario, shape.routers, figures(fresh)));
+        }
         return samples;
     }
 
--- /dev/null
+++ b/src/main/java/pumicemoor/lab/scale/ScaleReport.java
@@ -0,0 +1,206 @@
+package pumicemoor.lab.scale;
+
+import com.fasterxml.jackson.core.util.DefaultIndenter;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import pumicemoor.lab.scale.Fit.Leaves;
+import pumicemoor.lab.scale.Fit.Point;
+
+/**
+ * What was measured, as JSON, as a table for people and as plots. It owns the budgets of a router's control
+ * and which figures are held against them, and must never leave out a sample or show a fit without its range.
+ */
+final class ScaleReport {
+
+    /** A figure that has a budget, by the name of a sample's figure. */
+    record Budget(String figure, double most, String file) {
+    }
+
+    /** 26 KB a second in and out together, 2.6 % of a core, 32 MB. */
+    static final List<Budget> BUDGETS = List.of(new Budget("bytes/s", 26_000, "bytes"),
+            new Budget("worst second bytes/s", 26_000, "worst-second"), new Budget("cpu ms/s", 26, "cpu"),
+            new Budget("heap bytes", 32_000_000, "heap"));
+
+    /** One figure of one role over its sizes; fit is null where there are fewer than three sizes. */
+    record Slope(String role, Budget budget, List<Point> points, Fit fit, Optional<Leaves> leaves) {
+
+        /** What the size of the role counts: routers, or what its name says after 'by'. */
+        String axis() {
+            int by = role.lastIndexOf(", by ");
+            return by < 0 ? "routers" : role.substring(by + 5);
+        }
+
+        /** What was going on, or by what it grows: roles of one scenario share a plot. */
+        String scenario() {
+            int comma = role.indexOf(", ");
+            return comma < 0 ? role : role.substring(comma + 2);
+        }
+    }
+
+    private final ScaleConfig config;
+    private final List<Sample> samples;
+
+    ScaleReport(ScaleConfig config, List<Sample> samples) {
+        this.config = config;
+        this.samples = samples;
+    }
+
+    /** All slopes, role by role. */
+    List<Slope> slopes() {
+        List<Slope> slopes = new ArrayList<>();
+        for (String role : new java.util.LinkedHashSet<>(samples.stream().map(Sample::role).toList())) {
+            for (Budget b : BUDGETS) {
+                List<Point> points = samples.stream().filter(s -> s.role().equals(role)
+                        && s.figures().containsKey(b.figure())).map(s -> new Point(s.size(), s.figures().get(b.figure())))
+                        .toList();
+                if (!points.isEmpty()) {
+                    Fit fit = Fit.of(points);
+                    slopes.add(new Slope(role, b, points, fit, Fit.leaves(points, fit, b.most())));
+                }
+            }
+        }
+        return slopes;
+    }
+
+    /** Writes scale.json, scale.md and the plots into the folder; the table is given back. */
+    String write(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        List<Slope> slopes = slopes();
+        ObjectWriter json = new ObjectMapper().writer(new DefaultPrettyPrinter()
+                .withObjectIndenter(new DefaultIndenter("  ", "\n")).withArrayIndenter(new DefaultIndenter("  ", "\n")));
+        Files.writeString(folder.resolve("scale.json"), json.writeValueAsString(tree(slopes)) + "\n");
+        String table = markdown(slopes);
+        Files.writeString(folder.resolve("scale.md"), table);
+        for (Budget b : BUDGETS) {
+            for (String scenario : new TreeSet<>(slopes.stream().map(Slope::scenario).toList())) {
+                List<Slope> shown = slopes.stream().filter(s -> s.budget().equals(b) && s.scenario().equals(scenario)
+                        && s.points().stream().anyMatch(p -> p.value() > 0)).toList();
+                if (!shown.isEmpty()) {
+                    SlopePlot.write(b, scenario, shown, folder.resolve(b.file() + "-" + scenario.replaceAll(
+                            "[^A-Za-z0-9]+", "-") + ".svg"));
+                }
+            }
+        }
+        return table;
+    }
+
+    private Map<String, Object> tree(List<Slope> slopes) {
+        Map<String, Object> tree = new LinkedHashMap<>();
+        tree.put("parameters", config);
+        List<Map<String, Object>> rows = new ArrayList<>();
+        for (Sample s : samples) {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("role", s.role());
+            row.put("size", s.size());
+            row.put("figures", s.figures());
+            rows.add(row);
+        }
+        tree.put("samples", rows);
+        List<Map<String, Object>> fits = new ArrayList<>();
+        for (Slope s : slopes) {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("role", s.role());
+            row.put("figure", s.budget().figure());
+            row.put("budget", s.budget().most());
+            s.leaves().ifPresent(l -> {
+                row.put("leaves budget at", rounded(l.size()));
+                row.put("leaves within the measured range", l.measured());
+            });
+            if (s.fit() != null) {
+                Fit f = s.fit();
+                row.put("measured from", f.least());
+                row.put("measured to", f.most());
+                row.put("slope", rounded(f.slope()));
+                row.put("slope, 95 % low", rounded(f.slopeLow()));
+                row.put("slope, 95 % high", rounded(f.slopeHigh()));
+                row.put("worst residual, factor", rounded(f.worst()));
+                row.put("form", f.form());
+                row.put("form's worst residual, factor", rounded(f.formWorst()));
+                if (s.axis().equals("routers")) {
+                    row.put("at target", rounded(f.at(config.target())));
+                    row.put("target past the range, factor", rounded(f.past(config.target())));
+                }
+            }
+            fits.add(row);
+        }
+        tree.put("fits", fits);
+        return tree;
+    }
+
+    private static double rounded(double value) {
+        return Double.isFinite(value) ? new java.math.BigDecimal(value).round(new java.math.MathContext(4)).doubleValue() : value;
+    }
+
+    private String markdown(List<Slope> slopes) {
+        StringBuilder md = new StringBuilder("# " + config.name() + "\n\n");
+        md.append("Seed ").append(config.seed()).append(config.cells() == null ? ", one flat fleet" : ", cells of "
+                + config.cells().most() + " routers at most with " + config.cells().delegates() + " delegates")
+                .append(", period ").append(config.periodMillis()).append(" ms, lease ").append(config.leaseMillis())
+                .append(" ms, ").append(config.loss() * 100).append(" % of packets lost, churn ").append(config.churn())
+                .append(" a second at the largest size. Virtual time; bytes are those of the packets without the"
+                        + " headers of UDP and IP; processor time is this machine's, without collections.\n\n");
+        if (config.cells() == null && config.routers().stream().anyMatch(n -> n > HollowFleet.TABLE)) {
+            md.append("Beyond ").append(HollowFleet.TABLE).append(" routers the table was set to hold them all; a real"
+                    + " router's doesn't.\n\n");
+        }
+        md.append("## Measured\n\n| role | size | routers of it | KB/s in | KB/s out | packets/s in | packets/s out | worst router"
+                + " KB/s in, out | worst second KB/s in, out | cpu ms/s | worst router | heap KB |\n"
+                + "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |\n");
+        for (Sample s : samples) {
+            md.append("| ").append(s.role()).append(" | ").append(s.size()).append(" | ").append(cell(s, "routers", 1))
+                    .append(" | ").append(cell(s, "bytes in/s", 1e3)).append(" | ").append(cell(s, "bytes out/s", 1e3))
+                    .append(" | ").append(cell(s, "packets in/s", 1)).append(" | ").append(cell(s, "packets out/s", 1))
+                    .append(" | ").append(cell(s, "worst router bytes in/s", 1e3)).append(", ")
+                    .append(cell(s, "worst router bytes out/s", 1e3)).append(" | ")
+                    .append(cell(s, "worst second bytes in/s", 1e3)).append(", ")
+                    .append(cell(s, "worst second bytes out/s", 1e3)).append(" | ").append(cell(s, "cpu ms/s", 1))
+                    .append(" | ").append(cell(s, "worst router cpu ms/s", 1)).append(" | ")
+                    .append(cell(s, "heap bytes", 1e3)).append(" |\n");
+        }
+        md.append("\n## Slopes\n\nA slope is the power of the size, by least squares in logarithms, with the interval that holds it"
+                + " with 95 %; residuals are factors. A fit is extrapolated where it goes past the largest size measured; by what"
+                + " factor it does stands behind it.\n\n| role | figure | measured | slope (95 %) | worst residual | best form"
+                + " (worst residual) | at ").append(config.target()).append(" | budget | leaves it at |\n"
+                + "| --- | --- | --- | --- | --: | --- | --- | --: | --- |\n");
+        for (Slope s : slopes) {
+            Fit f = s.fit();
+            md.append("| ").append(s.role()).append(" | ").append(s.budget().figure()).append(" | ")
+                    .append(f == null ? s.points().size() + " sizes" : f.least() + " to " + f.most()).append(" | ")
+                    .append(f == null ? "too few sizes" : number(f.slope()) + " (" + number(f.slopeLow()) + " to "
+                            + number(f.slopeHigh()) + ")").append(" | ").append(f == null ? "" : number(f.worst()))
+                    .append(" | ").append(f == null ? "" : f.form() + " (" + number(f.formWorst()) + ")").append(" | ")
+                    .append(f == null || !s.axis().equals("routers") ? "" : number(f.at(config.target()))
+                            + (f.past(config.target()) > 1 ? ", " + number(f.past(config.target())) + " times past" : ""))
+                    .append(" | ").append(number(s.budget().most())).append(" | ").append(s.leaves().map(l ->
+                            number(l.size()) + (l.measured() ? ", within the measured range" : ", extrapolated "
+                            + number(f.past(l.size())) + " times past")).orElse(f == null ? "not over it where measured"
+                            : "not within 1,000 times the range by this fit"))
+                    .append(" |\n");
+        }
+        return md.toString();
+    }
+
+    private static String cell(Sample s, String figure, double unit) {
+        return s.figures().containsKey(figure) ? number(s.figures().get(figure) / unit) : "-";
+    }
+
+    /** Three figures that count, or whole where there are more before the point. */
+    private static String number(double value) {
+        if (!Double.isFinite(value)) {
+            return "-";
+        }
+        return Math.abs(value) >= 100 ? String.format(Locale.ROOT, value < 1e9 ? "%.0f" : "%.2g", value)
+                : new java.math.BigDecimal(value).round(new java.math.MathContext(3)).toPlainString();
+    }
+}
--- a/src/main/java/pumicemoor/lab/scale/ScaleRun.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleRun.java
@@ -19,7 +19,7 @@
         for (RoleMeasurement m : measurements(config)) {
             samples.addAll(m.measure(config, progress));
         }
-        return "";
+        return new ScaleReport(config, samples).write(folder);
     }
 
     private static List<RoleMeasurement> measurements(ScaleConfig config) {
