--- a/src/main/java/pumicemoor/lab/scale/FleetRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/FleetRoles.java
@@ -50,8 +50,11 @@
         return List.copyOf(samples);
     }
 
-    /** The first figures would else be those of code that is not compiled yet. */
+    /** The first figures would else be those of code that is not compiled yet; of small fleets they are that anyhow. */
     private void warm() {
+        if (config.routers().stream().allMatch(n -> n < WARM)) {
+            return;
+        }
         begin("warming up");
         HollowFleet fleet = new HollowFleet(config, new Shape(WARM, 1, false));
         fleet.startAll();
--- a/src/main/java/pumicemoor/lab/scale/HollowFleet.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -22,6 +22,7 @@
 import pumicemoor.fleet.FleetSetup;
 import pumicemoor.fleet.FleetSetup.LimitRule;
 import pumicemoor.fleet.FleetSetup.Scope;
+import pumicemoor.fleet.cells.CellFleet;
 import pumicemoor.fleet.cells.CellSetup;
 import pumicemoor.fleet.drains.DrainTimes;
 import pumicemoor.fleet.limits.LeaseTimes;
@@ -197,7 +198,7 @@
     /** The one place that knows which kind of fleet a setup asks for. */
     private static FleetPart part(FleetSetup setup, long time, long seed) {
         if (setup.cells().isPresent()) {
-            throw new UnsupportedOperationException("cells: there is no fleet of cells in this program yet");
+            return new CellFleet(setup, time, seed);
         }
         return new Fleet(setup, time, seed);
     }
@@ -372,7 +373,7 @@
         if (!fields.containsKey("fleet-cell")) {
             return grantor ? Kind.GRANTOR : Kind.MEMBER;
         }
-        if ("yes".equals(fields.get("fleet-keeper"))) {
+        if (fields.getOrDefault("fleet-upper-grantor", "").endsWith("." + r.name)) {
             return Kind.UPPER;
         }
         return grantor ? Kind.CELL_GRANTOR : "yes".equals(fields.get("fleet-delegate")) ? Kind.DELEGATE : Kind.MEMBER;
@@ -387,9 +388,8 @@
         List<Router> old = routers.stream().filter(r -> r.running && (startOfAll || r.startedAt < began)).toList();
         List<Router> fresh = routers.stream().filter(r -> r.running && !startOfAll && r.startedAt >= began).toList();
         kinds(old).forEach((kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
-        if (!fresh.isEmpty()) {
-            samples.add(new Sample("fresh, " + scenario, shape.routers, figures(fresh)));
-        }
+        kinds(fresh).forEach((kind, of) -> samples.add(new Sample("fresh " + kind.role + ", " + scenario, shape.routers,
+                figures(of))));
         return samples;
     }
 
@@ -427,11 +427,20 @@
         f.put("worst second bytes/s", (double) burst.bytesIn[second] + burst.bytesOut[second]);
         f.put("worst second bytes in/s", (double) burst.bytesIn[second]);
         f.put("worst second bytes out/s", (double) burst.bytesOut[second]);
-        f.put("living known", of.stream().mapToDouble(r -> Double.parseDouble(
-                r.part.fields().getOrDefault("fleet-living", "0"))).average().orElse(0));
+        f.put("living known", known(of, "fleet-living"));
+        if (config.cells() != null) {
+            f.put("cells", (double) routers.stream().filter(r -> r.running).map(r -> r.part.fields().get("fleet-cell"))
+                    .distinct().count());
+            f.put("delegates known", known(of, "fleet-delegates"));
+        }
         return f;
     }
 
+    private static double known(List<Router> of, String field) {
+        return of.stream().map(r -> r.part.fields().get(field)).filter(v -> v != null).mapToDouble(Double::parseDouble)
+                .average().orElse(0);
+    }
+
     private static long sum(int[] bySecond) {
         long sum = 0;
         for (int b : bySecond) {
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -48,4 +48,13 @@
                 .should().dependOnClassesThat().resideInAnyPackage("pumicemoor.lab..", "pumicemoor.cli..").check(ALL);
         slices().matching("pumicemoor.(*)..").should().beFreeOfCycles().check(ALL);
     }
+
+    /** Statistics and plots are the scale tool's alone: nothing that serves may load them. */
+    @Test
+    void statisticsAndPlotsStayInTheScaleTool() {
+        noClasses().that().resideOutsideOfPackage("pumicemoor.lab.scale..").should().dependOnClassesThat()
+                .resideInAnyPackage("org.apache.commons.math3..", "org.knowm..", "java.awt..", "javax.swing..").check(ALL);
+        noClasses().that().resideOutsideOfPackages("pumicemoor.lab.scale..", "pumicemoor.cli..").should()
+                .dependOnClassesThat().resideInAPackage("pumicemoor.lab.scale..").check(ALL);
+    }
 }
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -255,4 +255,16 @@
         }
         assertEquals(0, run(null, "--help").code());
     }
+
+    @Test
+    void labScaleRefusesABadFileInOneLineThatNamesTheKey() throws Exception {
+        String file = Files.writeString(folder.resolve("scale.yaml"), "routers: [30]\nzones: many\n").toString();
+        Ended ended = run(null, "lab", "scale", file, "--out", folder.resolve("scale").toString());
+        assertEquals(1, ended.code(), ended.err());
+        List<String> said = ended.err().lines().filter(l -> !l.startsWith("Picked up ")).toList();  // of the JVM itself
+        assertEquals(1, said.size(), ended.err());
+        assertTrue(said.get(0).startsWith("pumicemoor: " + file + ": zones: "), ended.err());
+        assertEquals("", ended.out());
+        assertTrue(Files.notExists(folder.resolve("scale")));
+    }
 }
--- /dev/null
+++ b/src/test/java/pumicemoor/lab/scale/ScaleTest.java
@@ -0,0 +1,198 @@
+package pumicemoor.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import javax.xml.parsers.DocumentBuilderFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import pumicemoor.lab.scale.Fit.Leaves;
+import pumicemoor.lab.scale.Fit.Point;
+import pumicemoor.lab.scale.HollowFleet.Router;
+import pumicemoor.lab.scale.HollowFleet.Shape;
+
+/** Hollow fleets count the same each time, and what is said of them follows from the points; no wall time is held. */
+class ScaleTest {
+
+    private static final PrintStream QUIET = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
+    private static final String SMALL = """
+            seed: 7
+            routers: [10, 30]
+            sites: 6
+            zones: 3
+            regions: 2
+            seconds: 4
+            settle: 12
+            churn: 0.2
+            faults: {zone-seconds: 3, cut-seconds: 3, restart-share: 0.2}
+            """;
+
+    @TempDir
+    Path folder;
+
+    /** All that is counted, without what this machine's clock and heap tell. */
+    private static Map<String, Map<String, Double>> counts(String yaml) throws IOException {
+        return new FleetRoles().measure(ScaleConfig.parse(yaml, "test"), QUIET).stream().collect(Collectors.toMap(
+                s -> s.role() + " " + s.size(), s -> {
+                    Map<String, Double> counted = new TreeMap<>(s.figures());
+                    counted.keySet().removeIf(f -> f.contains("cpu") || f.contains("heap"));
+                    return counted;
+                }));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "cells: {most: 8, delegates: 2}\n"})
+    void oneSeedCountsTheSameTwiceAndAnotherDoesNot(String more) throws IOException {
+        Map<String, Map<String, Double>> first = counts(SMALL + more);
+        assertEquals(first, counts(SMALL + more));
+        assertFalse(first.equals(counts(SMALL.replace("seed: 7", "seed: 8") + more)));
+        for (int size : new int[] {10, 30}) {
+            for (String scenario : List.of("start", "calm", "20 % restarted", "zone lost", "zone back", "regions cut",
+                    "regions joined")) {
+                Map<String, Double> member = first.get("member, " + scenario + ' ' + size);
+                assertTrue(member != null && member.get("bytes/s") > 100, scenario + " of " + size + ": " + first.keySet());
+            }
+        }
+    }
+
+    /** What one kind sends another gets: in a calm flat fleet with no loss the bytes in and out are the same in sum. */
+    @Test
+    void nothingIsCountedTwiceOrLost() throws IOException {
+        ScaleConfig config = ScaleConfig.parse(SMALL + "loss: 0.0\n", "test");
+        HollowFleet fleet = new HollowFleet(config, new Shape(30, 1, false));
+        fleet.startAll();
+        fleet.run(10 * HollowFleet.SECOND, f -> true);
+        long before = fleet.bytes;
+        fleet.window(10);
+        fleet.run(10 * HollowFleet.SECOND, f -> true);
+        List<Sample> samples = fleet.samples("calm", false);
+        double out = samples.stream().mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes out/s")).sum();
+        double in = samples.stream().mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes in/s")).sum();
+        assertEquals(fleet.bytes - before, out * 10, 0.5);
+        assertEquals(out, in, out / 100);  // what is on its way at either end
+        assertEquals(30, samples.stream().mapToDouble(s -> s.figures().get("routers")).sum());
+        samples.forEach(s -> assertEquals(30, s.figures().get("living known"), 0));
+    }
+
+    @Test
+    void aCutLetsNothingThroughAndAKilledRouterHearsNothing() throws IOException {
+        HollowFleet fleet = new HollowFleet(ScaleConfig.parse(SMALL, "test"), new Shape(30, 1, false));
+        fleet.startAll();
+        fleet.run(10 * HollowFleet.SECOND, f -> true);
+        fleet.cut((a, b) -> a.zone() != b.zone());
+        fleet.run(20 * HollowFleet.SECOND, f -> true);
+        for (Router r : fleet.routers) {
+            long zone = fleet.routers.stream().filter(o -> o.place.zone() == r.place.zone()).count();
+            assertEquals(Long.toString(zone), r.part.fields().get("fleet-living"), r.name);
+        }
+        fleet.cut((a, b) -> false);
+        Router killed = fleet.routers.get(5);
+        fleet.kill(killed);
+        fleet.window(20);
+        fleet.run(20 * HollowFleet.SECOND, f -> true);
+        fleet.routers.stream().filter(r -> r != killed).forEach(r -> assertEquals("29",
+                r.part.fields().get("fleet-living"), r.name));
+    }
+
+    @Test
+    void theReportIsWrittenAndReadable() throws Exception {
+        Path file = folder.resolve("tiny.yaml");
+        Files.writeString(file, SMALL.replace("[10, 30]", "[5, 8, 12]") + "roles: [fleet, holder, keeper, drains]\n"
+                + "limits: [1, 3]\ndrains: [5]\n");
+        String table = ScaleRun.run(file, folder.resolve("out"), QUIET);
+        assertEquals(table, Files.readString(folder.resolve("out/scale.md")));
+        assertTrue(table.contains("| member, calm | 12 |") && table.contains("| grantor, calm, with drains | 5 |")
+                && table.contains("| holder at 30 routers, by limits | 3 |")
+                && table.contains("| grantor, one member accused by all | 8 |"), table);
+        JsonNode json = new ObjectMapper().readTree(folder.resolve("out/scale.json").toFile());
+        assertEquals(7, json.get("parameters").get("seed").asInt());
+        assertEquals(12, json.get("parameters").get("routers").get(2).asInt());
+        assertTrue(json.get("samples").findValuesAsText("role").contains("fresh member, zone back"));
+        JsonNode fit = json.get("fits").get(0);
+        assertEquals("member, start", fit.get("role").asText());
+        assertEquals(12, fit.get("measured to").asInt());
+        assertEquals(1_500, fit.get("target past the range, factor").asDouble());
+        assertTrue(fit.get("slope, 95 % low").asDouble() <= fit.get("slope").asDouble());
+        for (String plot : List.of("bytes-calm.svg", "cpu-start.svg", "heap-calm.svg", "worst-second-zone-lost.svg")) {
+            DocumentBuilderFactory xml = DocumentBuilderFactory.newInstance();
+            xml.setFeature("http://apache.org/xml/features/nonvalidating/load-external-dtd", false);
+            assertEquals("svg", xml.newDocumentBuilder().parse(folder.resolve("out").resolve(plot).toFile())
+                    .getDocumentElement().getTagName(), plot);
+        }
+    }
+
+    @Test
+    void aFitFindsTheSlopeAndTheFormAndWhereABudgetIsLeft() {
+        List<Point> square = List.of(new Point(10, 300), new Point(100, 30_000), new Point(1_000, 3_000_000));
+        Fit fit = Fit.of(square);
+        assertEquals(2, fit.slope(), 1e-9);
+        assertEquals(1, fit.worst(), 1e-9);
+        assertEquals(3e8, fit.at(10_000), 1);
+        assertEquals(10, fit.past(10_000), 1e-9);
+        Leaves within = Fit.leaves(square, fit, 30_000 * 1.0001).orElseThrow();
+        assertTrue(within.measured() && Math.abs(within.size() - 100) < 0.1, within.toString());
+        Leaves beyond = Fit.leaves(square, fit, 3e8).orElseThrow();
+        assertTrue(!beyond.measured() && Math.abs(beyond.size() - 10_000) < 1, beyond.toString());
+        assertTrue(Fit.leaves(square, fit, 3e20).isEmpty());  // past a thousand times the range nothing is said
+        assertEquals(10, Fit.leaves(square, fit, 1).orElseThrow().size(), 0);
+
+        // worked out by hand: logarithms to base 10 (1, 1), (2, 2), (3, 2) have slope 1/2, standard error 1/(2 sqrt 3), t = 12.706
+        Fit rough = Fit.of(List.of(new Point(10, 10), new Point(100, 100), new Point(1_000, 100)));
+        assertEquals(0.5, rough.slope(), 1e-9);
+        assertEquals(0.5 - 12.706 / 2 / Math.sqrt(3), rough.slopeLow(), 1e-3);
+        assertEquals(0.5 + 12.706 / 2 / Math.sqrt(3), rough.slopeHigh(), 1e-3);
+        assertEquals(Math.pow(10, 1 / 3.0), rough.worst(), 1e-9);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"n^0, 0", "log n, 1", "n, 2", "n log n, 3"})
+    void aFitNamesTheForm(String form, int which) {
+        int[] sizes = {30, 100, 300, 1_000, 2_000};
+        Fit fit = Fit.of(java.util.Arrays.stream(sizes).mapToObj(n -> new Point(n, 5 * new double[] {1, Math.log(n), n,
+            n * Math.log(n)}[which])).toList());
+        assertEquals(form, fit.form());
+        assertEquals(1, fit.formWorst(), 1e-9);
+    }
+
+    @Test
+    void tooFewSizesGiveNoFit() {
+        assertEquals(null, Fit.of(List.of(new Point(10, 1), new Point(100, 2), new Point(100, 3))));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {"routers: [30, 1]; routers", "routers: []; routers", "routers: 30; routers",
+        "routers: [30, x]; routers", "routers: [null]; routers", "zones: 0; zones", "sites: 2.5; sites", "loss: 1; loss",
+        "loss: -0.1; loss", "sead: 1; sead", "cells: {most: 3}; cells.most", "cells: {root: a}; cells.root",
+        "faults: {cut-seconds: -1}; faults.cut-seconds", "roles: [fleet, fleat]; roles", "roles: [null]; roles",
+        "roles: [drains]; drains", "far-ms: [5]; far-ms", "lease-ms: 100; lease-ms", "guard-ms: 2501; guard-ms",
+        "seconds: .nan; seconds", "limits: [401]; limits", "target: 1; target"})
+    void aBadValueIsToldInOneLineThatNamesTheKey(String yaml, String key) {
+        IOException e = assertThrows(IOException.class, () -> ScaleConfig.parse(yaml, "file.yaml"));
+        assertTrue(e.getMessage().startsWith("file.yaml: " + key), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count(), e.getMessage());
+    }
+
+    @Test
+    void theDeliveredFilesAreGood() throws IOException {
+        assertTrue(ScaleConfig.read(Path.of("deploy/lab/scale-flat.yaml")).cells() == null);
+        assertEquals(18_000, ScaleConfig.read(Path.of("deploy/lab/scale-cells.yaml")).routers().stream()
+                .mapToInt(Integer::intValue).max().orElse(0));
+    }
+}
