--- a/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
@@ -27,7 +27,7 @@
  * processor time is this thread's (the collector's is not in it), heap is what is left after a collection. It must never
  * decide anything: the reducer and the decisions that run here are those of the real program.
  */
-public final class ReaderRoles {
+public final class ReaderRoles implements RoleMeasurement {
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
@@ -43,6 +43,7 @@
     private static final int CHANGES_A_ROUND = 50;
     private static final int HOLDING = 6;  // virtual seconds until all is lent
     private static final int HELD = 5;  // virtual seconds that are counted: five reports
+    private static final int READ = 65_536;  // bytes that one read of the stream brings at most
     private static final int WARM_UP = 8;  // times the rounds, before anything counts
     private static final int SMALL = 200;  // members then
     private static final int WARMING = 4;  // rounds of requests that do not count
@@ -68,11 +69,23 @@
         }
     }
 
+    /** One that takes its plan from a file. */
+    public ReaderRoles() {
+        this(Plan.target(), new PrintStream(OutputStream.nullOutputStream()));
+    }
+
     private ReaderRoles(Plan plan, PrintStream progress) {
         this.plan = plan;
         this.progress = progress;
     }
 
+    @Override
+    public List<Sample> measure(ScaleConfig config, PrintStream lines) {
+        Plan target = Plan.target();
+        return measure(new Plan(config.members(), config.purges().stream().map(p -> (int) Math.round(p)).toList(),
+                config.routers(), target.cutSeconds(), target.rounds(), config.seed()), lines);
+    }
+
     /** All samples of the plan, in order; a line of progress for each. */
     public static List<Sample> measure(Plan plan, PrintStream progress) {
         ReaderRoles roles = new ReaderRoles(plan, progress);
@@ -436,16 +449,43 @@
             for (int k = 0; k < told.size(); k++) {
                 bytes += CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST + 2 + k, told.get(k)));
             }
+            reader.request(CoordinatorEvents.object(index));
+            figures.put("bounded while cut off", (double) reader.bounded());
             rounds[i] = micros(() -> told.forEach(t -> reader.take(new Input.Update(t)))) / MILLI;
             figures.put("events", (double) told.size());
             figures.put("bytes", (double) bytes);
         }
+        figures.put("unbounded while behind", (double) unbounded(events, seconds));
         cpu(figures, "ms", rounds);
         figures.put("worked out: seconds at 26 KB a second beside 210 purges a second",
                 figures.get("bytes") / Math.max(1, 26_000 - PURGES * purgeBytes()));
         add("reader, seconds cut off", seconds, figures);
     }
 
+    /**
+     * Attempts that accept a copy of any age although a purge of their object, told long ago, is still to come: one is made
+     * behind each part of the backlog that a read brings, which counts as a sign of life.
+     */
+    private int unbounded(CoordinatorEvents events, int seconds) {
+        HollowReader reader = empty(events);
+        reader.take(new Input.Update(events.whole(CoordinatorEvents.FIRST + 1)));
+        reader.pass(seconds * SECOND);
+        int purges = (int) (seconds * PURGES);
+        int aRead = (int) (READ / purgeBytes());
+        int asked = 0;
+        for (int k = 0; k < purges; k++) {
+            long index = CoordinatorEvents.FIRST + 2 + k;
+            reader.take(new Input.Update(CoordinatorEvents.purge(index, CoordinatorEvents.object(index), CoordinatorEvents.BEGIN
+                    + (long) (k * MILLI / PURGES))));
+            if (k % aRead == aRead - 1 && k < purges - 1) {
+                reader.take(new Input.FeedHeard());
+                reader.request(CoordinatorEvents.object(CoordinatorEvents.FIRST + 1 + purges));  // the last that is purged
+                asked++;
+            }
+        }
+        return asked - (int) reader.bounded();
+    }
+
     // ---- the sender -----------------------------------------------------------------------------------
 
     private static double purgeBytes() {
