--- a/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
@@ -43,7 +43,7 @@
     private static final int CHANGES_A_ROUND = 50;
     private static final int HOLDING = 6;  // virtual seconds until all is lent
     private static final int HELD = 5;  // virtual seconds that are counted: five reports
-    private static final int READ = 65_536;  // bytes that one read of the stream brings at most
+    private static final int READ = 8_192;  // bytes of the stream that are handed on at once, at most
     private static final int WARM_UP = 8;  // times the rounds, before anything counts
     private static final int SMALL = 200;  // members then
     private static final int WARMING = 4;  // rounds of requests that do not count
