--- a/src/test/java/pumicemoor/fleet/VirtualFleet.java
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.stream.IntStream;
 import pumicemoor.RouterApi.Allowance;
@@ -128,6 +129,7 @@
     long leastDelay = 500;
     long mostDelay = 2 * MILLI;
     BiPredicate<Router, Router> cut = (a, b) -> false;
+    BiConsumer<Router, Datagram> sends = (from, packet) -> { };  // is shown each packet as it leaves
     long packets;
     long bytes;
     private long order;
@@ -255,6 +257,7 @@
     }
 
     private void send(Router from, Datagram d) {
+        sends.accept(from, d);
         packets++;
         bytes += d.bytes().length;
         Router to = byAddress.get(d.address());
