--- a/src/main/java/pumicemoor/lab/scale/Fit.java
+++ b/src/main/java/pumicemoor/lab/scale/Fit.java
@@ -103,7 +103,7 @@
                         + part * Math.log((double) over.size() / under.size())), true));
             }
         }
-        OptionalDouble size = fit == null || fit.slope() <= 0 ? OptionalDouble.empty()
+        OptionalDouble size = fit == null || fit.slope() <= 0 || Double.isInfinite(budget) ? OptionalDouble.empty()
                 : OptionalDouble.of(Math.exp((Math.log(budget) - fit.height()) / fit.slope()));
         return size.isPresent() && size.getAsDouble() <= FURTHEST * fit.most() ? Optional.of(new Leaves(Math.max(size.getAsDouble(), fit.most()), false))
                 : Optional.empty();
--- a/src/main/java/pumicemoor/lab/scale/ScaleReport.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleReport.java
@@ -9,10 +9,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import pumicemoor.lab.scale.Fit.Leaves;
 import pumicemoor.lab.scale.Fit.Point;
@@ -23,8 +25,12 @@
  */
 final class ScaleReport {
 
-    /** A figure that has a budget, by the name of a sample's figure. */
+    /** A figure by its name in samples, its budget (infinite for none) and the word its plots' files begin with. */
     record Budget(String figure, double most, String file) {
+
+        static Budget none(String figure) {
+            return new Budget(figure, Double.POSITIVE_INFINITY, figure.replaceAll("[^A-Za-z0-9]+", "-"));
+        }
     }
 
     /** 26 KB a second in and out together, 2.6 % of a core, 32 MB. */
@@ -32,13 +38,24 @@
             new Budget("worst second bytes/s", 26_000, "worst-second"), new Budget("cpu ms/s", 26, "cpu"),
             new Budget("heap bytes", 32_000_000, "heap"));
 
+    /** The columns of the first table, of which only those with a budget are fitted. */
+    private static final Set<String> COLUMNS = Set.of("routers", "bytes/s", "bytes in/s", "bytes out/s", "packets in/s",
+            "packets out/s", "cpu ms/s", "heap bytes", "worst router bytes/s", "worst router bytes in/s",
+            "worst router bytes out/s", "worst router cpu ms/s", "worst second bytes/s", "worst second bytes in/s",
+            "worst second bytes out/s", "living known", "cells", "delegates known");
+
     /** One figure of one role over its sizes; fit is null where there are fewer than three sizes. */
     record Slope(String role, Budget budget, List<Point> points, Fit fit, Optional<Leaves> leaves) {
 
         /** What the size of the role counts: routers, or what its name says after 'by'. */
         String axis() {
             int by = role.lastIndexOf(", by ");
-            return by < 0 ? "routers" : role.substring(by + 5);
+            if (by >= 0) {
+                return role.substring(by + 5);
+            }
+            return role.endsWith("purges a second") ? "purges a second" : role.endsWith("seconds cut off") ? "seconds cut off"
+                    : role.startsWith("reader") || role.startsWith("decider") || role.startsWith("cold start")
+                    || role.endsWith("at each cache") ? "members" : "routers";
         }
 
         /** What was going on, or by what it grows: roles of one scenario share a plot. */
@@ -53,14 +70,34 @@
 
     ScaleReport(ScaleConfig config, List<Sample> samples) {
         this.config = config;
-        this.samples = samples;
+        this.samples = samples.stream().map(ScaleReport::inAndOut).toList();
+    }
+
+    /** With the bytes in and out together where a measurement tells them apart alone. */
+    private static Sample inAndOut(Sample s) {
+        if (s.figures().containsKey("bytes/s") || s.figures().keySet().stream().noneMatch(f -> f.equals("bytes in/s")
+                || f.equals("bytes out/s"))) {
+            return s;
+        }
+        Map<String, Double> figures = new LinkedHashMap<>(s.figures());
+        figures.put("bytes/s", s.figures().getOrDefault("bytes in/s", 0.0) + s.figures().getOrDefault("bytes out/s", 0.0));
+        return new Sample(s.role(), s.size(), figures);
+    }
+
+    /** The figures of a role that are fitted: those with a budget, and those that are no column of the first table. */
+    private List<Budget> fitted(String role) {
+        List<Budget> fitted = new ArrayList<>(BUDGETS);
+        samples.stream().filter(s -> s.role().equals(role)).flatMap(s -> s.figures().keySet().stream()).distinct()
+                .filter(f -> !COLUMNS.contains(f) && !f.startsWith("worked out") && !f.endsWith(" least")
+                        && !f.endsWith(" most")).forEach(f -> fitted.add(Budget.none(f)));
+        return fitted;
     }
 
     /** All slopes, role by role. */
     List<Slope> slopes() {
         List<Slope> slopes = new ArrayList<>();
-        for (String role : new java.util.LinkedHashSet<>(samples.stream().map(Sample::role).toList())) {
-            for (Budget b : BUDGETS) {
+        for (String role : new LinkedHashSet<>(samples.stream().map(Sample::role).toList())) {
+            for (Budget b : fitted(role)) {
                 List<Point> points = samples.stream().filter(s -> s.role().equals(role)
                         && s.figures().containsKey(b.figure())).map(s -> new Point(s.size(), s.figures().get(b.figure())))
                         .toList();
@@ -82,10 +119,10 @@
         Files.writeString(folder.resolve("scale.json"), json.writeValueAsString(tree(slopes)) + "\n");
         String table = markdown(slopes);
         Files.writeString(folder.resolve("scale.md"), table);
-        for (Budget b : BUDGETS) {
+        for (Budget b : new LinkedHashSet<>(slopes.stream().map(Slope::budget).toList())) {
             for (String scenario : new TreeSet<>(slopes.stream().map(Slope::scenario).toList())) {
                 List<Slope> shown = slopes.stream().filter(s -> s.budget().equals(b) && s.scenario().equals(scenario)
-                        && s.points().stream().anyMatch(p -> p.value() > 0)).toList();
+                        && s.points().stream().anyMatch(p -> p.value() > 0 && p.size() > 0)).toList();
                 if (!shown.isEmpty()) {
                     SlopePlot.write(b, scenario, shown, folder.resolve(b.file() + "-" + scenario.replaceAll(
                             "[^A-Za-z0-9]+", "-") + ".svg"));
@@ -112,7 +149,9 @@
             Map<String, Object> row = new LinkedHashMap<>();
             row.put("role", s.role());
             row.put("figure", s.budget().figure());
-            row.put("budget", s.budget().most());
+            if (Double.isFinite(s.budget().most())) {
+                row.put("budget", s.budget().most());
+            }
             s.leaves().ifPresent(l -> {
                 row.put("leaves budget at", rounded(l.size()));
                 row.put("leaves within the measured range", l.measured());
@@ -157,7 +196,7 @@
         md.append("## Measured\n\n| role | size | routers of it | KB/s in | KB/s out | packets/s in | packets/s out | worst router"
                 + " KB/s in, out | worst second KB/s in, out | cpu ms/s | worst router | heap KB |\n"
                 + "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |\n");
-        for (Sample s : samples) {
+        for (Sample s : samples.stream().filter(s -> s.figures().keySet().stream().anyMatch(COLUMNS::contains)).toList()) {
             md.append("| ").append(s.role()).append(" | ").append(s.size()).append(" | ").append(cell(s, "routers", 1))
                     .append(" | ").append(cell(s, "bytes in/s", 1e3)).append(" | ").append(cell(s, "bytes out/s", 1e3))
                     .append(" | ").append(cell(s, "packets in/s", 1)).append(" | ").append(cell(s, "packets out/s", 1))
@@ -168,6 +207,16 @@
                     .append(" | ").append(cell(s, "worst router cpu ms/s", 1)).append(" | ")
                     .append(cell(s, "heap bytes", 1e3)).append(" |\n");
         }
+        List<Sample> others = samples.stream().filter(s -> !COLUMNS.containsAll(s.figures().keySet())).toList();
+        if (!others.isEmpty()) {
+            md.append("\n## Other figures\n\n| role | size | figure | value |\n| --- | --: | --- | --: |\n");
+            others.forEach(s -> s.figures().forEach((figure, value) -> {
+                if (!COLUMNS.contains(figure)) {
+                    md.append("| ").append(s.role()).append(" | ").append(s.size()).append(" | ").append(figure)
+                            .append(" | ").append(number(value)).append(" |\n");
+                }
+            }));
+        }
         md.append("\n## Slopes\n\nA slope is the power of the size, by least squares in logarithms, with the interval that holds it"
                 + " with 95 %; residuals are factors. A fit is extrapolated where it goes past the largest size measured; by what"
                 + " factor it does stands behind it.\n\n| role | figure | measured | slope (95 %) | worst residual | best form"
@@ -182,7 +231,8 @@
                     .append(" | ").append(f == null ? "" : f.form() + " (" + number(f.formWorst()) + ")").append(" | ")
                     .append(f == null || !s.axis().equals("routers") ? "" : number(f.at(config.target()))
                             + (f.past(config.target()) > 1 ? ", " + number(f.past(config.target())) + " times past" : ""))
-                    .append(" | ").append(number(s.budget().most())).append(" | ").append(s.leaves().map(l ->
+                    .append(" | ").append(Double.isFinite(s.budget().most()) ? number(s.budget().most()) : "none").append(" | ")
+                    .append(Double.isInfinite(s.budget().most()) ? "" : s.leaves().map(l ->
                             number(l.size()) + (l.measured() ? ", within the measured range" : ", extrapolated "
                             + number(f.past(l.size())) + " times past")).orElse(f == null ? "not over it where measured"
                             : "not within 1,000 times the range by this fit"))
--- a/src/main/java/pumicemoor/lab/scale/ScaleRun.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleRun.java
@@ -27,6 +27,9 @@
         if (config.roles().stream().anyMatch(r -> r != ScaleConfig.Role.READER)) {
             all.add(new FleetRoles());
         }
+        if (config.roles().contains(ScaleConfig.Role.READER)) {
+            all.add(new ReaderRoles());
+        }
         return all;
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/SlopePlot.java
+++ b/src/main/java/pumicemoor/lab/scale/SlopePlot.java
@@ -41,7 +41,7 @@
         double least = Double.MAX_VALUE;
         double most = 0;
         for (Slope s : slopes) {
-            List<Point> points = s.points().stream().filter(p -> p.value() > 0).toList();
+            List<Point> points = s.points().stream().filter(p -> p.value() > 0 && p.size() > 0).toList();
             XYSeries series = chart.addSeries(s.role(), points.stream().mapToDouble(Point::size).toArray(),
                     points.stream().mapToDouble(Point::value).toArray());
             series.setLineStyle(new BasicStroke(s.fit() == null ? 1 : 0.01f));
@@ -54,7 +54,7 @@
             least = Math.min(least, points.get(0).size());
             most = Math.max(most, points.get(points.size() - 1).size());
         }
-        if (least < most) {
+        if (least < most && Double.isFinite(budget.most())) {
             chart.addSeries("budget", new double[] {least, most}, new double[] {budget.most(), budget.most()})
                     .setMarker(SeriesMarkers.NONE);
         }
--- a/src/test/java/pumicemoor/lab/scale/ScaleTest.java
+++ b/src/test/java/pumicemoor/lab/scale/ScaleTest.java
@@ -147,6 +147,24 @@
         }
     }
 
+    /** The reader's roles come through the same command, with figures of their own, and grow with what their names say. */
+    @Test
+    void rolesOfReadersAreListedToo() throws Exception {
+        Path file = folder.resolve("reader.yaml");
+        Files.writeString(file, "roles: [reader]\nmembers: [10, 20, 40]\npurges: [0, 10]\nrouters: [30]\n");
+        String table = ScaleRun.run(file, folder.resolve("out"), QUIET);
+        assertTrue(table.contains("| reader, purges a second | 10 | entries | 147 |"), table);
+        assertTrue(table.contains("| reader, whole list | bytes a list | 10 to 40 |"), table);
+        assertTrue(Files.readString(folder.resolve("out/bytes-a-list-whole-list.svg")).contains("<svg"));
+        ScaleReport report = new ScaleReport(ScaleConfig.read(file), List.of());
+        assertEquals(List.of(), report.slopes());
+        Map<String, String> axes = Map.of("reader, purges a second", "purges a second", "cold start", "members",
+                "holder at 30 routers, by limits", "limits", "member, calm", "routers", "sender", "routers",
+                "grantor of one other holder, a limit at each cache", "members", "reader, seconds cut off", "seconds cut off");
+        axes.forEach((role, axis) -> assertEquals(axis, new ScaleReport.Slope(role, ScaleReport.BUDGETS.get(0), List.of(),
+                null, java.util.Optional.empty()).axis()));
+    }
+
     @Test
     void aFitFindsTheSlopeAndTheFormAndWhereABudgetIsLeft() {
         List<Point> square = List.of(new Point(10, 300), new Point(100, 30_000), new Point(1_000, 3_000_000));
