--- a/src/test/java/pumicemoor/lab/CellProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/CellProcessesTest.java
@@ -33,6 +33,7 @@
     private static final long LEASE = 1_500;  // milliseconds
     private static final long GUARD = 150;
     private static final long SHRINK = GUARD + 4 * GUARD + 2 * 2 * LEASE + LEASE;  // docs/fleet-design.md, "Cells"
+    private static final long ANEW = 2 * SHRINK;  // how long a process counts as started anew
     private static final List<String> ROOTS = List.of("west", "east", "south");
     private static final String FLEET = """
               period-ms: 100
@@ -77,10 +78,10 @@
                 long span = Math.min(window, at[to] - at[0]);
                 long begin = at[to] - span;
                 long end = at[to];
-                long anew = restarts.stream().filter(s -> s <= end && s + 2 * (LEASE + SHRINK) >= begin).count();
-                double fresh = restarts.stream().mapToLong(s -> Math.max(0, Math.min(end, s + 2 * (LEASE + SHRINK))
-                        - Math.max(begin, s))).sum() / 1e3 * limit / ROUTERS;
-                double bound = Bounds.requests(limit, (span + 500) * 1_000, BUCKET, (int) (ROUTERS + anew)) + fresh;
+                long anew = restarts.stream().filter(s -> s <= end && s + ANEW >= begin).count();
+                double allowed = restarts.stream().mapToLong(s -> Math.max(0, Math.min(end, s + ANEW) - Math.max(begin, s)))
+                        .sum() / 1e3 * (Bounds.spent(limit, ROUTERS, 1) - limit);
+                double bound = Bounds.requests(limit, (span + 500) * 1_000, BUCKET, (int) (ROUTERS + anew)) + allowed;
                 int came = to - from + 1;
                 assertTrue(came <= bound, () -> member + ": " + came + " requests in " + span + " ms until " + end
                         + ", bound " + bound);
