--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -64,6 +64,7 @@
 
     private static final int ASKS_A_LEASE = 5;
     private static final int QUIET = 8;  // periods until a router in a cell knows to whom to report; it changes that slowly
+    private static final int CELL_NEWS = 300;  // bytes of news of routers in a packet: a start at once is spread over time
     private static final int VOTE = 3;  // leases that a vote binds a router in a cell; it outlasts its cell's own vote
     private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
     private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
@@ -934,7 +935,8 @@
         List<Verdict> told = verdictNews.take(room / 2, membership.times(), m -> verdicts.on(m) == null
                 ? PacketCodec.LONGEST : PacketCodec.size(verdicts.on(m).verdict())).stream().map(this::asItStands).toList();
         int left = room - told.stream().mapToInt(PacketCodec::size).sum();
-        List<RouterNews> routers = routerNews.take(left, membership.times(), PacketCodec::size);
+        List<RouterNews> routers = routerNews.take(level == Level.FLAT ? left : Math.min(left, CELL_NEWS),
+                membership.times(), PacketCodec::size);
         put(address, new Packet(self, number, body, routers, told));
         return number;
     }
