--- a/src/test/java/pumicemoor/fleet/cells/CellSchedulesTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/CellSchedulesTest.java
@@ -70,7 +70,8 @@
         assertSettled(fleet);
     }
 
-    private static void change(VirtualCells fleet, Random random, boolean restarts) {
+    /** One random fault, the end of one, or other demand. */
+    static void change(VirtualCells fleet, Random random, boolean restarts) {
         List<Router> routers = fleet.routers;
         Router one = routers.get(random.nextInt(routers.size()));
         switch (random.nextInt(15)) {
