--- a/src/main/java/pumicemoor/lab/scale/FleetRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/FleetRoles.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import pumicemoor.lab.scale.HollowFleet.Kind;
 import pumicemoor.lab.scale.HollowFleet.Shape;
@@ -26,6 +27,7 @@
     private static final int WARM = 60;  // routers of the fleet that is not measured
     private static final long TALK = 10_000_000_000L;  // nanoseconds between two lines of progress
 
+    private final Consumer<List<Sample>> soFar;
     private ScaleConfig config;
     private PrintStream progress;
     private final List<Sample> samples = new ArrayList<>();
@@ -33,6 +35,11 @@
     private long talked;
     private boolean brokenOff;
 
+    /** Hands all samples so far over after each size, since the next may take long. */
+    FleetRoles(Consumer<List<Sample>> soFar) {
+        this.soFar = soFar;
+    }
+
     @Override
     public List<Sample> measure(ScaleConfig config, PrintStream progress) {
         this.config = config;
@@ -40,7 +47,10 @@
         samples.clear();
         warm();
         if (config.roles().contains(ScaleConfig.Role.FLEET) || config.roles().contains(ScaleConfig.Role.KEEPER)) {
-            config.routers().forEach(this::fleet);
+            config.routers().forEach(size -> {
+                fleet(size);
+                soFar.accept(List.copyOf(samples));
+            });
         }
         if (config.roles().contains(ScaleConfig.Role.HOLDER)) {
             config.limits().forEach(this::holder);
--- a/src/test/java/pumicemoor/lab/scale/ScaleTest.java
+++ b/src/test/java/pumicemoor/lab/scale/ScaleTest.java
@@ -49,7 +49,7 @@
 
     /** All that is counted, without what this machine's clock and heap tell. */
     private static Map<String, Map<String, Double>> counts(String yaml) throws IOException {
-        return new FleetRoles().measure(ScaleConfig.parse(yaml, "test"), QUIET).stream().collect(Collectors.toMap(
+        return new FleetRoles(soFar -> { }).measure(ScaleConfig.parse(yaml, "test"), QUIET).stream().collect(Collectors.toMap(
                 s -> s.role() + " " + s.size(), s -> {
                     Map<String, Double> counted = new TreeMap<>(s.figures());
                     counted.keySet().removeIf(f -> f.contains("cpu") || f.contains("heap"));
