--- a/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
@@ -303,9 +303,12 @@
         for (Holder h : pair) {
             boolean holder = firstHolds == (h == pair.get(0));
             Map<String, Double> figures = new TreeMap<>();
-            figures.put("heap bytes, mean of both", heap);
+            figures.put("heap bytes", heap);  // the mean of both
             figures.put("bytes out/s", (double) h.bytes / HELD);
             figures.put("packets out/s", (double) h.packets / HELD);
+            Holder other = pair.get(h == pair.get(0) ? 1 : 0);  // nothing is lost between the two
+            figures.put("bytes in/s", (double) other.bytes / HELD);
+            figures.put("packets in/s", (double) other.packets / HELD);
             figures.put("cpu ms/s", h.nanos / 1e6 / HELD);
             add((holder ? "holder" : "grantor of one other holder") + ", a limit at each cache", members, figures);
         }
