--- a/src/main/java/pumicemoor/lab/scale/HollowFleet.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -49,6 +49,7 @@
     private static final long ORIGIN = 99;
     private static final double LIMIT = 10_000;
     private static final int SEEDS = 3;
+    private static final int ZONE_SEEDS = 2;
 
     /** What a router does in its fleet beside being a member; one that does several is the last of them. */
     enum Kind {
@@ -148,6 +149,7 @@
     private final Map<String, Router> byAddress = new HashMap<>();
     private final Map<Long, Fleet.Listed> listed;  // one for all routers
     private final List<String> seeds = new ArrayList<>();
+    private final Map<Integer, List<String>> zoneSeeds = new HashMap<>();  // of cells: a router's own zone's come first
     private final List<LimitRule> limits;
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private final List<Shard> shards = new ArrayList<>();
@@ -184,7 +186,12 @@
             if (i < SEEDS) {
                 seeds.add(r.address);
             }
+            List<String> own = zoneSeeds.computeIfAbsent(r.place.zone(), z -> new ArrayList<>());
+            if (own.size() < ZONE_SEEDS) {
+                own.add(r.address);
+            }
         }
+        zoneSeeds.values().forEach(own -> own.addAll(seeds));
         Map<Long, Fleet.Listed> all = new HashMap<>();
         all.put(ORIGIN, new Fleet.Listed("origin", Role.ORIGIN, 0));
         int caches = shape.limits > 1 ? shape.limits : config.caches();
@@ -234,7 +241,8 @@
                 60 * SECOND, 600 * SECOND, 5 * SECOND, 5 * SECOND)) : Optional.empty();
         Optional<CellSetup> cells = Optional.ofNullable(config.cells()).map(c -> new CellSetup(
                 roots.computeIfAbsent(r.place.zone(), z -> "zone-" + z), c.most(), c.delegates()));
-        FleetSetup setup = new FleetSetup("scale", new Membership.Setup(r.name, r.address, seeds,
+        FleetSetup setup = new FleetSetup("scale", new Membership.Setup(r.name, r.address,
+                cells.isPresent() ? zoneSeeds.get(r.place.zone()) : seeds,
                 config.periodMillis() * MILLI, 3, 2, 600 * SECOND, cells.isPresent() ? TABLE
                         : Math.max(TABLE, shape.routers)), shape.routers,
                 new LeaseTimes(config.leaseMillis() * MILLI, config.guardMillis() * MILLI), limits, verdicts, drains, cells);
