Draw the plots by Batik, whose licence is the project's own kind

The encoder that came with the plot library writes SVG through a library under the LGPL; xchart now paints on Batik's SVGGraphics2D (both Apache 2.0). The report's tests and the architecture tests passed.

--- a/src/main/java/pumicemoor/lab/scale/SlopePlot.java
+++ b/src/main/java/pumicemoor/lab/scale/SlopePlot.java
@@ -2,20 +2,22 @@
 
 import java.awt.BasicStroke;
 import java.awt.Color;
-import java.io.ByteArrayOutputStream;
+import java.awt.Dimension;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
+import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.regex.Pattern;
-import org.knowm.xchart.VectorGraphicsEncoder;
-import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import org.apache.batik.svggen.SVGGraphics2D;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 import org.knowm.xchart.style.Styler;
 import org.knowm.xchart.style.markers.SeriesMarkers;
+import org.w3c.dom.Document;
 import pumicemoor.lab.scale.Fit.Point;
 import pumicemoor.lab.scale.ScaleReport.Budget;
 import pumicemoor.lab.scale.ScaleReport.Slope;
@@ -28,6 +30,15 @@
     private SlopePlot() {
     }
 
+    private static Document document() {
+        try {
+            return DocumentBuilderFactory.newInstance().newDocumentBuilder().getDOMImplementation()
+                    .createDocument("http://www.w3.org/2000/svg", "svg", null);
+        } catch (ParserConfigurationException e) {
+            throw new IllegalStateException("the JDK has no XML documents", e);
+        }
+    }
+
     /** Writes the plot; the file's name ends in .svg. */
     static void write(Budget budget, String scenario, List<Slope> slopes, Path file) throws IOException {
         System.setProperty("java.awt.headless", "true");
@@ -58,8 +69,11 @@
             chart.addSeries("budget", new double[] {least, most}, new double[] {budget.most(), budget.most()})
                     .setMarker(SeriesMarkers.NONE);
         }
-        ByteArrayOutputStream svg = new ByteArrayOutputStream();
-        VectorGraphicsEncoder.saveVectorGraphic(chart, svg, VectorGraphicsFormat.SVG);
-        Files.writeString(file, DIGITS.matcher(svg.toString(StandardCharsets.UTF_8)).replaceAll("$1"));
+        SVGGraphics2D canvas = new SVGGraphics2D(document());
+        canvas.setSVGCanvasSize(new Dimension(chart.getWidth(), chart.getHeight()));
+        chart.paint(canvas, chart.getWidth(), chart.getHeight());
+        StringWriter svg = new StringWriter();
+        canvas.stream(svg, true);
+        Files.writeString(file, DIGITS.matcher(svg.toString()).replaceAll("$1"));
     }
 }
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -53,7 +53,7 @@
     @Test
     void statisticsAndPlotsStayInTheScaleTool() {
         noClasses().that().resideOutsideOfPackage("pumicemoor.lab.scale..").should().dependOnClassesThat()
-                .resideInAnyPackage("org.apache.commons.math3..", "org.knowm..", "java.awt..", "javax.swing..").check(ALL);
+                .resideInAnyPackage("org.apache.commons.math3..", "org.knowm..", "org.apache.batik..", "java.awt..", "javax.swing..").check(ALL);
         noClasses().that().resideOutsideOfPackages("pumicemoor.lab..", "pumicemoor.cli..").should()
                 .dependOnClassesThat().resideInAPackage("pumicemoor.lab.scale..").check(ALL);
     }
