--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -248,11 +248,23 @@
     @Test
     void everyCommandTellsItsUsage() throws Exception {
         for (String words : List.of("serve", "drill", "status", "self-check", "check-config", "version", "hierarchy",
-                "hierarchy check", "hierarchy plan", "lab", "lab run")) {
+                "hierarchy check", "hierarchy plan", "lab", "lab run", "lab processes")) {
             Ended ended = run(null, (words + " --help").split(" "));
             assertEquals(0, ended.code(), words + ended.err());
             assertTrue(ended.out().contains("--help"), words);
         }
         assertEquals(0, run(null, "--help").code());
     }
+
+    @Test
+    void labScaleRefusesABadFileInOneLineThatNamesTheKey() throws Exception {
+        String file = Files.writeString(folder.resolve("scale.yaml"), "routers: [30]\nzones: many\n").toString();
+        Ended ended = run(null, "lab", "scale", file, "--out", folder.resolve("scale").toString());
+        assertEquals(1, ended.code(), ended.err());
+        List<String> said = ended.err().lines().filter(l -> !l.startsWith("Picked up ")).toList();  // of the JVM itself
+        assertEquals(1, said.size(), ended.err());
+        assertTrue(said.get(0).startsWith("pumicemoor: " + file + ": zones: "), ended.err());
+        assertEquals("", ended.out());
+        assertTrue(Files.notExists(folder.resolve("scale")));
+    }
 }
