Let reports and grants in cells carry no news of routers

Seen at 2,000 hollow routers in 129 cells: the upper grantor took 18.7 KB/s and sent 19.3, 40 s after a start at once: each of its packets was filled with the start's news. Verdicts still ride on them; a flat fleet's packets are as they were.

--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -943,12 +943,17 @@
         List<Verdict> told = verdictNews.take(room / 2, membership.times(), m -> verdicts.on(m) == null
                 ? PacketCodec.LONGEST : PacketCodec.size(verdicts.on(m).verdict())).stream().map(this::asItStands).toList();
         int left = room - told.stream().mapToInt(PacketCodec::size).sum();
-        List<RouterNews> routers = routerNews.take(level == Level.FLAT ? left : Math.min(left, CELL_NEWS),
-                membership.times(), PacketCodec::size);
+        int news = level == Level.FLAT ? left : reports(body) ? 0 : Math.min(left, CELL_NEWS);
+        List<RouterNews> routers = routerNews.take(news, membership.times(), PacketCodec::size);
         put(address, new Packet(self, number, body, routers, told));
         return number;
     }
 
+    /** Whether it is one of the many that come to a grantor and go from it: in cells these carry no news of routers. */
+    private static boolean reports(Body body) {
+        return body instanceof Ask || body instanceof CellAsk || body instanceof Grant;
+    }
+
     private Verdict asItStands(long member) {
         VerdictTable.Held h = verdicts.on(member);
         return h.verdict().withLeft(Math.max(0, h.until() - now));
