--- a/src/test/java/pumicemoor/lab/CellProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/CellProcessesTest.java
@@ -18,7 +18,8 @@
 
 /**
  * Processes of the program in three cells, with the fault network between them: a delegate is killed, a cell is split, a
- * cell's routers are all restarted. Judged by the stand-in members' own records.
+ * cell's routers are all restarted. Judged by the stand-in members' own records. It sees a cell's grantor that lends out
+ * the whole limit whatever its share is.
  */
 class CellProcessesTest {
 
