Take only a later comment for a sign that the coordinator's stream told all

Cause, read in the code and shown without sockets: CoordinatorStream gave out a sign of life for each read that ended an event, also for one out of the backlog after a cut. A comment comes each second; the stream's first one may stand before the backlog (the lab's stand-in says ': hello'), so the second is the first sign. A reconnect in time (under 4 s) and a second more stay under the 6 s from which copies are bounded.

--- a/src/main/java/pumicemoor/net/ServerSentEvents.java
+++ b/src/main/java/pumicemoor/net/ServerSentEvents.java
@@ -16,6 +16,7 @@
 
     private final Consumer<String> sink;
     private boolean heard;
+    private boolean commented;  // a comment has come before
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private StringBuilder data;
     private boolean afterReturn;
@@ -43,7 +44,10 @@
         }
     }
 
-    /** Whether a whole event or a comment has come since this was asked last. */
+    /**
+     * Whether a sign that all was told has come since this was asked last: a comment, which comes each second, but not
+     * the stream's first, which may stand before what was missed. An event alone says nothing of those behind it.
+     */
     boolean heard() {
         boolean was = heard;
         heard = false;
@@ -51,7 +55,10 @@
     }
 
     private void line(String text) {
-        heard |= text.isEmpty() || text.startsWith(":");
+        if (text.startsWith(":")) {
+            heard |= commented;
+            commented = true;
+        }
         if (text.isEmpty()) {
             if (data != null) {
                 String event = data.toString();
