Hold fills through parents to the origin's limit where notes tell hits alone, too

Fills go through two slow parents to the origin: 583 are on their way to it at 10 s where some 120 are when it serves in time, and from 10 to 14 s nearly no fill comes in time. The origin's limit (2, from a weight of 1 that says nothing) was held only where notes tell all, or where direct attempts came late (Logic.fetch); later, when it was held, it rose by direct attempts alone, some 0.8 a second a router, and refused most of what came until 19 s. Changed: the limit is always held where a fill goes through a parent. Where notes tell hits alone, a parent's fill in time raises it, and a late one counts on the origin too while every parent that is up comes late. Tests: fillsSpareTheOriginBehindParentsThatAreAllLate and fillsInTimeRaiseWhatTheOriginMayHave fail without it (60 then 60 fills let out; 12 at first).

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -323,7 +323,6 @@
         Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
         boolean originFull = source.member.role() == Role.PARENT && origin != null
-                && (settings.fills().notes() == Notes.ALL || origin.lateShare > LATE_BORNE)
                 && full(origin, job.parentMissed ? 1 : ORIGIN_PART, job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
@@ -623,6 +622,9 @@
             fillWait += MEAN_GAIN * (Math.max(0, e.latency() - job.work) - fillWait);
             boolean byOrigin = e.note() == FillNote.FILLED_BY_ORIGIN;
             paced(byOrigin && origin != null ? origin : a.source, a, late);
+            if (!late && unnamedBehind(a)) {
+                paced(origin, a, false);
+            }
         } else if (a.target == origin) {  // may be all that shows its state, where notes are few
             paced(origin, a, late);
         }
@@ -638,9 +640,19 @@
                 && a.source.member.role() == Role.PARENT && origin.lateShare >= a.source.lateShare;
         if (known == a.source || a.blamed == null) {
             paced(known != null ? known : a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
+            if (known == null && !a.expectHit && unnamedBehind(a)
+                    && parents.stream().noneMatch(p -> up(p) && p.lateShare <= LATE_BORNE)) {
+                paced(origin, a, true);  // what comes late from all parents has one cause behind them
+            }
         }
     }
 
+    /** Whether a parent's fill may have come from the origin with no note to tell. */
+    private boolean unnamedBehind(Attempt a) {
+        return settings.fills().notes() != Notes.ALL && origin != null
+                && a.source.member.role() == Role.PARENT;
+    }
+
     /** The limit of what a member has of ours, against any jam: it falls when an attempt sent after the last
      * fall comes late or not at all, and rises slowly while it is used and all is on time. */
     private void paced(Node n, Attempt a, boolean late) {
--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -401,4 +401,74 @@
         }
         assertTrue(looks > 0);
     }
+
+    /** Answers all that is out, 0.1 s after it left, and what follows from that; looks find nothing. */
+    private static int answerAll(RouterHarness r, List<Fetch> out, FillNote note) {
+        java.util.Deque<Fetch> open = new java.util.ArrayDeque<>(out);
+        java.util.Map<String, Integer> attempts = new java.util.HashMap<>();
+        int filled = 0;
+        while (!open.isEmpty()) {
+            Fetch f = open.poll();
+            boolean look = f.source() == f.member() || f.onlyIfHeld();
+            filled += look ? 0 : 1;
+            r.now += 5 * MILLI;
+            open.addAll(only(Fetch.class, r.end(f, attempts.merge(f.id(), 1, Integer::sum) - 1,
+                    look ? Outcome.MISS : Outcome.OK, look ? FillNote.NONE : note)));
+        }
+        return filled;
+    }
+
+    private static List<Fetch> askAll(RouterHarness r, String name, int count) {
+        List<Fetch> out = new java.util.ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            out.addAll(only(Fetch.class, r.ask(name + i)));
+        }
+        return out;
+    }
+
+    private static long fills(List<Fetch> out) {
+        return out.stream().filter(f -> f.source() != f.member() && !f.onlyIfHeld()).count();
+    }
+
+    /** Caches and parents that bear much, before an origin whose weight is one. */
+    private static RouterHarness hitsAloneAreTold() {
+        RouterHarness r = new RouterHarness().fleet(16, 4);
+        r.notes = RouterApi.Notes.HIT_ONLY;
+        r.weights = RouterApi.Weights.ROUGH;
+        r.members.replaceAll(m -> m.role() == RouterApi.Role.ORIGIN ? m : new RouterApi.Member(m.id(), m.role(), m.zone(),
+                m.cell(), 50, m.started(), m.state()));
+        return r.start();
+    }
+
+    /** No note names the origin; that all parents come late does, and its limit holds the fills through all of them. */
+    @Test
+    void fillsSpareTheOriginBehindParentsThatAreAllLate() {
+        RouterHarness r = hitsAloneAreTold();
+        for (int round = 0; round < 20; round++) {
+            answerAll(r, askAll(r, "intime" + round + "-", 12), FillNote.NONE);
+        }
+        List<Fetch> out = askAll(r, "before", 60);
+        long before = fills(out);
+        answerAll(r, out, FillNote.NONE);
+        for (int round = 0; round < 4; round++) {
+            List<Fetch> late = askAll(r, "late" + round + "-", 16);
+            r.pass(4 * SECOND);
+            answerAll(r, late, FillNote.NONE);
+        }
+        long after = fills(askAll(r, "next", 60));
+        assertTrue(after > 0 && after < before / 2, () -> "fills let out at once: " + before + ", then " + after);
+    }
+
+    /** An origin's weight says nothing of it: fills through parents that come in time raise what it may have. */
+    @Test
+    void fillsInTimeRaiseWhatTheOriginMayHave() {
+        RouterHarness r = hitsAloneAreTold();
+        long first = fills(askAll(r, "first", 12));
+        r = hitsAloneAreTold();
+        for (int round = 0; round < 20; round++) {
+            answerAll(r, askAll(r, "round" + round + "-", 12), FillNote.NONE);
+        }
+        long later = fills(askAll(r, "later", 12));
+        assertTrue(first < 8 && later > first, () -> "at first " + first + ", later " + later);
+    }
 }
