--- a/src/main/java/pumicemoor/lab/scale/FleetRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/FleetRoles.java
@@ -242,6 +242,6 @@
     static String line(Sample s) {
         return String.format(Locale.ROOT, "%s, %d: in %.0f, out %.0f bytes/s, %.3f cpu ms/s, all have %.3f of the limit", s.role(),
                 s.size(), s.figures().getOrDefault("bytes in/s", 0.0), s.figures().getOrDefault("bytes out/s", 0.0),
-                s.figures().getOrDefault("cpu ms/s", 0.0), s.figures().getOrDefault("of the limit, all routers", 0.0));
+                s.figures().getOrDefault("cpu ms/s", 0.0), s.figures().getOrDefault(HollowFleet.OF_THE_LIMIT, 0.0));
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/HollowFleet.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -47,6 +47,8 @@
 
     static final long MILLI = 1_000;
     static final long SECOND = 1_000_000;
+    /** What all routers may spend of the limit in sum, the most at any full second of the window; 1 is all of it. */
+    static final String OF_THE_LIMIT = "of the limit, all routers";
     static final int TABLE = 2_000;  // routers that a real flat fleet keeps in its table at most
     private static final long EPOCH = 1_790_000_000L * SECOND;
     private static final long ORIGIN = 99;
@@ -556,7 +558,7 @@
         f.put("worst second bytes in/s", (double) burst.bytesIn[second]);
         f.put("worst second bytes out/s", (double) burst.bytesOut[second]);
         if (shape.limits == 1) {
-            f.put("of the limit, all routers", mostSpent);
+            f.put(OF_THE_LIMIT, mostSpent);
         }
         f.put("living known", known(of, "fleet-living"));
         if (config.cells() != null) {
--- a/src/main/java/pumicemoor/lab/scale/ScaleReport.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleReport.java
@@ -44,7 +44,7 @@
     private static final Set<String> COLUMNS = Set.of("routers", "bytes/s", "bytes in/s", "bytes out/s", "packets in/s",
             "packets out/s", "cpu ms/s", "heap bytes", "worst router bytes/s", "worst router bytes in/s",
             "worst router bytes out/s", "worst router cpu ms/s", "worst second bytes/s", "worst second bytes in/s",
-            "worst second bytes out/s", "living known", "cells", "delegates known");
+            "worst second bytes out/s", "living known", "cells", "delegates known", HollowFleet.OF_THE_LIMIT);
 
     /** One figure of one role over its sizes; fit is null where there are fewer than three sizes. */
     record Slope(String role, Budget budget, List<Point> points, Fit fit, Optional<Leaves> leaves) {
@@ -202,8 +202,8 @@
                     + " router's doesn't.\n\n");
         }
         md.append("## Measured\n\n| role | size | routers of it | KB/s in | KB/s out | packets/s in | packets/s out | worst router"
-                + " KB/s in, out | worst second KB/s in, out | cpu ms/s | worst router | heap KB |\n"
-                + "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |\n");
+                + " KB/s in, out | worst second KB/s in, out | cpu ms/s | worst router | heap KB | all have of the limit |\n"
+                + "| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |\n");
         for (Sample s : samples.stream().filter(s -> s.figures().keySet().stream().anyMatch(COLUMNS::contains)).toList()) {
             md.append("| ").append(s.role()).append(" | ").append(s.size()).append(" | ").append(cell(s, "routers", 1))
                     .append(" | ").append(cell(s, "bytes in/s", 1e3)).append(" | ").append(cell(s, "bytes out/s", 1e3))
@@ -213,7 +213,8 @@
                     .append(cell(s, "worst second bytes in/s", 1e3)).append(", ")
                     .append(cell(s, "worst second bytes out/s", 1e3)).append(" | ").append(cell(s, "cpu ms/s", 1))
                     .append(" | ").append(cell(s, "worst router cpu ms/s", 1)).append(" | ")
-                    .append(cell(s, "heap bytes", 1e3)).append(" |\n");
+                    .append(cell(s, "heap bytes", 1e3)).append(" | ").append(cell(s, HollowFleet.OF_THE_LIMIT, 1))
+                    .append(" |\n");
         }
         List<Sample> others = samples.stream().filter(s -> !COLUMNS.containsAll(s.figures().keySet())).toList();
         if (!others.isEmpty()) {
