--- a/src/main/java/pumicemoor/fleet/cells/CellFleet.java
+++ b/src/main/java/pumicemoor/fleet/cells/CellFleet.java
@@ -80,7 +80,6 @@
     private int joinsTaken;
     private int told;
     private long overSince = Long.MAX_VALUE;
-    private long amongSince = Long.MAX_VALUE;  // the first of its cell, without a break
     private long moveAt = Long.MAX_VALUE;
     private long sent;
     private long sentBytes;
@@ -232,17 +231,11 @@
         }
     }
 
-    /**
-     * Becomes a delegate or ceases to be one: not before the cell is known, nor while its shares can be counted on. A
-     * cell that is to be split gets no new ones: where its table is full each router knows others, and who is taken for
-     * living above and is not has to be found out by all.
-     */
+    /** Becomes a delegate or ceases to be one: not before the cell is known, nor while its shares can be counted on. */
     private void delegate() {
         boolean settled = now >= inCellSince + SETTLING * period;
         boolean among = cell.among(cells.delegates());
-        amongSince = among ? Math.min(amongSince, now) : Long.MAX_VALUE;
-        boolean lasting = among && now - amongSince >= SETTLING / 2 * period;
-        if (upper == null && settled && lasting && !over()) {
+        if (upper == null && settled && among) {
             upper = Fleet.ofDelegates(level(setup.cluster() + "/^", cells.root() + "." + label(name), upperSeeds,
                     UPPER_PERIOD * period, UPPER_MOST), now, random.nextLong(), instance, cell);
             upper.members(now, members);
@@ -280,7 +273,7 @@
             return;
         }
         List<RouterNews> living = cell.living();
-        boolean over = over();
+        boolean over = living.size() + 1 > cells.most() && depth < PacketCodec.MOST_DEPTH;
         overSince = over ? Math.min(overSince, now) : Long.MAX_VALUE;
         if (over && wantedDepth == depth && now >= inCellSince + SETTLING * period && now - overSince >= OVER * period) {
             wantedDepth = Math.min(PacketCodec.MOST_DEPTH, depth + bitsFor(living.size() + 1));
@@ -301,10 +294,6 @@
         }
     }
 
-    private boolean over() {
-        return cell.living().size() + 1 > cells.most() && depth < PacketCodec.MOST_DEPTH;
-    }
-
     /** By how many bits so many routers are told apart until no part is over the bound, as far as hashes are even. */
     private int bitsFor(int routers) {
         int bits = 1;
@@ -326,7 +315,6 @@
         depth = to;
         wantedDepth = to;
         inCellSince = now;
-        amongSince = Long.MAX_VALUE;
         overSince = Long.MAX_VALUE;
         moveAt = Long.MAX_VALUE;
         joinAt = now + FIRST_WAIT * period;
