--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -28,6 +28,8 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pumicemoor.node.Counters.Name;
+import pumicemoor.node.Counters;
 import pumicemoor.node.Input;
 import pumicemoor.node.ResourceLimits;
 
@@ -43,14 +45,17 @@
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
     private final LongSupplier lastEvent;
+    private final Counters counters;
     private final Loop loop;
     private String address = "";
+    private int failedInARow;  // connections that did not come up since the last stream
     private Channel channel;
     private Future<?> reopening;
     private boolean taking;  // in the middle of what was read
 
-    CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Loop loop) {
+    CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Counters counters, Loop loop) {
         this.limits = limits;
+        this.counters = counters;
         this.lastEvent = lastEvent;
         this.loop = loop;
         this.bootstrap = bootstrap.clone()
@@ -88,11 +93,20 @@
         // where no socket can be had, the listener is called on a thread that is not the loop's
         connecting.addListener(done -> bootstrap.config().group().next().execute(() -> {
             if (!done.isSuccess()) {
+                connectFailed(done.cause());
                 reopen(connecting.channel());
             }
         }));
     }
 
+    /** The first failure in a row is logged with its cause; the line of the next stream tells how many there were. */
+    private void connectFailed(Throwable cause) {
+        counters.add(Name.COORDINATOR_CONNECT_FAILED);
+        if (failedInARow++ == 0) {
+            LOG.warn("the coordinator at {} can't be reached: {}", address, cause.toString());
+        }
+    }
+
     /** Takes in what has come by now: a loop that was held up must not go on before the news that came meanwhile. */
     void look() {
         if (!taking && channel != null && channel.isActive()) {
@@ -153,7 +167,12 @@
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (message instanceof HttpResponse response) {
                 answered = response.status().equals(HttpResponseStatus.OK);
-                if (!answered) {
+                if (answered) {
+                    counters.add(Name.COORDINATOR_STREAMS);
+                    LOG.info("the coordinator's stream is open from event {} on, after {} failed connections",
+                            lastEvent.getAsLong(), failedInARow);
+                    failedInARow = 0;
+                } else {
                     LOG.warn("the coordinator answered {}", response.status());
                     ctx.close();
                 }
@@ -174,6 +193,10 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (answered && ctx.channel() == channel) {
+                counters.add(Name.COORDINATOR_STREAMS_LOST);
+                LOG.info("the coordinator's stream ended at event {}", lastEvent.getAsLong());
+            }
             reopen(ctx.channel());
         }
 
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -99,7 +99,8 @@
                 .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
         this.budget = new BufferBudget(PooledByteBufAllocator.DEFAULT::pinnedDirectMemory, limits.bufferedBytes());
         this.lines = new CacheLines(connections, limits, budget, counters, this);
-        this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, this);
+        this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, counters,
+                this);
     }
 
     /** Has proxies call through this front too; before the start. */
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -111,6 +111,7 @@
     private Optional<DrainedMembers> drained = Optional.empty();
     private final HitCount hits = new HitCount();
     private final BoundedLog fleetLog;
+    private final BoundedLog changeLog;
     private long terminatedAt = -1;
     private Exit exit = Exit.NOT_YET;
 
@@ -118,8 +119,8 @@
     private record Stream(long connection, int stream) {
     }
 
-    /** Where a member listens, and the start of the process that does. */
-    private record Endpoint(String instance, String address, long started) {
+    /** Where a member listens, the start of the process that does, and its state by the list. */
+    private record Endpoint(String instance, String address, long started, State state) {
     }
 
     /** How far the end has come: what has arrived by then is read once more before the last step. */
@@ -162,6 +163,7 @@
         this.counters = counters;
         this.complaints = new BoundedLog(LOG, limits.complaints());
         this.fleetLog = new BoundedLog(LOG, limits.fleetLines());
+        this.changeLog = new BoundedLog(LOG, limits.fleetLines());
     }
 
     /** When the next Due input is wanted; Long.MAX_VALUE for never. */
@@ -266,6 +268,7 @@
         request.id = Long.toString(++numbers);
         request.deadline = now + Math.max(0, asked.ttlMillis()) * MILLI;
         unanswered.put(stream, request);
+        RequestTrace.arrived(asked, asked.ttlMillis());
         int requestClass = requestClass(asked);
         Request same = calls.putIfAbsent(asked.call(), request);
         if (requestClass < 0 || same != null && !same.asked.object().equals(asked.object())) {
@@ -301,6 +304,7 @@
     private void withdrawn(Request request) {
         if (request != null) {
             counters.add(Name.WITHDRAWN);
+            RequestTrace.withdrawn(request.asked.call(), request.out.size());
             close(request);
             events.add(new RequestGone(request.id));
         }
@@ -314,6 +318,7 @@
         }
         counters.add(code == Code.SERVED ? unchanged ? Name.UNCHANGED : Name.SERVED
                 : code == Code.REFUSED ? Name.REFUSED : Name.FAILED);
+        RequestTrace.answered(request.asked.call(), code, pushbackMillis, request.sent, (request.deadline - now) / MILLI);
         close(request);
         out.accept(new Effect.Answer(request.stream.connection(), request.stream.stream(), code, unchanged,
                 pushbackMillis, body));
@@ -395,6 +400,7 @@
         Input.Request asked = request.asked;
         List<String> way = f.way().stream().map(endpoints::get).filter(Objects::nonNull).map(Endpoint::instance).toList();
         String sourceName = f.source() == f.member() ? null : source.instance();
+        RequestTrace.attempt(asked.call(), attempt.number, target.instance(), sourceName, lastUpdate, (until - now) / MILLI);
         long within = f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0;
         if (request.named) {
             attempt.written = true;  // once it is named, it may run
@@ -450,6 +456,7 @@
         attempts.remove(attempt.key);
         request.out.remove(attempt.number);
         counters.add(Name.valueOf(outcome.name()));
+        RequestTrace.attemptEnded(request.asked.call(), attempt.number, outcome, note, attempt.written, now - attempt.sentAt);
         if (drained.isPresent() && note == FillNote.HIT) {
             hits.add(now, attempt.member);
         }
@@ -770,7 +777,7 @@
         Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
                 words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
                 line.integer("startedAtMs", 0) * MILLI, state);
-        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), member.started()));
+        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), member.started(), state));
     }
 
     /** A list: all of it is read before any of it is applied, and a line that can't be read costs that member's news alone. */
@@ -805,6 +812,7 @@
                         state == State.READY));
             }
             Endpoint before = endpoints.put(member.id(), line.endpoint());
+            logChange(before, line.endpoint());
             if (state == State.GONE) {
                 gone(member.id());
             } else if (before != null && before.started() != member.started()) {
@@ -828,6 +836,14 @@
         }
     }
 
+    /** One log line for each endpoint whose state or process is new; the list known at the start is not logged. */
+    private void logChange(Endpoint before, Endpoint after) {
+        if (config != null && (before == null || before.state() != after.state() || before.started() != after.started())) {
+            changeLog.info(now, "event " + lastUpdate + ": endpoint " + after.instance() + " is "
+                    + after.state() + ", was " + (before == null ? "not listed" : before.state()), Map.of());
+        }
+    }
+
     private void gone(long member) {
         out.accept(new Effect.Retire(endpoints.remove(member).instance()));
     }
--- a/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
+++ b/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pumicemoor.node.Counters;
 import pumicemoor.node.Input;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.NodeTestConfig;
@@ -37,7 +38,7 @@
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
         limits = ResourceLimits.of(config.words().settings(), config.figures());
         stream = new CoordinatorStream(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
-                () -> 41, loop);
+                () -> 41, new Counters(), loop);
         channel = new EmbeddedChannel();
         channel.freezeTime();
         channel.pipeline().addLast(stream.handlers());
