--- a/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
+++ b/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
@@ -30,6 +30,8 @@
     private final Random random;
     private final List<Event> events = new ArrayList<>();
     private long lastPiece;
+    private volatile long answerDelay;  // milliseconds between a router's question and the first byte of the stream
+    private volatile int resets;  // connections still to be reset as soon as they ask
 
     CoordinatorStandIn(ExecutorService work, int jitterMillis, long seed) throws IOException {
         this.work = work;
@@ -42,6 +44,16 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** From now on it is crowded: each stream that is asked for begins so many milliseconds late. */
+    void answerLate(long millis) {
+        answerDelay = millis;
+    }
+
+    /** Resets so many of the next connections as soon as they have asked. */
+    void resetNext(int connections) {
+        resets = connections;
+    }
+
     /** Tells an event, written as the fields behind its index. */
     synchronized void tell(String fields) {
         events.add(new Event(System.currentTimeMillis(), "{\"index\":" + (events.size() + 1) + "," + fields + "}"));
@@ -85,6 +97,11 @@
                     last = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
                 }
             }
+            if (resetThis()) {
+                socket.setSoLinger(true, 0);
+                return;
+            }
+            Thread.sleep(answerDelay);
             OutputStream out = socket.getOutputStream();
             write(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hello\n\n");
             while (!listener.isClosed()) {
@@ -108,6 +125,14 @@
         }
     }
 
+    private synchronized boolean resetThis() {
+        if (resets == 0) {
+            return false;
+        }
+        resets--;
+        return true;
+    }
+
     private synchronized Event await(int last) throws InterruptedException {
         if (last >= events.size()) {
             wait(BEAT);
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -29,7 +29,7 @@
         t.setDaemon(true);
         return t;
     });
-    private final CoordinatorStandIn coordinator;
+    final CoordinatorStandIn coordinator;
     private final Scenario scenario;
     private final IntFunction<String> fleets;  // the end of the section, by router; empty: no such section
     private final List<Integer> seeds;
