Listen only once the router has caught up with the coordinator

Cause: NodeServer.start rehearsed for some 2 s on the list of the configuration, only then opened the coordinator's stream and listened in the same moment; whatever was told meanwhile was unknown to the first decisions. Class: deciding on state whose age nobody bounds. Fix: the stream is followed before the rehearsal, which pauses so that the loop can read it; the listener and the fronts of proxies open once a sign has come that all was told, or after 5 s without (half of the time in which a restarted router has to be ready). Tests changed: ReducerTest's router had never heard of its coordinator, which now means not ready; it is told so at its start. SocketRig's coordinator sends comments, as the protocol says.

--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -134,10 +134,11 @@
                 front.rehearse();
                 server.attach(front);
             }
-            server.start(clientsWanted());
+            server.follow();
             Thread reloading = new Thread(() -> reload(server, file, operatorFile, reload), "reload");
             reloading.setDaemon(true);
             reloading.start();
+            server.open(clientsWanted());
             end.await();
             server.terminate();
             server.awaitEnd(LONGEST_END);
--- a/src/main/java/pumicemoor/cli/SelfCheck.java
+++ b/src/main/java/pumicemoor/cli/SelfCheck.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -27,6 +28,7 @@
     private static final int ANSWER = 8;
     private static final int SERVED = 1;
     private static final long LONGEST_END = 10_000;  // milliseconds
+    private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n:\n\n";
     private static final String BODY = "whole and unaltered";
     private static final String CONFIG = """
             {"name":"self-check","listen":"127.0.0.1:0","coordinator":"127.0.0.1:%d",
@@ -43,7 +45,6 @@
             Thread answering = new Thread(() -> answer(cache));
             answering.setDaemon(true);
             answering.start();
-            // the coordinator's address is one where nothing answers as a coordinator does
             NodeServer server = new NodeServer(NodeConfig.parse(
                     CONFIG.formatted(cache.getLocalPort(), cache.getLocalPort())), OperatorConfig.NONE);
             server.start();
@@ -63,7 +64,7 @@
         }
     }
 
-    /** Answers each request on each connection; the coordinator's question is cut off. */
+    /** Answers each request on each connection, and the coordinator's question with a stream that tells nothing new. */
     private static void answer(ServerSocket cache) {
         while (!cache.isClosed()) {
             try {
@@ -80,7 +81,13 @@
     private static void answer(Socket socket) {
         try (socket; BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
                 StandardCharsets.US_ASCII))) {
-            for (String line = in.readLine(); line != null && line.startsWith("ASK "); line = in.readLine()) {
+            String first = in.readLine();
+            if (first != null && first.startsWith("GET ")) {
+                socket.getOutputStream().write(STREAM.getBytes(StandardCharsets.US_ASCII));
+                in.transferTo(Writer.nullWriter());
+                return;
+            }
+            for (String line = first; line != null && line.startsWith("ASK "); line = in.readLine()) {
                 in.readLine();  // the end of the empty body
                 String answer = line.split(" ")[1] + " data entity=0,issued=1,tell=mem " + BODY.length() + "\r\n"
                         + BODY + "\r\n";
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -77,6 +77,7 @@
     private final Queue<Input> news = new ArrayDeque<>();  // of the coordinator; goes before all else
     private final Queue<Input> gone = new ArrayDeque<>();  // clients that wait no more; go before what is left
     private final List<Effect> effects = new ArrayList<>();
+    private final CountDownLatch synced = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final FleetSocket fleet = new FleetSocket(this);
     private Optional<CallFront> front = Optional.empty();
@@ -108,17 +109,19 @@
         front = Optional.of(calls);
     }
 
-    /** Listens and follows the coordinator; returns when both have begun. */
+    /** Follows the coordinator and, once what it has told is known, listens; returns then. */
     public void start() throws InterruptedException, IOException {
         start(true);
     }
 
     /** The same, without clients where none are wanted. */
     public void start(boolean clientsWanted) throws InterruptedException, IOException {
-        long began = System.nanoTime();
-        long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime());
-        LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
-                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
+        follow();
+        open(clientsWanted);
+    }
+
+    /** Takes what is known and follows the coordinator from there; from then on a reload can be taken. */
+    public void follow() throws InterruptedException, IOException {
         if (operator.fleet().isPresent()) {
             fleet.listen(group, operator.fleet().get().listen());
         }
@@ -129,6 +132,12 @@
             loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
             coordinator.follow(config.coordinator());
         }).sync();
+    }
+
+    /** Listens once the router has caught up with the coordinator, or has given up waiting for that. */
+    public void open(boolean clientsWanted) throws InterruptedException, IOException {
+        rehearse();
+        synced.await();
         if (front.isPresent()) {
             front.get().start(this);
         }
@@ -161,6 +170,14 @@
         LOG.info("{} listens on {}", config.name(), config.listen());
     }
 
+    private void rehearse() throws InterruptedException {
+        long began = System.nanoTime();
+        long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime(),
+                () -> loop.submit(() -> { }).sync());
+        LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
+    }
+
     /**
      * Room for one client more: at the bound the one that says nothing for longest goes, else the one idle for
      * longest, so that whoever holds connections without use keeps nobody out.
@@ -340,6 +357,9 @@
         } finally {
             working = false;
         }
+        if (reducer.synced()) {
+            synced.countDown();
+        }
         budget.resume();
         long due = reducer.nextDue();
         if (due < wakeAt) {
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -32,6 +32,7 @@
     private static final int OBJECTS = 512;
     private static final int BODY = 1_024;
     private static final int MISS_EVERY = 16;
+    private static final int PAUSE_EVERY = 8;
 
     private final ByteBufAllocator allocator = PooledByteBufAllocator.DEFAULT;
     private final List<RequestClass> classes;
@@ -57,8 +58,13 @@
         work();
     }
 
+    /** What the caller does between requests, so that it is not held up for the whole of the rehearsal. */
+    interface Pause {
+        void run() throws InterruptedException;
+    }
+
     /** Goes on until so many requests are done or this time has passed; tells how many were answered. */
-    long run(int requests, long longestMicros) {
+    long run(int requests, long longestMicros, Pause pause) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(longestMicros);
         for (int i = 1; i <= requests && !classes.isEmpty() && System.nanoTime() < end
                 && fromClient.isOpen(); i++) {
@@ -74,6 +80,9 @@
                 answer(ask, i);
             }
             release(fromClient);
+            if (i % PAUSE_EVERY == 0) {
+                pause.run();
+            }
         }
         fromClient.finishAndReleaseAll();
         fromCache.finishAndReleaseAll();
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -101,6 +101,7 @@
     private long now;
     private long numbers;  // of requests, attempts and timers, each its own
     private long lastUpdate;
+    private boolean synced;  // caught up with the coordinator since the start, or given up waiting for that
     private long gapAt = -1;  // the last event taken when an event was found missing behind it
     private NodeConfig config;
     private OperatorConfig operator = OperatorConfig.NONE;
@@ -126,7 +127,7 @@
     /** How far the end has come: what has arrived by then is read once more before the last step. */
     private enum Exit { NOT_YET, READING, DONE }
 
-    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, FLEET, EXIT_IF_QUIET, EXIT }
+    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, FLEET, SYNC, EXIT_IF_QUIET, EXIT }
 
     private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
         @Override
@@ -218,6 +219,7 @@
             updated(u.json());
         } else if (input instanceof Input.FeedHeard) {
             events.add(new NewsHeard());
+            caughtUp();
         } else if (input instanceof Input.FromFleet f) {
             fleet.ifPresent(x -> x.heard(now, f.bytes()));
         } else if (input instanceof Input.Command c) {
@@ -479,6 +481,7 @@
             case OVERDUE -> !requests.containsKey(Long.toString(timer.about()));
             case HIERARCHY -> timer.at() != hierarchyDue;
             case FLEET -> timer.at() != fleetDue;
+            case SYNC -> synced;
             default -> false;
         };
     }
@@ -502,6 +505,7 @@
                     }
                 }
                 case OVERDUE -> overdue(requests.get(Long.toString(timer.about())));
+                case SYNC -> giveUpSync();
                 case EXIT -> List.copyOf(unanswered.values()).forEach(this::overdue);
                 case HIERARCHY, FLEET, EXIT_IF_QUIET -> {
                     // what follows each input does it
@@ -529,9 +533,9 @@
         }
     }
 
-    /** Whether new requests are wanted: the members are known and the process is not about to end. */
+    /** Whether new requests are wanted: the members are known as of now and the process is not about to end. */
     public boolean ready() {
-        return terminatedAt < 0 && !endpoints.isEmpty() && fleet.map(FleetPart::settled).orElse(true);
+        return terminatedAt < 0 && synced && !endpoints.isEmpty() && fleet.map(FleetPart::settled).orElse(true);
     }
 
     // ---- what the coordinator tells -------------------------------------------------------------------
@@ -545,6 +549,30 @@
         }
     }
 
+    /**
+     * Whether all that was told up to the start of the coordinator's stream has been applied, or waiting for that was
+     * given up. Before, decisions would rest on the list of the configuration, which may be older than a grace period.
+     */
+    public boolean synced() {
+        return synced;
+    }
+
+    private void caughtUp() {
+        if (!synced) {
+            synced = true;
+            LOG.info("caught up with the coordinator at event {}", lastUpdate);
+        }
+    }
+
+    private void giveUpSync() {
+        if (!synced) {
+            synced = true;
+            counters.add(Name.STARTED_UNSYNCED);
+            LOG.warn("the coordinator did not tell what is new within {} ms: serving on event {}",
+                    limits.syncTime() / MILLI, lastUpdate);
+        }
+    }
+
     /** Takes the events that were known at the start. */
     public void known(long time, NodeConfig config, Consumer<Effect> effects) {
         now = time;
@@ -562,6 +590,8 @@
         events.add(new NewsHeard());
         drive();
         this.config = config;
+        synced = config.coordinator().isEmpty();
+        timer(now + limits.syncTime(), Kind.SYNC, 0);
         followHierarchy();
         followFleet();
     }
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -13,11 +13,12 @@
         long sweep, long clientFirst, long clientIdle, long clientLeave, long clientRelease, long clientStall, int streamsKnown,
         int misuses, long longestTtl, long pushback, int complaints, int lines, int linesPerMember, int attemptsPerLine,
         long connectTimeout, long unwritten, long lineIdle, long lineAbandoned, long lineQuiet, long lineDead,
-        long idKept, long feedSilence, long feedConnect, long feedRetry, long heldUp, long answerGuard, long quietAfterTerm,
+        long idKept, long feedSilence, long feedConnect, long feedRetry, long syncTime, long heldUp, long answerGuard, long quietAfterTerm,
         long lastAfterTerm, int rehearsals, long rehearsalTime, int fleetLines) {
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
+    private static final long SYNC_TIME = 5 * SECOND;  // half of the time in which a restarted router has to be ready
 
     /** Half of the descriptors are the clients', these the members'; what is left is kept for the coordinator and the process. */
     private static int lines(int sockets) {
@@ -44,7 +45,7 @@
                 Math.max(1, Math.min(8, figures.sockets() / 128)), Math.max(1, figures.multiplex()),
                 bound, unwritten, figures.keepAlive() > 0 ? figures.keepAlive() * 4 / 5 : 10 * SECOND,
                 figures.keepAlive() + 2 * longest + 10 * SECOND, 300 * MILLI, 500 * MILLI,
-                longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI, Math.min(60 * MILLI, unwritten / 4),
+                longest + SECOND, 1_600 * MILLI, 500 * MILLI, 100 * MILLI, SYNC_TIME, Math.min(60 * MILLI, unwritten / 4),
                 settings.rules().answerSlack() + 20 * MILLI, 720 * MILLI,
                 Math.min(longest, 3 * SECOND) + 450 * MILLI, 800, 6 * SECOND, 50);
     }
--- a/src/test/java/pumicemoor/net/RehearsalTest.java
+++ b/src/test/java/pumicemoor/net/RehearsalTest.java
@@ -16,7 +16,7 @@
     private static long run(int requests, long time, String... updates) throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "", updates));
         return new Rehearsal(config, ResourceLimits.of(config.words().settings(), config.figures()), NOW)
-                .run(requests, time);
+                .run(requests, time, () -> { });
     }
 
     @Test
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -30,6 +30,7 @@
 /** A whole router on loopback for tests, with small stand-ins for members, coordinator and clients. */
 abstract class SocketRig {
 
+    static final int COMMENT_EVERY = 200;  // milliseconds
     static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
 
     final List<AutoCloseable> toClose = new ArrayList<>();
@@ -213,8 +214,9 @@
                     .getBytes(StandardCharsets.US_ASCII));
             try {
                 while (true) {
-                    out.write((events.take() + "\n\n").getBytes(StandardCharsets.UTF_8));
-                    written.incrementAndGet();
+                    String event = events.poll(COMMENT_EVERY, TimeUnit.MILLISECONDS);
+                    out.write((event == null ? ":\n\n" : event + "\n\n").getBytes(StandardCharsets.UTF_8));
+                    written.addAndGet(event == null ? 0 : 1);
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -66,6 +66,10 @@
     }
 
     private void start(int maxOpen) throws Exception {
+        start(maxOpen, true);
+    }
+
+    private void start(int maxOpen, boolean heard) throws Exception {
         config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2", maxOpen,
                 NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
                         NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
@@ -77,6 +81,10 @@
         };
         reducer = new Reducer(scripted, config.words(), limits, counters);
         reducer.known(now, config, effects::add);
+        assertFalse(reducer.ready(), "nothing was heard of the coordinator yet");
+        if (heard) {
+            take(new Input.FeedHeard());
+        }
         events.clear();
         effects.clear();
     }
@@ -572,6 +580,28 @@
         exitsOnceAllIsRead();
     }
 
+    @Test
+    void itIsNotReadyBeforeItHasCaughtUpWithTheCoordinator() throws Exception {
+        start(1_000, false);
+        take(new Input.Update(NodeTestConfig.list(2, false,
+                NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", 0))));
+        assertFalse(reducer.ready(), "more may stand behind this event");
+        take(new Input.FeedHeard());
+        assertTrue(reducer.ready());
+        assertEquals(Long.MAX_VALUE, reducer.nextDue());
+        assertEquals(0, counters.get(Name.STARTED_UNSYNCED));
+    }
+
+    @Test
+    void aCoordinatorThatStaysAwayKeepsItFromServingForFiveSecondsAtMost() throws Exception {
+        start(1_000, false);
+        pass(5 * SECOND - MILLI);
+        assertFalse(reducer.ready());
+        pass(MILLI);
+        assertTrue(reducer.ready());
+        assertEquals(1, counters.get(Name.STARTED_UNSYNCED));
+    }
+
     @Test
     void timersOfWhatHasEndedWakeNobody() {
         fetchOnArrival(0, 0);
