--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -589,7 +589,7 @@
         take(new Input.FeedHeard());
         assertTrue(reducer.ready());
         assertEquals(Long.MAX_VALUE, reducer.nextDue());
-        assertEquals(0, counters.get(Name.STARTED_UNSYNCED));
+        assertEquals(0, counters.get(Counters.Name.STARTED_UNSYNCED));
     }
 
     @Test
@@ -599,7 +599,7 @@
         assertFalse(reducer.ready());
         pass(MILLI);
         assertTrue(reducer.ready());
-        assertEquals(1, counters.get(Name.STARTED_UNSYNCED));
+        assertEquals(1, counters.get(Counters.Name.STARTED_UNSYNCED));
     }
 
     @Test
