Hear a coordinator that is slow to answer

Cause: the time-out of a silent stream, 1.6 s, also ended connections that waited for their answer, so a coordinator that needs 2.5 s was asked anew for ever and never heard. Class: a time-out for a broken connection used against a slow one, which only adds to the load. Fix: the time-out starts with the answer. A coordinator that has not answered in 1.6 s is asked on another connection beside the first, three at most, each 4.8 s; the first to answer is read and the others are closed. It sends no more questions than before. noRequestGoesToACacheThatDrainsWhileTheRouterStartsAndTheCoordinatorIsCrowded failed before (asked at 8.97 s after a drain at about 3.9 s) and passes now.

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -23,6 +23,8 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -34,23 +36,28 @@
 import pumicemoor.node.ResourceLimits;
 
 /**
- * The coordinator's stream of events, held open for as long as the router runs. It owns the one connection
- * to the coordinator that is followed now, opened anew whenever it ends or falls silent, and must never read what an event says: each goes on as the text that came.
+ * The coordinator's stream of events, held open for as long as the router runs. It owns the connection that is read
+ * and those that were opened to take its place. A coordinator that is slow to answer is asked on a second and a third
+ * connection, and the first one that answers is read; a stream from the coordinator before is read until then. It must
+ * never read what an event says: each goes on as the text that came.
  */
 final class CoordinatorStream {
 
     private static final Logger LOG = LoggerFactory.getLogger(CoordinatorStream.class);
     private static final String PATH = "/v2/stream";
+    private static final int ATTEMPTS = 3;  // connections that wait for their answer at once
 
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
     private final LongSupplier lastEvent;
     private final Counters counters;
     private final Loop loop;
+    private final List<Channel> attempts = new ArrayList<>();  // not answered yet, the oldest first
     private String address = "";
+    private Channel stream;  // that is read; null while there is none
+    private String streamAddress = "";
+    private Future<?> nextAttempt;
     private int failedInARow;  // connections that did not come up since the last stream
-    private Channel channel;
-    private Future<?> reopening;
     private boolean taking;  // in the middle of what was read
 
     CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Counters counters, Loop loop) {
@@ -68,37 +75,57 @@
                 });
     }
 
-    /** What one connection needs; the stream's comments keep the first from ending it. */
+    /** What one connection needs. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new ReadTimeoutHandler(limits.feedSilence(), TimeUnit.MICROSECONDS),
-            new HttpClientCodec(), new Reader()};
+        return new ChannelHandler[] {new HttpClientCodec(), new Reader()};
     }
 
-    /** Follows the coordinator at this address at once, in place of any other; an empty one is nobody. */
+    /**
+     * Follows the coordinator at this address; an empty one is nobody. Where it is the same as before, the stream is
+     * asked for again from the last event that was applied, and what the old connection goes on to tell is dropped.
+     */
     void follow(String newAddress) {
-        close();
+        closeAttempts();
+        closeStream();
         address = newAddress;
-        open();
+        attempt();
     }
 
-    private void open() {
-        reopening = null;
+    private void attempt() {
+        nextAttempt = null;
         if (address.isEmpty()) {
             return;
         }
+        if (attempts.size() >= ATTEMPTS) {
+            attempts.remove(0).close();
+        }
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1))));
-        channel = connecting.channel();
+        Channel attempt = connecting.channel();
+        attempts.add(attempt);
+        attemptAfter(limits.feedSilence());
         // where no socket can be had, the listener is called on a thread that is not the loop's
         connecting.addListener(done -> bootstrap.config().group().next().execute(() -> {
             if (!done.isSuccess()) {
                 connectFailed(done.cause());
-                reopen(connecting.channel());
+                ended(attempt);
             }
         }));
     }
 
+    private void attemptAfter(long micros) {
+        cancelNextAttempt();
+        nextAttempt = bootstrap.config().group().next().schedule(this::attempt, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private void cancelNextAttempt() {
+        if (nextAttempt != null) {
+            nextAttempt.cancel(false);
+            nextAttempt = null;
+        }
+    }
+
     /** The first failure in a row is logged with its cause; the line of the next stream tells how many there were. */
     private void connectFailed(Throwable cause) {
         counters.add(Name.COORDINATOR_CONNECT_FAILED);
@@ -107,31 +134,66 @@
         }
     }
 
-    /** Takes in what has come by now: a loop that was held up must not go on before the news that came meanwhile. */
-    void look() {
-        if (!taking && channel != null && channel.isActive()) {
-            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-        }
+    /** The first answer wins: its connection is read from now on, in place of any other. */
+    private void answered(Channel attempt) {
+        attempts.remove(attempt);
+        closeAttempts();
+        closeStream();
+        stream = attempt;
+        streamAddress = address;
+        counters.add(Name.COORDINATOR_STREAMS);
+        LOG.info("the coordinator's stream is open from event {} on, after {} failed connections",
+                lastEvent.getAsLong(), failedInARow);
+        failedInARow = 0;
     }
 
-    /** After the end of the connection that is followed; one left behind by a new address opens none. */
-    private void reopen(Channel ended) {
-        if (ended == channel && reopening == null && !address.isEmpty()) {
+    /** After the end of a connection; one that was given up for another opens none. */
+    private void ended(Channel connection) {
+        boolean wasStream = connection == stream;
+        if (!attempts.remove(connection) && !wasStream) {
+            return;
+        }
+        if (wasStream) {
+            stream = null;
+            counters.add(Name.COORDINATOR_STREAMS_LOST);
+            LOG.info("the coordinator's stream ended at event {}", lastEvent.getAsLong());
+        }
+        if (attempts.isEmpty()) {
             // at chance within half of the time to either side: many routers that lost it together come back spread out
-            long wait = limits.feedRetry() / 2 + ThreadLocalRandom.current().nextLong(limits.feedRetry() + 1);
-            reopening = bootstrap.config().group().next().schedule(this::open, wait, TimeUnit.MICROSECONDS);
+            attemptAfter(limits.feedRetry() / 2 + ThreadLocalRandom.current().nextLong(limits.feedRetry() + 1));
         }
     }
 
+    /** Takes in what has come by now: a loop that was held up must not go on before the news that came meanwhile. */
+    void look() {
+        if (taking) {
+            return;
+        }
+        List<Channel> open = new ArrayList<>(attempts);
+        if (stream != null) {
+            open.add(0, stream);
+        }
+        open.stream().filter(Channel::isActive)
+                .forEach(c -> ((AbstractNioChannel.NioUnsafe) c.unsafe()).read());
+    }
+
     void close() {
         address = "";
-        if (reopening != null) {
-            reopening.cancel(false);
-            reopening = null;
-        }
-        if (channel != null) {
-            Channel last = channel;
-            channel = null;
+        closeAttempts();
+        closeStream();
+    }
+
+    private void closeAttempts() {
+        cancelNextAttempt();
+        List<Channel> given = List.copyOf(attempts);
+        attempts.clear();
+        given.forEach(Channel::close);
+    }
+
+    private void closeStream() {
+        Channel last = stream;
+        stream = null;
+        if (last != null) {
             last.close();
         }
     }
@@ -139,16 +201,16 @@
     /** Cuts the stream into events. */
     private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
         private final ServerSentEvents events = new ServerSentEvents(this::take);
-        private ChannelHandlerContext stream;
+        private ChannelHandlerContext context;
         private boolean answered;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
-            stream = ctx;
+            context = ctx;
         }
 
         private void take(String event) {
-            if (stream.channel().isOpen()) {  // what stands behind the end of this stream is asked for again
+            if (context.channel().isOpen()) {  // what stands behind the end of this stream is asked for again
                 loop.submit(new Input.Update(event));
             }
         }
@@ -168,10 +230,8 @@
             if (message instanceof HttpResponse response) {
                 answered = response.status().equals(HttpResponseStatus.OK);
                 if (answered) {
-                    counters.add(Name.COORDINATOR_STREAMS);
-                    LOG.info("the coordinator's stream is open from event {} on, after {} failed connections",
-                            lastEvent.getAsLong(), failedInARow);
-                    failedInARow = 0;
+                    ctx.pipeline().addFirst(new ReadTimeoutHandler(limits.feedSilence(), TimeUnit.MICROSECONDS));
+                    answered(ctx.channel());
                 } else {
                     LOG.warn("the coordinator answered {}", response.status());
                     ctx.close();
@@ -185,7 +245,8 @@
                 } finally {
                     taking = false;
                 }
-                if (events.heard() && stream.channel().isOpen()) {
+                // the coordinator before may live on without being told anything: its comments are no sign
+                if (events.heard() && context.channel().isOpen() && streamAddress.equals(address)) {
                     loop.submit(new Input.FeedHeard());
                 }
             }
@@ -193,11 +254,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (answered && ctx.channel() == channel) {
-                counters.add(Name.COORDINATOR_STREAMS_LOST);
-                LOG.info("the coordinator's stream ended at event {}", lastEvent.getAsLong());
-            }
-            reopen(ctx.channel());
+            ended(ctx.channel());
         }
 
         @Override
