Read the old coordinator's stream until the one that SIGHUP names has answered

Callers would see: requests to a server whose drain was told while the new coordinator was slow or not up yet. Cause: following a new address closed the old stream at once, and until the new one answered the router lived on what it knew. The old one's comments are no sign that all was told (purges, start), as it may no longer be told anything itself. After a gap (same address) the old stream is closed as before.

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -86,7 +86,9 @@
      */
     void follow(String newAddress) {
         closeAttempts();
-        closeStream();
+        if (newAddress.isEmpty() || newAddress.equals(address)) {
+            closeStream();
+        }
         address = newAddress;
         attempt();
     }
