Wait for the accepting thread where a test needs a port that nobody listens on

Cause: ServerSocket.close returns while another thread still waits in accept, and the system goes on taking connections for that listener until the thread has left. No fault of the router. The tests that need a port without a listener (CacheLinesTest, SocketRig's stand-ins) wait for that thread now; what they check is unchanged.

--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -39,6 +39,7 @@
     private final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private ServerSocket listener;
+    private Thread accepting;
     private ResourceLimits limits;
     private CacheLines lines;
 
@@ -53,7 +54,7 @@
         lines = new CacheLines(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
                 new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(() -> {
+        accepting = new Thread(() -> {
             try {
                 while (true) {
                     Socket socket = listener.accept();
@@ -65,8 +66,8 @@
                 // closed at the end of the test
             }
         });
-        thread.setDaemon(true);
-        thread.start();
+        accepting.setDaemon(true);
+        accepting.start();
     }
 
     private void read(Socket socket) {
@@ -198,6 +199,7 @@
     void whenNoConnectionComesUpNothingRan() throws Exception {
         Effect.Ask ask = ask(1, "a");
         listener.close();
+        accepting.join(PATIENCE);  // the system accepts connections for as long as a thread waits for one
         onLoop(() -> lines.ask(ask));
         assertEquals(new Input.Unreached(1), next());
     }
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -74,10 +74,11 @@
     abstract class StandIn implements AutoCloseable {
         final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         final List<Socket> sockets = new ArrayList<>();
+        private final Thread accepting;
 
         StandIn() throws IOException {
             toClose.add(this);
-            Thread thread = new Thread(() -> {
+            accepting = new Thread(() -> {
                 try {
                     while (true) {
                         Socket socket = listener.accept();
@@ -98,8 +99,8 @@
                     // closed at the end of the test
                 }
             });
-            thread.setDaemon(true);
-            thread.start();
+            accepting.setDaemon(true);
+            accepting.start();
         }
 
         abstract void serve(Socket socket) throws IOException;
@@ -120,6 +121,11 @@
         @Override
         public void close() throws IOException {
             listener.close();
+            try {
+                accepting.join(PATIENCE);  // the system accepts connections for as long as a thread waits for one
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             cut();
         }
     }
