Count every span on the monotonic clock

Callers saw: with the machine's clock stepped 5 s or an hour forward under load, open requests ended and requests were refused for about a second; stepped back, timers came late by the step. Cause: NodeServer.clock() read Instant.now() for everything. Class: spans on a clock that others set. Fix: RouterClock counts real time on from the Unix time of the start; the wall clock is read beside it for ages of what is told in Unix time, where the smaller of both ages holds (safe for purges and slow start). ArchitectureTest holds that nothing else outside the lab reads a wall clock. ReducerTest has the two ages. Not covered: a clock that was wrong at the start and is put right later leaves log times and the fleet's own times by the old reading.

--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -35,6 +35,7 @@
     private final int port;
     private final Integer cpu;
     private final List<String> machine;
+    private Map<String, String> environment = Map.of();
     private Process process;
 
     /** The cpu is that core alone, where the system has taskset; null for any. */
@@ -55,6 +56,11 @@
         return "127.0.0.1:" + port;
     }
 
+    /** What its next starts find in their environment beyond what they inherit. */
+    void environment(Map<String, String> more) {
+        environment = Map.copyOf(more);
+    }
+
     Path operatorFile() {
         return folder.resolve(name + "-operator.yaml");
     }
@@ -76,6 +82,7 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
                 .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         builder.environment().put("RELAY_CONFIG", file.toString());
+        builder.environment().putAll(environment);
         process = builder.start();
     }
 
--- a/src/main/java/pumicemoor/net/Loop.java
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -10,7 +10,7 @@
     /** Hands an input to the reducer, after those that came before. */
     void submit(Input input);
 
-    /** Unix time in microseconds. */
+    /** Microseconds that count on in real time from the Unix time of the router's start. */
     long clock();
 
     /** A log line about what another side did wrong; those past a rate are left out. */
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -18,7 +18,6 @@
 import io.netty.util.concurrent.PromiseCombiner;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -60,6 +59,7 @@
 
     private static final long WAKE_GRAIN = 1_000;
 
+    private final RouterClock time = new RouterClock();
     private final NodeConfig config;
     private final OperatorConfig operator;
     private final ResourceLimits limits;
@@ -260,11 +260,9 @@
         return () -> due.cancel(false);
     }
 
-    /** Unix time in microseconds. */
     @Override
     public long clock() {
-        Instant now = Instant.now();
-        return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
+        return time.now();
     }
 
     @Override
@@ -351,7 +349,7 @@
         try {
             carryOut();
             for (Input input = next(); input != null; input = next()) {
-                reducer.accept(clock(), input, effects::add);
+                reducer.accept(time.now(), time.wall(), input, effects::add);
                 carryOut();
             }
         } finally {
--- a/src/main/java/pumicemoor/node/CallLoop.java
+++ b/src/main/java/pumicemoor/node/CallLoop.java
@@ -12,7 +12,7 @@
     /** Hands an input to the reducer; on the loop's thread only. */
     void submit(Input input);
 
-    /** Unix time in microseconds. */
+    /** Microseconds that count on in real time from the Unix time of the router's start. */
     long clock();
 
     /** A log line about what another side did wrong; those past a rate are left out. */
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -71,6 +71,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Reducer.class);
     private static final long MILLI = 1_000;
+    private static final long CLOCKS_AGREE = 1_000_000;  // microseconds; machines' clocks are never closer than some
     private static final Map<String, FillNote> NOTES = Map.ofEntries(Map.entry("mem", FillNote.HIT),
             Map.entry("parent", FillNote.FILLED), Map.entry("origin", FillNote.FILLED_BY_ORIGIN),
             Map.entry("shared", FillNote.JOINED), Map.entry("old", FillNote.STALE),
@@ -99,6 +100,7 @@
     private final Queue<Event> events = new ArrayDeque<>();
     private Consumer<Effect> out;
     private long now;
+    private long wall;  // by the machine's clock, which may be stepped
     private long numbers;  // of requests, attempts and timers, each its own
     private long lastUpdate;
     private boolean synced;  // caught up with the coordinator since the start, or given up waiting for that
@@ -121,7 +123,7 @@
     }
 
     /** Where a member listens, the start of the process that does, and its state by the list. */
-    private record Endpoint(String instance, String address, long started, State state) {
+    private record Endpoint(String instance, String address, long toldStart, long started, State state) {
     }
 
     /** How far the end has come: what has arrived by then is read once more before the last step. */
@@ -184,9 +186,18 @@
         return unanswered.size();
     }
 
-    /** Takes one input; the effects, in their order, go to the sink. */
+    /** Takes one input at a time at which the machine's clock was never stepped. */
     public void accept(long time, Input input, Consumer<Effect> effects) {
+        accept(time, time, input, effects);
+    }
+
+    /**
+     * Takes one input; the effects, in their order, go to the sink. Both times are microseconds: the first counts on in
+     * real time from the Unix time of the start, the second is Unix time by the machine's clock at this moment.
+     */
+    public void accept(long time, long wallTime, Input input, Consumer<Effect> effects) {
         now = Math.max(now, time);
+        wall = wallTime;
         out = effects;
         if (fleetDue <= now) {  // a process that was paused must not go by what has run out meanwhile
             followFleet();
@@ -576,6 +587,7 @@
     /** Takes the events that were known at the start. */
     public void known(long time, NodeConfig config, Consumer<Effect> effects) {
         now = time;
+        wall = time;
         out = effects;
         for (Message update : config.known()) {
             try {
@@ -790,8 +802,26 @@
 
     private void purged(Message purge) throws WireException {
         counters.add(Name.PURGES);
-        long age = Math.max(0, now - purge.integer("unix_ms") * MILLI);
-        events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1), age));
+        events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1),
+                age(purge.integer("unix_ms") * MILLI)));
+    }
+
+    /**
+     * How long ago something happened that is told in Unix time. Where the machine's clock was stepped since the start,
+     * nobody knows which of the two is right: the smaller age makes purges bind more copies and members stay cold longer.
+     */
+    private long age(long unixMicros) {
+        return Math.max(0, Math.min(now, wall) - unixMicros);
+    }
+
+    /** When a member started, by the time of this router; 0 for long ago. The same for as long as it is told the same. */
+    private long started(long member, long toldStart) {
+        Endpoint before = endpoints.get(member);
+        if (before != null && before.toldStart() == toldStart) {
+            return before.started();
+        }
+        boolean agree = Math.abs(now - wall) <= CLOCKS_AGREE;
+        return toldStart == 0 || agree ? toldStart : now - age(toldStart);
     }
 
     /** A line of a list that could be read. */
@@ -804,10 +834,12 @@
         if (state == null) {
             throw new WireException("unknown lifecycle '" + line.text("lifecycle") + "'");
         }
+        long toldStart = line.integer("startedAtMs", 0) * MILLI;
         Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
                 words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
-                line.integer("startedAtMs", 0) * MILLI, state);
-        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), member.started(), state));
+                started(memberId(instance), toldStart), state);
+        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), toldStart, member.started(),
+                state));
     }
 
     /** A list: all of it is read before any of it is applied, and a line that can't be read costs that member's news alone. */
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -39,6 +39,13 @@
                 .orShould().callMethod(java.time.Instant.class, "now").check(ALL);
     }
 
+    @Test
+    void theWallClockIsReadByTheRouterClockAlone() {
+        noClasses().that().resideOutsideOfPackages("pumicemoor.lab..").and().doNotHaveSimpleName("RouterClock")
+                .should().callMethod(System.class, "currentTimeMillis").orShould().callMethod(java.time.Instant.class, "now")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").check(ALL);
+    }
+
     @Test
     void noArrowUpAndNoCircle() {
         noClasses().that().resideInAnyPackage("pumicemoor.wire..", "pumicemoor.operator..", "pumicemoor.node..")
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -602,6 +602,28 @@
         assertEquals(1, counters.get(Counters.Name.STARTED_UNSYNCED));
     }
 
+    @Test
+    void aPurgeIsTakenForTheLaterOneWhereTheWallClockWasStepped() {
+        for (long step : new long[] {-3_600 * SECOND, -5 * SECOND, 5 * SECOND, 3_600 * SECOND}) {
+            events.clear();
+            reducer.accept(now, now + step, new Input.Update("{\"index\":" + (reducer.lastUpdate() + 1)
+                    + ",\"evict\":{\"ref\":\"7f3a\",\"unix_ms\":" + (now - SECOND) / MILLI + "}}"), effects::add);
+            assertEquals(step < 0 ? 0 : SECOND, of(events, Purged.class).get(0).age(), "a step of " + step);
+        }
+    }
+
+    @Test
+    void aStartIsTakenForTheLaterOneWhereTheWallClockWasSteppedAndKeptWhenToldAgain() {
+        String list = NodeTestConfig.list(2, false,
+                NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", (now - SECOND) / MILLI));
+        reducer.accept(now, now - 3_600 * SECOND, new Input.Update(list), effects::add);
+        assertEquals(now, of(events, MembersListed.class).get(0).members().get(0).started());
+        long first = now;
+        now += 3 * SECOND;
+        take(new Input.Update(list.replace("\"index\":2", "\"index\":3")));
+        assertEquals(first, of(events, MembersListed.class).get(1).members().get(0).started());
+    }
+
     @Test
     void timersOfWhatHasEndedWakeNobody() {
         fetchOnArrival(0, 0);
