--- a/src/main/java/pumicemoor/Hashes.java
+++ b/src/main/java/pumicemoor/Hashes.java
@@ -3,8 +3,7 @@
 /** Numbers for names that are the same at every router and every start. */
 public final class Hashes {
 
-    private Hashes() {
-    }
+    private Hashes() {}
 
     /** FNV-1a over the text's characters. */
     public static long fnv(String text) {
--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -25,62 +25,62 @@
  * parent, else the origin. Everything else here is a departure that acts when something is wrong.
  */
 public final class Logic implements RouterApi {
-    private static final long MILLI = 1_000;  // microseconds
-    private static final long SECOND = 1_000_000;  // microseconds
-    private static final long TICK = 20 * MILLI;  // sweep for overdue work; far below any aim
-    private static final int HOLDERS = 4;  // caches remembered an object; the design's start
-    private static final long FILLING_LIFE = 20 * SECOND;  // a reference to a fill; the design's start
-    private static final long HOLDING_LIFE = 30 * SECOND;  // a reference to a copy; the design's start
-    private static final int OBJECTS = 20_000;  // objects remembered; bounds memory
-    private static final int NOTES_A_MINUTE = 12;  // peer notes an object; the design's figure
-    private static final int NOTE_BYTES = 256;  // longest peer note that is sent
-    private static final double RETRY_SHARE = 0.2;  // further attempts earned by a request
-    private static final double RETRY_BURST = 40;  // that a location's routers may save up: one cache's work
-    private static final int ATTEMPTS = 7;  // attempts for a request at most, those that only look too
-    private static final double QUICK_AIM = 0.2;  // a failure within this share of the tightest aim is quick
-    private static final int QUICK_FAILURES = 2;  // quick failures of a request before it tries elsewhere
-    private static final int STRIKES = 2;  // failures in a row that take a member out
-    private static final double FAIL_SHARE = 0.75;  // share of failures that takes a member out
-    private static final double FAIL_GAIN = 0.15;  // weight of the newest outcome in that share
-    private static final long DOWN_FIRST = SECOND;  // first time out; doubled each time
-    private static final long DOWN_LONGEST = 8 * SECOND;  // longest time out
-    private static final long PATIENCE = 250 * MILLI;  // least time before silence counts
-    private static final double PATIENCE_WORK = 4;  // times the expected time, before silence counts
-    private static final double MEAN_GAIN = 0.05;  // weight of the newest in averages
-    private static final double CREW_SPAN = 700 * MILLI;  // a fellow router; its load is ours over so long
-    private static final double CREW_GAIN = 0.2;  // largest LATE_GAIN: one late attempt alone cuts nothing
-    private static final double LIMIT_START = 48;  // attempts a member of untold size may have of a location
-    private static final double LIMIT_WEIGHT = 2;  // that guess over the weight, where weights are told
-    private static final double LIMIT_PARENT = 2;  // that guess for a parent, times, over all locations
-    private static final double LIMIT_LEAST = 2;  // never fewer, so that recovery shows
-    private static final double LIMIT_CUT = 0.8;  // factor on the limit when attempts come late
-    private static final double LATE_GAIN = 0.1;  // weight of the newest attempt in the share that is late
-    private static final double LATE_BORNE = 0.2;  // share that may be late before the limit falls
-    private static final double LARGE_LESS = 0.6;  // share of a limit closed to the largest requests
-    private static final double ORIGIN_PART = 0.5;  // a fill from a parent counts so much on the origin
-    private static final int WAITERS = 8;  // waiting requests tried again when an attempt ends
-    private static final double COLD_SAFETY = 0.65;  // share of a cold member's budget that is used
-    private static final double COLD_BURST = 0.25;  // of the budget of a span that may be saved up
-    private static final double FLOW_SPAN = 5 * SECOND;  // over which the work served is averaged
-    private static final double COLD_WIDTH = 3;  // transfers that a member of unknown size is taken for
-    private static final double COLD_SMALLER = 0.5;  // such a member against the mean of the warm ones
-    private static final double RETRY_AFTER_AIM = 0.5;  // advice to come back after this share of the aim
-    private static final int LONGEST_WAY = 8;  // members that a source's fill may pass through
-    private static final long TOLD_BY = 7 * SECOND;  // what is purged counts as told by then, heard or not
-    private static final int PURGE_LIVES = 3;  // purges are kept this many times purgeDone
-    private static final double QUOTA_SPAN = 100 * MILLI;  // of the fleet's limits that may be saved up
+    private static final long MILLI = 1_000; // microseconds
+    private static final long SECOND = 1_000_000; // microseconds
+    private static final long TICK = 20 * MILLI; // sweep for overdue work; far below any aim
+    private static final int HOLDERS = 4; // caches remembered an object; the design's start
+    private static final long FILLING_LIFE = 20 * SECOND; // a reference to a fill; the design's start
+    private static final long HOLDING_LIFE = 30 * SECOND; // a reference to a copy; the design's start
+    private static final int OBJECTS = 20_000; // objects remembered; bounds memory
+    private static final int NOTES_A_MINUTE = 12; // peer notes an object; the design's figure
+    private static final int NOTE_BYTES = 256; // longest peer note that is sent
+    private static final double RETRY_SHARE = 0.2; // further attempts earned by a request
+    private static final double RETRY_BURST = 40; // that a location's routers may save up: one cache's work
+    private static final int ATTEMPTS = 7; // attempts for a request at most, those that only look too
+    private static final double QUICK_AIM = 0.2; // a failure within this share of the tightest aim is quick
+    private static final int QUICK_FAILURES = 2; // quick failures of a request before it tries elsewhere
+    private static final int STRIKES = 2; // failures in a row that take a member out
+    private static final double FAIL_SHARE = 0.75; // share of failures that takes a member out
+    private static final double FAIL_GAIN = 0.15; // weight of the newest outcome in that share
+    private static final long DOWN_FIRST = SECOND; // first time out; doubled each time
+    private static final long DOWN_LONGEST = 8 * SECOND; // longest time out
+    private static final long PATIENCE = 250 * MILLI; // least time before silence counts
+    private static final double PATIENCE_WORK = 4; // times the expected time, before silence counts
+    private static final double MEAN_GAIN = 0.05; // weight of the newest in averages
+    private static final double CREW_SPAN = 700 * MILLI; // a fellow router; its load is ours over so long
+    private static final double CREW_GAIN = 0.2; // largest LATE_GAIN: one late attempt alone cuts nothing
+    private static final double LIMIT_START = 48; // attempts a member of untold size may have of a location
+    private static final double LIMIT_WEIGHT = 2; // that guess over the weight, where weights are told
+    private static final double LIMIT_PARENT = 2; // that guess for a parent, times, over all locations
+    private static final double LIMIT_LEAST = 2; // never fewer, so that recovery shows
+    private static final double LIMIT_CUT = 0.8; // factor on the limit when attempts come late
+    private static final double LATE_GAIN = 0.1; // weight of the newest attempt in the share that is late
+    private static final double LATE_BORNE = 0.2; // share that may be late before the limit falls
+    private static final double LARGE_LESS = 0.6; // share of a limit closed to the largest requests
+    private static final double ORIGIN_PART = 0.5; // a fill from a parent counts so much on the origin
+    private static final int WAITERS = 8; // waiting requests tried again when an attempt ends
+    private static final double COLD_SAFETY = 0.65; // share of a cold member's budget that is used
+    private static final double COLD_BURST = 0.25; // of the budget of a span that may be saved up
+    private static final double FLOW_SPAN = 5 * SECOND; // over which the work served is averaged
+    private static final double COLD_WIDTH = 3; // transfers that a member of unknown size is taken for
+    private static final double COLD_SMALLER = 0.5; // such a member against the mean of the warm ones
+    private static final double RETRY_AFTER_AIM = 0.5; // advice to come back after this share of the aim
+    private static final int LONGEST_WAY = 8; // members that a source's fill may pass through
+    private static final long TOLD_BY = 7 * SECOND; // what is purged counts as told by then, heard or not
+    private static final int PURGE_LIVES = 3; // purges are kept this many times purgeDone
+    private static final double QUOTA_SPAN = 100 * MILLI; // of the fleet's limits that may be saved up
 
     private final Settings settings;
     private final boolean weighted;
     private final long tightestAim;
-    private final int crew;  // routers of this location; they act alike, so ours times crew stands for all
+    private final int crew; // routers of this location; they act alike, so ours times crew stands for all
     private final Random random;
     private final Map<Long, Node> nodes = new TreeMap<>();
-    private List<Node> caches = List.of(), parents = List.of();  // listed, caches of this location only
+    private List<Node> caches = List.of(), parents = List.of(); // listed, caches of this location only
     private Node origin;
-    private Map<Long, SourceList> given = Map.of();  // who may be filled from whom; empty: by the list alone
-    private final Quotas quotas = new Quotas(QUOTA_SPAN);  // what this router may have of the fleet's limits
-    private List<MemberOut> verdicts;  // members out by the fleet's word; null: nobody asks for ours
+    private Map<Long, SourceList> given = Map.of(); // who may be filled from whom; empty: by the list alone
+    private final Quotas quotas = new Quotas(QUOTA_SPAN); // what this router may have of the fleet's limits
+    private List<MemberOut> verdicts; // members out by the fleet's word; null: nobody asks for ours
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Entry> table = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -88,13 +88,13 @@
             return size() > OBJECTS;
         }
     };
-    private final TreeSet<Job> waiting = new TreeSet<>(Comparator.comparingDouble((Job j) -> -j.priority)
-            .thenComparingLong(j -> j.number));
+    private final TreeSet<Job> waiting =
+            new TreeSet<>(Comparator.comparingDouble((Job j) -> -j.priority).thenComparingLong(j -> j.number));
     private final Map<String, Long> purgedObjects = new LinkedHashMap<>();
     private final Map<Integer, Long> purgedGroups = new LinkedHashMap<>();
-    private final Set<Integer> nearPeers = new TreeSet<>();  // routers that told of caches of this location
+    private final Set<Integer> nearPeers = new TreeSet<>(); // routers that told of caches of this location
     private final double[] meanWork;
-    private double fillWait = PATIENCE;  // time that a fill adds to a transfer, lately
+    private double fillWait = PATIENCE; // time that a fill adds to a transfer, lately
     private double meanPriority, retryTokens;
     private boolean ticking;
     private long arrivals, lastFill, now, watchAgainAt = Long.MAX_VALUE, heardAt = Long.MAX_VALUE;
@@ -103,13 +103,13 @@
     /** A member of the list and what its outcomes have shown. */
     private static final class Node {
         Member member;
-        boolean listed;  // ready by the list
-        double load, limit, lateShare;  // what it has of ours, may have of all, and the share that came late
-        double meanLoad, failShare;  // what it has of ours over a while, as of loadAt; of failures
-        long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2;  // when the limit fell, when it held a request up
-        int open, asked, strikes;  // attempts that are out, that may reach it at all, failures in a row
+        boolean listed; // ready by the list
+        double load, limit, lateShare; // what it has of ours, may have of all, and the share that came late
+        double meanLoad, failShare; // what it has of ours over a while, as of loadAt; of failures
+        long loadAt, cutAt, pressedAt = Long.MIN_VALUE / 2; // when the limit fell, when it held a request up
+        int open, asked, strikes; // attempts that are out, that may reach it at all, failures in a row
         long lastAnswer, struckAt, downUntil, downFor, coldFrom;
-        double flow, credit;  // work served lately, in transfers, as of flowAt; budget left while cold
+        double flow, credit; // work served lately, in transfers, as of flowAt; budget left while cold
         long flowAt, creditAt;
     }
 
@@ -117,12 +117,12 @@
     private static final class Job {
         RequestArrived request;
         RequestClass type;
-        String key;  // object and part
-        double work, priority;  // time to send it at full pace, worth for that
-        long number, startBy, deadline;  // startBy: after this it can't be on time
+        String key; // object and part
+        double work, priority; // time to send it at full pace, worth for that
+        long number, startBy, deadline; // startBy: after this it can't be on time
         int attempts, quickFailures;
-        boolean mayHaveRun, closed, streaming, missed, parentMissed;  // a look found none here, there
-        boolean stale, retry;  // an old copy will do now; the next attempt is a further one, on the budget
+        boolean mayHaveRun, closed, streaming, missed, parentMissed; // a look found none here, there
+        boolean stale, retry; // an old copy will do now; the next attempt is a further one, on the budget
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failed = new HashSet<>();
     }
@@ -130,8 +130,8 @@
     /** An attempt that is out, and the shares of it that count on the limits of members. */
     private static final class Attempt {
         int number;
-        Node target, source, blamed;  // blamed: for being late, so far
-        long sent, lateFrom, due;  // due: silence counts from here
+        Node target, source, blamed; // blamed: for being late, so far
+        long sent, lateFrom, due; // due: silence counts from here
         boolean overdue, cancelled, expectHit, look, lookAtParent, away;
         final Map<Node, Double> charges = new LinkedHashMap<>();
     }
@@ -143,17 +143,18 @@
         long noteMinute;
     }
 
-    private record Holder(Node node, long started, long since, long until) {
-    }
+    private record Holder(Node node, long started, long since, long until) {}
 
     public Logic(Settings settings, long salt) {
         this.settings = settings;
         this.random = new Random(salt);
-        this.crew = settings.routersByLocation().isEmpty() ? settings.routers()
+        this.crew = settings.routersByLocation().isEmpty()
+                ? settings.routers()
                 : Math.max(1, settings.routersByLocation().get(settings.location()));
         this.retryTokens = Math.max(1, RETRY_BURST / crew);
         this.weighted = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
-        this.tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(0);
+        this.tightestAim =
+                settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(0);
         this.meanWork = new double[settings.classes().size()];
     }
 
@@ -207,11 +208,11 @@
             Node n = nodes.get(m.id());
             if (n == null || n.member.started() != m.started()) {
                 if (n != null) {
-                    n.listed = false;  // what was known of the process before its restart is void
+                    n.listed = false; // what was known of the process before its restart is void
                 }
                 n = new Node();
                 n.limit = weighted ? LIMIT_WEIGHT * m.weight() : LIMIT_START;
-                if (weighted && m.role() == Role.PARENT) {  // all locations share it
+                if (weighted && m.role() == Role.PARENT) { // all locations share it
                     n.limit *= LIMIT_PARENT * crew / Math.max(1, settings.routers());
                 }
                 n.limit = Math.max(LIMIT_LEAST, n.limit);
@@ -222,7 +223,9 @@
             n.coldFrom = Math.max(n.coldFrom, m.started());
         }
         nodes.values().removeIf(n -> !n.listed && n.member.state() != State.DRAINING);
-        caches = listed(Role.CACHE).filter(n -> n.member.zone() == settings.location()).toList();
+        caches = listed(Role.CACHE)
+                .filter(n -> n.member.zone() == settings.location())
+                .toList();
         parents = listed(Role.PARENT).toList();
         origin = listed(Role.ORIGIN).findFirst().orElse(null);
     }
@@ -238,7 +241,7 @@
         job.key = r.object() + '#' + r.part();
         job.number = arrivals++;
         double mean = meanWork[r.requestClass()];
-        job.work = mean > 0 ? mean : job.type.aim();  // guesses too small make all seem late
+        job.work = mean > 0 ? mean : job.type.aim(); // guesses too small make all seem late
         if (r.sizeKb() > 0 && settings.fills().transferKbPerSecond() > 0) {
             job.work = r.sizeKb() / settings.fills().transferKbPerSecond() * SECOND;
             meanWork[r.requestClass()] = mean == 0 ? job.work : mean + MEAN_GAIN * (job.work - mean);
@@ -246,7 +249,8 @@
         job.priority = job.type.worth() / job.work;
         meanPriority += (meanPriority == 0 ? 1 : MEAN_GAIN) * (job.priority - meanPriority);
         job.deadline = now + r.timeLeft();
-        job.startBy = Math.min(job.deadline - 2 * TICK,
+        job.startBy = Math.min(
+                job.deadline - 2 * TICK,
                 now + (long) (job.type.aim() + (job.type.aimStretch() - 1) * job.work - fillWait));
         jobs.put(r.id(), job);
         retryTokens = Math.min(Math.max(1, RETRY_BURST / crew), retryTokens + RETRY_SHARE);
@@ -273,7 +277,8 @@
                 }
             }
         }
-        Predicate<Long> settled = at -> at < now - PURGE_LIVES * settings.rules().purgeDone();
+        Predicate<Long> settled =
+                at -> at < now - PURGE_LIVES * settings.rules().purgeDone();
         purgedObjects.values().removeIf(settled);
         purgedGroups.values().removeIf(settled);
     }
@@ -286,14 +291,20 @@
         }
         boolean direct = settings.fills().direct();
         Node edge = edge(job);
-        if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts()) || job.retry && retryTokens < 1
-                || job.quickFailures > QUICK_FAILURES + 1  // it fails wherever it is sent
-                || now >= job.deadline || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
+        if (job.attempts >= Math.min(ATTEMPTS, settings.limits().attempts())
+                || job.retry && retryTokens < 1
+                || job.quickFailures > QUICK_FAILURES + 1 // it fails wherever it is sent
+                || now >= job.deadline
+                || job.mayHaveRun && job.type.effect() != Effect.SAFE) {
             giveUp(job);
         } else if (job.type.uncacheable() && origin != null && (direct || edge != null)) {
-            send(job, direct ? origin : edge, origin, direct
-                    ? new Lookup(job.request.id(), origin.member.id(), 0) : get(job, edge, origin, false));
-        } else if (job.type.uncacheable() || edge == null && !direct && caches.stream().noneMatch(this::up)) {
+            send(
+                    job,
+                    direct ? origin : edge,
+                    origin,
+                    direct ? new Lookup(job.request.id(), origin.member.id(), 0) : get(job, edge, origin, false));
+        } else if (job.type.uncacheable()
+                || edge == null && !direct && caches.stream().noneMatch(this::up)) {
             giveUp(job);
         } else if (edge != null) {
             fetch(job, edge);
@@ -322,7 +333,8 @@
         Node found = source(job, edge);
         Node source = found == null ? edge : found;
         boolean full = source != edge && full(source, 1, job);
-        boolean originFull = source.member.role() == Role.PARENT && origin != null
+        boolean originFull = source.member.role() == Role.PARENT
+                && origin != null
                 && full(origin, job.parentMissed ? 1 : ORIGIN_PART, job);
         if ((full || originFull) && !job.missed) {
             send(job, edge, edge, get(job, edge, edge, false));
@@ -339,12 +351,22 @@
     /** An attempt that may fill. One-time objects, and parts, rank below objects asked for again. */
     private Fetch get(Job job, Node target, Node source, boolean onlyIfHeld) {
         boolean kept = target.member.role() == Role.CACHE && !job.type.uncacheable();
-        return new Fetch(job.request.id(), target.member.id(), source.member.id(),
-                !kept ? 0 : job.type.parts() ? 1 : Math.min(2, entry(job).seen), oldest(job),
-                settings.fills().joins(), onlyIfHeld, false,
-                job.type.fresh() > 0 && source != target && !onlyIfHeld, 0,
-                source == target || onlyIfHeld ? List.of()
-                        : way(job, source, target).stream().map(n -> n.member.id()).toList());
+        return new Fetch(
+                job.request.id(),
+                target.member.id(),
+                source.member.id(),
+                !kept ? 0 : job.type.parts() ? 1 : Math.min(2, entry(job).seen),
+                oldest(job),
+                settings.fills().joins(),
+                onlyIfHeld,
+                false,
+                job.type.fresh() > 0 && source != target && !onlyIfHeld,
+                0,
+                source == target || onlyIfHeld
+                        ? List.of()
+                        : way(job, source, target).stream()
+                                .map(n -> n.member.id())
+                                .toList());
     }
 
     /** The hashed edge cache; while that is out, cold or full, a holder with room, else one half idle. */
@@ -359,7 +381,10 @@
                 return n;
             }
         }
-        return order.stream().filter(n -> !full(n, n.limit / 2, job)).findFirst().orElse(null);
+        return order.stream()
+                .filter(n -> !full(n, n.limit / 2, job))
+                .findFirst()
+                .orElse(null);
     }
 
     /** The fill source: a remembered sibling, else the object's hashed parent, else the origin. Past a parent
@@ -373,10 +398,15 @@
                 }
             }
         }
-        List<Node> order = parents(edge, job.request.object()).stream().filter(usable).toList();
+        List<Node> order =
+                parents(edge, job.request.object()).stream().filter(usable).toList();
         Node home = order.isEmpty() ? origin : order.get(0);
-        return order.isEmpty() || home.lateShare <= LATE_BORNE || !full(home, 1, job) ? home : order.stream()
-                .filter(n -> n.lateShare <= LATE_BORNE / 2 && !full(n, 1, job)).findFirst().orElse(home);
+        return order.isEmpty() || home.lateShare <= LATE_BORNE || !full(home, 1, job)
+                ? home
+                : order.stream()
+                        .filter(n -> n.lateShare <= LATE_BORNE / 2 && !full(n, 1, job))
+                        .findFirst()
+                        .orElse(home);
     }
 
     /** A cache's parents in the order of the object: all listed, or those given, by how far it has moved. */
@@ -394,20 +424,25 @@
 
     private SourceList list(Node child) {
         SourceList own = child == null ? null : given.get(child.member.id());
-        return own != null || child != null && child.member.role() != Role.CACHE ? own
+        return own != null || child != null && child.member.role() != Role.CACHE
+                ? own
                 : given.get(SourcesGiven.LOCATION);
     }
 
     private List<Node> ranked(List<Source> sources, String object) {
         Map<Node, Double> weights = new LinkedHashMap<>();
-        sources.stream().filter(s -> nodes.containsKey(s.member()) && nodes.get(s.member()).listed)
+        sources.stream()
+                .filter(s -> nodes.containsKey(s.member()) && nodes.get(s.member()).listed)
                 .forEach(s -> weights.put(nodes.get(s.member()), s.weight()));
         return ranked(weights.keySet(), object, weights);
     }
 
     /** Whether an object has moved to its new home; it does once, at its own place in the rising share. */
     private boolean moved(SourceList list, Node home, String object) {
-        Source s = list.now().stream().filter(n -> n.member() == home.member.id()).findFirst().orElseThrow();
+        Source s = list.now().stream()
+                .filter(n -> n.member() == home.member.id())
+                .findFirst()
+                .orElseThrow();
         double place = (Hashes.mix(~Hashes.fnv(object)) >>> 11) * 0x1.0p-53;
         double span = s.fullAt() - s.opensAt();
         double passed = span <= 0 ? 1 : (now - s.opensAt()) / span;
@@ -420,12 +455,17 @@
         Predicate<Node> usable = n -> up(n) && !job.failed.contains(n.member.id()) && coldRoom(n, job);
         SourceList moving = source.member.role() == Role.PARENT ? list(child) : null;
         List<Node> old = moving == null ? List.of() : ranked(moving.earlier(), job.request.object());
-        for (Node at = source; at != null && given.containsKey(at.member.id()) && way.size() < LONGEST_WAY;) {
+        for (Node at = source; at != null && given.containsKey(at.member.id()) && way.size() < LONGEST_WAY; ) {
             Node home = at != source || old.isEmpty() ? null : old.get(0);
-            boolean seeded = home != null && usable.test(home)
+            boolean seeded = home != null
+                    && usable.test(home)
                     && given.get(at.member.id()).seeds().contains(home.member.id());
-            at = seeded ? home
-                    : parents(at, job.request.object()).stream().filter(usable).findFirst().orElse(null);
+            at = seeded
+                    ? home
+                    : parents(at, job.request.object()).stream()
+                            .filter(usable)
+                            .findFirst()
+                            .orElse(null);
             if (at != null && at.member.role() != Role.ORIGIN) {
                 way.add(at);
             }
@@ -476,8 +516,7 @@
         a.look = source == target && target.member.role() == Role.CACHE;
         a.lookAtParent = action instanceof Fetch f && f.onlyIfHeld();
         a.expectHit = a.look || holds(entry(job), job, target);
-        a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim)
-                + (long) (job.type.aimStretch() * job.work);
+        a.lateFrom = now + (a.expectHit ? job.type.aim() : tightestAim) + (long) (job.type.aimStretch() * job.work);
         a.due = now + PATIENCE + (long) (PATIENCE_WORK * (job.work + (a.expectHit ? 0 : fillWait)));
         a.charges.put(target, 1.0);
         if (source != target) {
@@ -490,7 +529,7 @@
             }
         }
         if (!a.charges.keySet().stream().allMatch(n -> allowed(n, job))) {
-            hold(job);  // all that it may reach count in full, also where a hit is expected
+            hold(job); // all that it may reach count in full, also where a hit is expected
             return;
         }
         retryTokens -= job.retry ? 1 : 0;
@@ -509,8 +548,8 @@
      * alone, else over a while, since one request of ours doesn't mean that each of the others has one
      * too. */
     private double crewLoad(Node n) {
-        n.meanLoad += (n.load - n.meanLoad) * (crew == 1 ? 1
-                : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
+        n.meanLoad +=
+                (n.load - n.meanLoad) * (crew == 1 ? 1 : 1 - Math.exp((n.loadAt - now) / (CREW_SPAN * (crew - 1))));
         n.loadAt = now;
         return crew * n.meanLoad;
     }
@@ -588,11 +627,11 @@
         } else if (e.outcome() == Outcome.CONNECT_FAILED || e.outcome() == Outcome.RESET) {
             job.failed.add(a.target.member.id());
             forget(entry(job), a.target);
-            if (a.sent >= a.target.struckAt) {  // what was out when one broke tells of the same trouble
+            if (a.sent >= a.target.struckAt) { // what was out when one broke tells of the same trouble
                 a.target.struckAt = now;
-                strike(a.target, e.outcome() == Outcome.CONNECT_FAILED);  // who resets is there, warm
+                strike(a.target, e.outcome() == Outcome.CONNECT_FAILED); // who resets is there, warm
             }
-        } else if (e.outcome() == Outcome.TIMEOUT  // a client that left early tells nothing of the member
+        } else if (e.outcome() == Outcome.TIMEOUT // a client that left early tells nothing of the member
                 || e.outcome() == Outcome.CANCELLED && (!job.closed || now >= a.lateFrom)) {
             tooMuch(a, null);
             Node guilty = a.target.lastAnswer < a.sent ? a.target : a.source;
@@ -602,8 +641,8 @@
     }
 
     private void served(Job job, Attempt a, AttemptEnded e) {
-        boolean hit = e.note() == FillNote.HIT || e.note() == FillNote.STALE
-                || e.note() == FillNote.NONE && a.expectHit;
+        boolean hit =
+                e.note() == FillNote.HIT || e.note() == FillNote.STALE || e.note() == FillNote.NONE && a.expectHit;
         boolean late = now > a.lateFrom;
         good(a.target);
         flowed(a.target, job);
@@ -625,7 +664,7 @@
             if (!late && unnamedBehind(a)) {
                 paced(origin, a, false);
             }
-        } else if (a.target == origin) {  // may be all that shows its state, where notes are few
+        } else if (a.target == origin) { // may be all that shows its state, where notes are few
             paced(origin, a, late);
         }
         if (!job.type.uncacheable() && a.target.member.role() == Role.CACHE) {
@@ -636,21 +675,24 @@
 
     /** Counts an attempt late: for whom a note names, else once for the likely cache, source or origin. */
     private void tooMuch(Attempt a, Node known) {
-        boolean behindParent = settings.fills().notes() == Notes.ALL && origin != null
-                && a.source.member.role() == Role.PARENT && origin.lateShare >= a.source.lateShare;
+        boolean behindParent = settings.fills().notes() == Notes.ALL
+                && origin != null
+                && a.source.member.role() == Role.PARENT
+                && origin.lateShare >= a.source.lateShare;
         if (known == a.source || a.blamed == null) {
             paced(known != null ? known : a.expectHit ? a.target : behindParent ? origin : a.source, a, true);
-            if (known == null && !a.expectHit && unnamedBehind(a)
+            if (known == null
+                    && !a.expectHit
+                    && unnamedBehind(a)
                     && parents.stream().noneMatch(p -> up(p) && p.lateShare <= LATE_BORNE)) {
-                paced(origin, a, true);  // what comes late from all parents has one cause behind them
+                paced(origin, a, true); // what comes late from all parents has one cause behind them
             }
         }
     }
 
     /** Whether a parent's fill may have come from the origin with no note to tell. */
     private boolean unnamedBehind(Attempt a) {
-        return settings.fills().notes() != Notes.ALL && origin != null
-                && a.source.member.role() == Role.PARENT;
+        return settings.fills().notes() != Notes.ALL && origin != null && a.source.member.role() == Role.PARENT;
     }
 
     /** The limit of what a member has of ours, against any jam: it falls when an attempt sent after the last
@@ -676,9 +718,9 @@
      * the member out. While all sources are silent, none is blamed: then what lies behind them is. */
     private void overdue(Job job, Attempt a) {
         boolean targetSilent = a.target.lastAnswer < a.sent;
-        Node guilty = targetSilent && (a.expectHit || a.source.lastAnswer >= a.sent) ? a.target
-                : !targetSilent && !a.expectHit && a.source.lastAnswer < a.sent && lastFill >= a.sent
-                ? a.source : null;
+        Node guilty = targetSilent && (a.expectHit || a.source.lastAnswer >= a.sent)
+                ? a.target
+                : !targetSilent && !a.expectHit && a.source.lastAnswer < a.sent && lastFill >= a.sent ? a.source : null;
         if (guilty != null) {
             strike(guilty, true);
             cancel(job, a);
@@ -688,7 +730,7 @@
     /** A failure that came quickly has cost little: the same member, which has the object, is tried again,
      * and only one that fails most of what it gets is left. A failure that took its time is a strike. */
     private void failed(Job job, Attempt a, Node n, long latency) {
-        n.failShare += job.quickFailures > 0 ? 0 : FAIL_GAIN * (1 - n.failShare);  // each request tells once
+        n.failShare += job.quickFailures > 0 ? 0 : FAIL_GAIN * (1 - n.failShare); // each request tells once
         if (n.failShare > FAIL_SHARE) {
             down(n, false);
         }
@@ -738,23 +780,29 @@
 
     /** Answers at once: refused where harmless, else failed; before that a copy within grace will do. */
     private void giveUp(Job job) {
-        Node edge = job.stale || job.type.grace() == 0 || job.mayHaveRun
-                && job.type.effect() != Effect.SAFE || job.attempts >= settings.limits().attempts()
-                || now >= job.deadline || job.closed ? null : edge(job);
+        Node edge = job.stale
+                        || job.type.grace() == 0
+                        || job.mayHaveRun && job.type.effect() != Effect.SAFE
+                        || job.attempts >= settings.limits().attempts()
+                        || now >= job.deadline
+                        || job.closed
+                ? null
+                : edge(job);
         if (edge != null) {
             job.stale = true;
             Node parent = source(job, edge);
-            send(job, edge, parent == null ? edge : parent, get(job, edge, parent == null ? edge : parent,
-                    true));
+            send(job, edge, parent == null ? edge : parent, get(job, edge, parent == null ? edge : parent, true));
             return;
         }
-        boolean harmless = !job.mayHaveRun || job.type.effect() == Effect.SAFE
+        boolean harmless = !job.mayHaveRun
+                || job.type.effect() == Effect.SAFE
                 || job.type.effect() == Effect.KEYED && job.type.group() == RepeatGroup.ALL;
         if (!job.closed) {
-            long after = (long) Math.min(settings.limits().longestRetryAfter(),
-                    RETRY_AFTER_AIM * job.type.aim());
-            out.accept(!harmless ? new Fail(job.request.id())
-                    : new Refuse(job.request.id(), settings.limits().retryAfter() ? after : 0));
+            long after = (long) Math.min(settings.limits().longestRetryAfter(), RETRY_AFTER_AIM * job.type.aim());
+            out.accept(
+                    !harmless
+                            ? new Fail(job.request.id())
+                            : new Refuse(job.request.id(), settings.limits().retryAfter() ? after : 0));
         }
         close(job);
     }
@@ -797,8 +845,10 @@
     }
 
     private boolean alive(Holder h, Job job) {
-        return h.until > now && h.started == h.node.member.started() && (h.since < 0
-                || h.since > purgedAt(job) && (job.type.fresh() == 0 || now - h.since < job.type.fresh()));
+        return h.until > now
+                && h.started == h.node.member.started()
+                && (h.since < 0
+                        || h.since > purgedAt(job) && (job.type.fresh() == 0 || now - h.since < job.type.fresh()));
     }
 
     private void tellPeers(Job job, Node node) {
@@ -812,7 +862,9 @@
             entry.notes = 0;
         }
         if (entry.notes++ < NOTES_A_MINUTE) {
-            ByteBuffer text = ByteBuffer.allocate(Long.BYTES + key.length).putLong(node.member.id()).put(key);
+            ByteBuffer text = ByteBuffer.allocate(Long.BYTES + key.length)
+                    .putLong(node.member.id())
+                    .put(key);
             // only a location's routers, found by what they tell, use a note; one to a tier is paid by all
             Stream<Integer> to = nearPeers.size() < crew - 1 ? Stream.of(-1) : nearPeers.stream();
             to.forEach(peer -> out.accept(new TellPeer(peer, text.array())));
@@ -832,7 +884,8 @@
     }
 
     private long purgedAt(Job job) {
-        return Math.max(purgedObjects.getOrDefault(job.request.object(), Long.MIN_VALUE),
+        return Math.max(
+                purgedObjects.getOrDefault(job.request.object(), Long.MIN_VALUE),
                 purgedGroups.getOrDefault(job.request.group(), Long.MIN_VALUE));
     }
 
@@ -840,17 +893,20 @@
      * before one that counts as told though it was not heard; 0 would mean any age. */
     private long oldest(Job job) {
         long at = purgedAt(job);
-        boolean unheard = now - heardAt > TOLD_BY - SECOND;  // signs of life are a second apart
-        long since = Math.min(at == Long.MIN_VALUE ? Long.MAX_VALUE : Math.max(1, now - at),
-                unheard ? TOLD_BY : Long.MAX_VALUE);
+        boolean unheard = now - heardAt > TOLD_BY - SECOND; // signs of life are a second apart
+        long since = Math.min(
+                at == Long.MIN_VALUE ? Long.MAX_VALUE : Math.max(1, now - at), unheard ? TOLD_BY : Long.MAX_VALUE);
         long fresh = job.type.fresh() + (job.stale ? job.type.grace() : 0);
         return fresh > 0 ? Math.min(fresh, since) : since == Long.MAX_VALUE ? 0 : since;
     }
 
     /** Who has a case of its own tries the member by itself; all others go by the fleet's word. */
     private boolean up(Node n) {
-        return n.listed && now >= n.downUntil && (n.downFor != 0 ? n.open == 0
-                : verdicts == null || verdicts.stream().noneMatch(v -> v.covers(n.member, now)));
+        return n.listed
+                && now >= n.downUntil
+                && (n.downFor != 0
+                        ? n.open == 0
+                        : verdicts == null || verdicts.stream().noneMatch(v -> v.covers(n.member, now)));
     }
 
     /** These members in the key's rendezvous order. */
@@ -859,8 +915,11 @@
         TreeMap<Double, Node> ranked = new TreeMap<>(Comparator.reverseOrder());
         for (Node n : members) {
             double draw = ((Hashes.mix(hash ^ Hashes.mix(n.member.id())) >>> 11) + 1) * 0x1.0p-53;
-            ranked.put(Math.log(draw) / (weighted && n.member.weight() > 0 ? n.member.weight() : 1)
-                    / weights.getOrDefault(n, 1.0), n);
+            ranked.put(
+                    Math.log(draw)
+                            / (weighted && n.member.weight() > 0 ? n.member.weight() : 1)
+                            / weights.getOrDefault(n, 1.0),
+                    n);
         }
         return new ArrayList<>(ranked.values());
     }
@@ -875,7 +934,8 @@
         boolean parent = n.member.role() == Role.PARENT;
         ColdStart cold = parent ? settings.rules().parent() : settings.rules().cache();
         int routers = parent ? Math.max(1, settings.routers()) : crew;
-        double width = weighted ? n.member.weight() / routers
+        double width = weighted
+                ? n.member.weight() / routers
                 : Math.max(COLD_WIDTH / routers, COLD_SMALLER * usualFlow(parent ? parents : caches));
         double span = settings.rules().overloadSpan();
         double work = countedWork(n, job);
@@ -898,13 +958,17 @@
 
     private boolean warm(Node n) {
         Rules rules = settings.rules();
-        return n.member.role() == Role.ORIGIN || n.coldFrom == 0 || now - n.coldFrom
-                >= (n.member.role() == Role.PARENT ? rules.parent() : rules.cache()).warmAfter();
+        return n.member.role() == Role.ORIGIN
+                || n.coldFrom == 0
+                || now - n.coldFrom >= (n.member.role() == Role.PARENT ? rules.parent() : rules.cache()).warmAfter();
     }
 
     /** What a warm member of this kind serves this router, in transfers, lately. */
     private double usualFlow(List<Node> members) {
-        return members.stream().filter(n -> n.flow > 0 && warm(n))
-                .mapToDouble(n -> n.flow * Math.exp((n.flowAt - now) / FLOW_SPAN)).average().orElse(0);
+        return members.stream()
+                .filter(n -> n.flow > 0 && warm(n))
+                .mapToDouble(n -> n.flow * Math.exp((n.flowAt - now) / FLOW_SPAN))
+                .average()
+                .orElse(0);
     }
 }
--- a/src/main/java/pumicemoor/Quota.java
+++ b/src/main/java/pumicemoor/Quota.java
@@ -11,16 +11,16 @@
  */
 final class Quota {
 
-    private static final double NEWEST = 0.1;  // weight of the newest in the mean
+    private static final double NEWEST = 0.1; // weight of the newest in the mean
 
-    private final double span;  // microseconds that a bucket may save up for
+    private final double span; // microseconds that a bucket may save up for
     private Allowance given;
     private double tokens;
     private double wanted;
-    private double mean;  // kilobytes that an attempt brought across
-    private int open;  // attempts that may still bring some
+    private double mean; // kilobytes that an attempt brought across
+    private int open; // attempts that may still bring some
     private long at;
-    private long denied;  // requests numbered under this were counted as wanted when they were first held up
+    private long denied; // requests numbered under this were counted as wanted when they were first held up
 
     /** An empty bucket of this depth; it starts to fill now. */
     Quota(double span, Allowance given, long now) {
@@ -50,7 +50,8 @@
     /** Whether there is room for a request more, of this number, where so many are under way. */
     boolean room(long now, int underWay, long request) {
         double share = share(now);
-        boolean room = given.measure() == Measure.KB_PER_SECOND ? tokens > open * mean
+        boolean room = given.measure() == Measure.KB_PER_SECOND
+                ? tokens > open * mean
                 : given.measure().whole ? underWay < Math.floor(share) : tokens >= 1;
         if (!room && request >= denied) {
             denied = request + 1;
@@ -69,7 +70,7 @@
     }
 
     void end(double kb) {
-        open = Math.max(0, open - 1);  // one that began before the allowance came was not counted
+        open = Math.max(0, open - 1); // one that began before the allowance came was not counted
         tokens -= kb;
         wanted += kb;
         mean += kb > 0 ? (mean == 0 ? 1 : NEWEST) * (kb - mean) : 0;
@@ -77,8 +78,8 @@
 
     /** How much was wanted since this was last asked: by the second, or under way at once. */
     Wanted told(int underWay) {
-        Wanted since = new Wanted(given.member(), given.measure(), wanted + (given.measure().whole ? underWay : 0),
-                underWay);
+        Wanted since =
+                new Wanted(given.member(), given.measure(), wanted + (given.measure().whole ? underWay : 0), underWay);
         wanted = 0;
         return since;
     }
--- a/src/main/java/pumicemoor/Quotas.java
+++ b/src/main/java/pumicemoor/Quotas.java
@@ -16,9 +16,9 @@
  */
 final class Quotas {
 
-    private static final long SECOND = 1_000_000;  // microseconds
+    private static final long SECOND = 1_000_000; // microseconds
 
-    private final double span;  // microseconds that a bucket may save up for
+    private final double span; // microseconds that a bucket may save up for
     private Map<Long, List<Quota>> byMember = Map.of();
     private long toldAt;
 
@@ -30,9 +30,12 @@
     void follow(List<Allowance> allowances, long now) {
         Map<Long, List<Quota>> next = new TreeMap<>();
         for (Allowance a : allowances) {
-            next.computeIfAbsent(a.member(), m -> new ArrayList<>()).add(of(a.member()).stream()
-                    .filter(q -> q.measure() == a.measure()).findFirst().orElseGet(() -> new Quota(span, a, now))
-                    .follow(a, now));
+            next.computeIfAbsent(a.member(), m -> new ArrayList<>())
+                    .add(of(a.member()).stream()
+                            .filter(q -> q.measure() == a.measure())
+                            .findFirst()
+                            .orElseGet(() -> new Quota(span, a, now))
+                            .follow(a, now));
         }
         byMember = next;
     }
@@ -46,8 +49,8 @@
      * away, in another zone, also for what crosses zones.
      */
     boolean room(long now, long member, boolean warm, int underWay, long request, boolean away) {
-        return of(member).stream().allMatch(q -> q.measure() == Measure.COLD_IN_FLIGHT && warm
-                || q.room(now, underWay, request))
+        return of(member).stream()
+                        .allMatch(q -> q.measure() == Measure.COLD_IN_FLIGHT && warm || q.room(now, underWay, request))
                 && (!away || of(Allowance.ACROSS_ZONES).stream().allMatch(q -> q.room(now, 0, request)));
     }
 
--- a/src/main/java/pumicemoor/RouterApi.java
+++ b/src/main/java/pumicemoor/RouterApi.java
@@ -17,102 +17,182 @@
     // ---- settings -------------------------------------------------------------------------------------
 
     /** What a router is told when it starts; nothing in it changes while it runs. */
-    record Settings(int router, int routers, int location, List<Integer> routersByLocation,
-            List<Integer> hubByLocation, List<RequestClass> classes, Limits limits, Rules rules,
+    record Settings(
+            int router,
+            int routers,
+            int location,
+            List<Integer> routersByLocation,
+            List<Integer> hubByLocation,
+            List<RequestClass> classes,
+            Limits limits,
+            Rules rules,
             Prices prices,
-            Fills fills, LoadReports loadReports, boolean watchList, Weights weights,
-            boolean clientsMarkRepeats) {
-    }
+            Fills fills,
+            LoadReports loadReports,
+            boolean watchList,
+            Weights weights,
+            boolean clientsMarkRepeats) {}
 
     /** What a weight in the list of members stands for. */
-    enum Weights { NONE, NOMINAL, ROUGH, LIVE }
+    enum Weights {
+        NONE,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /** Whether a request may run more than once: always, within a group that drops repeats, never. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** The members that drop the repeats of a keyed request. */
-    enum RepeatGroup { ALL, ZONE, CELL }
+    enum RepeatGroup {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** A class of requests; fresh 0 means that a copy is good until it is purged. */
-    record RequestClass(String name, long aim, double aimStretch, long deadline, double worth,
+    record RequestClass(
+            String name,
+            long aim,
+            double aimStretch,
+            long deadline,
+            double worth,
             double lateWorth,
-            Effect effect, RepeatGroup group, long window, boolean streamed, boolean uncacheable,
+            Effect effect,
+            RepeatGroup group,
+            long window,
+            boolean streamed,
+            boolean uncacheable,
             boolean parts,
-            long fresh, long grace, double staleWorth) {
-    }
+            long fresh,
+            long grace,
+            double staleWorth) {}
 
     /** What the site allows. */
-    record Limits(int attempts, int openRequests, boolean probes, boolean peerNotes, boolean cancel,
-            boolean secondCopies, boolean retryAfter, long longestRetryAfter, long connectTimeout) {
-    }
+    record Limits(
+            int attempts,
+            int openRequests,
+            boolean probes,
+            boolean peerNotes,
+            boolean cancel,
+            boolean secondCopies,
+            boolean retryAfter,
+            long longestRetryAfter,
+            long connectTimeout) {}
 
     /** The figures of the rules; those of cold members once for caches and once for parents. */
-    record Rules(long answerSlack, long drainGrace, ColdStart cache, ColdStart parent, long overloadSpan,
-            long purgeGrace, long purgeDone, long askWithin) {
-    }
+    record Rules(
+            long answerSlack,
+            long drainGrace,
+            ColdStart cache,
+            ColdStart parent,
+            long overloadSpan,
+            long purgeGrace,
+            long purgeDone,
+            long askWithin) {}
 
     /**
      * A member starts with this share of its capacity, has all by warmAfter, falls over past the multiple.
      */
-    record ColdStart(double share, long warmAfter, double multiple) {
-    }
+    record ColdStart(double share, long warmAfter, double multiple) {}
 
     /** Points taken off the result, each times its rate. */
-    record Prices(double crossZone, double waste, double probe, double peer, double lateFail, double origin,
-            double linkIn) {
-    }
+    record Prices(
+            double crossZone, double waste, double probe, double peer, double lateFail, double origin, double linkIn) {}
 
     /** Which caches may be the source of a fill. */
-    enum SiblingSources { NONE, LOCATION, ANY }
+    enum SiblingSources {
+        NONE,
+        LOCATION,
+        ANY
+    }
 
     /** What an outcome tells of how a request was served. */
-    enum Notes { NONE, HIT_ONLY, ALL }
+    enum Notes {
+        NONE,
+        HIT_ONLY,
+        ALL
+    }
 
     /** How fills work here; a pace or link of 0 is not told. */
-    record Fills(boolean direct, boolean joins, SiblingSources siblings, Notes notes,
+    record Fills(
+            boolean direct,
+            boolean joins,
+            SiblingSources siblings,
+            Notes notes,
             double transferKbPerSecond,
-            double originFallMultiple, long originBears, List<Double> linkKbPerSecond) {
-    }
+            double originFallMultiple,
+            long originBears,
+            List<Double> linkKbPerSecond) {}
 
     /** How load reports come. */
-    enum ReportBy { NONE, PROBE, ANSWER }
+    enum ReportBy {
+        NONE,
+        PROBE,
+        ANSWER
+    }
 
     /** Load reports and what their two free fields mean. */
-    record LoadReports(ReportBy by, List<String> fields) {
-    }
+    record LoadReports(ReportBy by, List<String> fields) {}
 
     // ---- members --------------------------------------------------------------------------------------
 
     /** What a member is for. */
-    enum Role { CACHE, PARENT, ORIGIN }
+    enum Role {
+        CACHE,
+        PARENT,
+        ORIGIN
+    }
 
     /** What the list says of a member. */
-    enum State { READY, DRAINING, GONE }
+    enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** One line of the list; started 0 means long ago. */
-    record Member(long id, Role role, int zone, int cell, double weight, long started, State state) {
-    }
+    record Member(long id, Role role, int zone, int cell, double weight, long started, State state) {}
 
     // ---- events ---------------------------------------------------------------------------------------
 
     /** What a router may see. */
-    sealed interface Event permits MembersListed, SourcesGiven, AllowancesGiven, VerdictsGiven, RequestArrived,
-            AnswerStarted, AttemptEnded, RequestGone, ProbeEnded, TimerDue, Purged, NewsHeard, PeerNote {
-    }
+    sealed interface Event
+            permits MembersListed,
+                    SourcesGiven,
+                    AllowancesGiven,
+                    VerdictsGiven,
+                    RequestArrived,
+                    AnswerStarted,
+                    AttemptEnded,
+                    RequestGone,
+                    ProbeEnded,
+                    TimerDue,
+                    Purged,
+                    NewsHeard,
+                    PeerNote {}
 
     /** How a list has come: as changes, whole, as last held before a start, or not at all. */
-    enum ListKind { CHANGES, WHOLE, REMEMBERED, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        REMEMBERED,
+        FAILED
+    }
 
     /** News of the members. */
-    record MembersListed(ListKind kind, long version, List<Member> members) implements Event {
-    }
+    record MembersListed(ListKind kind, long version, List<Member> members) implements Event {}
 
     /**
      * A member that may be filled from, with the weight of its part of the objects. While objects move to it,
      * they come as a share that rises evenly, from the given one at opensAt to all of them at fullAt.
      */
-    record Source(long member, double weight, double share, long opensAt, long fullAt) {
-    }
+    record Source(long member, double weight, double share, long opensAt, long fullAt) {}
 
     /**
      * What a member may be filled from, and what it was filled from until its objects have moved; back means
@@ -120,8 +200,7 @@
      * as long as that is remembered. Seeds are the members that this one may fill from instead, for objects
      * that were theirs.
      */
-    record SourceList(List<Source> now, List<Source> before, List<Source> earlier, boolean back, List<Long> seeds) {
-    }
+    record SourceList(List<Source> now, List<Source> before, List<Source> earlier, boolean back, List<Long> seeds) {}
 
     /**
      * What members may be filled from, by member, in place of the listed parents and the origin; under LOCATION
@@ -134,7 +213,10 @@
 
     /** What an allowance counts: requests a second, those under way, also only while the member is cold; kilobytes. */
     enum Measure {
-        PER_SECOND(false), IN_FLIGHT(true), COLD_IN_FLIGHT(true), KB_PER_SECOND(false);
+        PER_SECOND(false),
+        IN_FLIGHT(true),
+        COLD_IN_FLIGHT(true),
+        KB_PER_SECOND(false);
 
         /** Whether parts of it are whole numbers. */
         public final boolean whole;
@@ -152,8 +234,7 @@
     }
 
     /** All allowances that are in force, in place of those before; a member without one is not limited so. */
-    record AllowancesGiven(List<Allowance> allowances) implements Event {
-    }
+    record AllowancesGiven(List<Allowance> allowances) implements Event {}
 
     /** A process of a member that all routers leave alone until then, on what some of them have seen of it. */
     record MemberOut(long member, long started, long until) {
@@ -165,23 +246,34 @@
     }
 
     /** All that are out so, in place of those before. Where this is told, judgements of members are wanted. */
-    record VerdictsGiven(List<MemberOut> out) implements Event {
-    }
+    record VerdictsGiven(List<MemberOut> out) implements Event {}
 
     /** A request; sizeKb 0 means not told, tenant and group as given. */
-    record RequestArrived(String id, int requestClass, String object, int part, int group, double sizeKb,
-            long timeLeft, boolean repeat) implements Event {
-    }
+    record RequestArrived(
+            String id,
+            int requestClass,
+            String object,
+            int part,
+            int group,
+            double sizeKb,
+            long timeLeft,
+            boolean repeat)
+            implements Event {}
 
     /** A streamed answer has begun. */
-    record AnswerStarted(String id, int attempt, long member, long latency) implements Event {
-    }
+    record AnswerStarted(String id, int attempt, long member, long latency) implements Event {}
 
     /** How an attempt may end. */
     enum Outcome {
-        OK(false), ERROR(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-                CANCELLED(false),
-        MOOT(true), MISS(true);
+        OK(false),
+        ERROR(false),
+        FULL(true),
+        TIMEOUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
+        MOOT(true),
+        MISS(true);
 
         /** Whether this outcome proves that the request never ran. */
         public final boolean provesNotRun;
@@ -193,8 +285,16 @@
 
     /** What an outcome may tell of a fill. */
     enum FillNote {
-        NONE, HIT, FILLED, FILLED_BY_ORIGIN, JOINED, STALE, SOURCE_REFUSED, SOURCE_FAILED, SOURCE_LACKS,
-                NO_PLACE,
+        NONE,
+        HIT,
+        FILLED,
+        FILLED_BY_ORIGIN,
+        JOINED,
+        STALE,
+        SOURCE_REFUSED,
+        SOURCE_FAILED,
+        SOURCE_LACKS,
+        NO_PLACE,
         ORIGIN_FAILED
     }
 
@@ -202,12 +302,30 @@
      * The end of an attempt; closed means that the request is over. Load is empty when none came along; kb is what the
      * answer's body had, 0 where that is not told.
      */
-    record AttemptEnded(String id, int attempt, long member, Outcome outcome, long latency, boolean closed,
-            FillNote note, long waited, Map<String, Double> load, double kb) implements Event {
+    record AttemptEnded(
+            String id,
+            int attempt,
+            long member,
+            Outcome outcome,
+            long latency,
+            boolean closed,
+            FillNote note,
+            long waited,
+            Map<String, Double> load,
+            double kb)
+            implements Event {
 
         /** One whose answer's size is not told. */
-        public AttemptEnded(String id, int attempt, long member, Outcome outcome, long latency, boolean closed,
-                FillNote note, long waited, Map<String, Double> load) {
+        public AttemptEnded(
+                String id,
+                int attempt,
+                long member,
+                Outcome outcome,
+                long latency,
+                boolean closed,
+                FillNote note,
+                long waited,
+                Map<String, Double> load) {
             this(id, attempt, member, outcome, latency, closed, note, waited, load, 0);
         }
 
@@ -218,102 +336,114 @@
     }
 
     /** The client has left, or the answer is overdue. */
-    record RequestGone(String id) implements Event {
-    }
+    record RequestGone(String id) implements Event {}
 
     /** The end of a probe. */
-    record ProbeEnded(long member, Outcome outcome, long latency, Map<String, Double> load) implements Event {
-    }
+    record ProbeEnded(long member, Outcome outcome, long latency, Map<String, Double> load) implements Event {}
 
     /** A timer set earlier is due. */
-    record TimerDue(long token) implements Event {
-    }
+    record TimerDue(long token) implements Event {}
 
     /** A purge made that long ago, of an object or, where object is null, of a whole group. */
-    record Purged(String object, int group, long age) implements Event {
-    }
+    record Purged(String object, int group, long age) implements Event {}
 
     /** All purges and lists told until now have come; where this is never told, they always have. */
-    record NewsHeard() implements Event {
-    }
+    record NewsHeard() implements Event {}
 
     /** A message of another router. */
-    record PeerNote(int from, byte[] text) implements Event {
-    }
+    record PeerNote(int from, byte[] text) implements Event {}
 
     // ---- actions --------------------------------------------------------------------------------------
 
     /** What a router may ask for. */
-    sealed interface Action permits Lookup, Fetch, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, TellPeer,
-            WatchList, AskList, Wanted, Judged, Log {
-    }
+    sealed interface Action
+            permits Lookup,
+                    Fetch,
+                    Refuse,
+                    Fail,
+                    Cancel,
+                    Probe,
+                    CloseIdle,
+                    SetTimer,
+                    TellPeer,
+                    WatchList,
+                    AskList,
+                    Wanted,
+                    Judged,
+                    Log {}
 
     /** An attempt that asks a member only for a fresh copy that it holds; the origin holds everything. */
-    record Lookup(String id, long member, long timeout) implements Action {
-    }
+    record Lookup(String id, long member, long timeout) implements Action {}
 
     /**
      * An attempt that names the source of a fill (the member itself for none), the rank at which the copy is
      * kept (0 for not at all) and the oldest copy that will do (0 for the class's own bound). The way names, in
      * order, what the source itself fills from; empty leaves that to it.
      */
-    record Fetch(String id, long member, long source, int keepRank, long oldest, boolean join,
+    record Fetch(
+            String id,
+            long member,
+            long source,
+            int keepRank,
+            long oldest,
+            boolean join,
             boolean onlyIfHeld,
-            boolean passParent, boolean renew, long timeout, List<Long> way) implements Action {
+            boolean passParent,
+            boolean renew,
+            long timeout,
+            List<Long> way)
+            implements Action {
 
         /** One whose source fills as it always does. */
-        public Fetch(String id, long member, long source, int keepRank, long oldest, boolean join,
-                boolean onlyIfHeld, boolean passParent, boolean renew, long timeout) {
+        public Fetch(
+                String id,
+                long member,
+                long source,
+                int keepRank,
+                long oldest,
+                boolean join,
+                boolean onlyIfHeld,
+                boolean passParent,
+                boolean renew,
+                long timeout) {
             this(id, member, source, keepRank, oldest, join, onlyIfHeld, passParent, renew, timeout, List.of());
         }
     }
 
     /** Final answer: turned away, trying again is harmless; retryAfter 0 gives no advice. */
-    record Refuse(String id, long retryAfter) implements Action {
-    }
+    record Refuse(String id, long retryAfter) implements Action {}
 
     /** Final answer: failed, nothing promised. */
-    record Fail(String id) implements Action {
-    }
+    record Fail(String id) implements Action {}
 
     /** Calls an attempt off. */
-    record Cancel(String id, int attempt) implements Action {
-    }
+    record Cancel(String id, int attempt) implements Action {}
 
     /** Asks a member for its load. */
-    record Probe(long member) implements Action {
-    }
+    record Probe(long member) implements Action {}
 
     /** Closes idle connections to a member. */
-    record CloseIdle(long member) implements Action {
-    }
+    record CloseIdle(long member) implements Action {}
 
     /** Asks for a TimerDue event. */
-    record SetTimer(long delay, long token) implements Action {
-    }
+    record SetTimer(long delay, long token) implements Action {}
 
     /** Sends a note to one router, or to all for a negative number. */
-    record TellPeer(int router, byte[] text) implements Action {
-    }
+    record TellPeer(int router, byte[] text) implements Action {}
 
     /** Asks for changes of the list, or no more of them. */
-    record WatchList(boolean on) implements Action {
-    }
+    record WatchList(boolean on) implements Action {}
 
     /** Asks for the whole list once. */
-    record AskList() implements Action {
-    }
+    record AskList() implements Action {}
 
     /** How much of an allowance was wanted lately, in its measure, and how much is in use. */
-    record Wanted(long member, Measure measure, double wanted, double inUse) implements Action {
-    }
+    record Wanted(long member, Measure measure, double wanted, double inUse) implements Action {}
 
     /** This router has taken a member out until then, or found it good again; silent: it gave no sign of life. */
     record Judged(long member, boolean failing, boolean silent, int strikes, double failShare, long until)
-            implements Action {
-    }
+            implements Action {}
 
     /** A line for on-call staff. */
-    record Log(String text) implements Action {
-    }
+    record Log(String text) implements Action {}
 }
--- a/src/main/java/pumicemoor/calls/CallBook.java
+++ b/src/main/java/pumicemoor/calls/CallBook.java
@@ -11,7 +11,11 @@
 public final class CallBook {
 
     /** What is known: a member was named and no end seen, it ended without having run, or it may have run. */
-    private enum Known { OPEN, NOT_RUN, MAY_HAVE_RUN }
+    private enum Known {
+        OPEN,
+        NOT_RUN,
+        MAY_HAVE_RUN
+    }
 
     private final int most;
     private final long kept;
--- a/src/main/java/pumicemoor/calls/CallRules.java
+++ b/src/main/java/pumicemoor/calls/CallRules.java
@@ -18,18 +18,22 @@
     public static final int LONGEST_OBJECT = 256;
     /** The most rules. */
     public static final int MOST_RULES = 1_000;
+
     private static final int LAST_GROUP = 255;
 
     /** What is done with a call that no rule fits: passed on untouched, or refused. */
-    public enum NoRule { PASS, REFUSE }
+    public enum NoRule {
+        PASS,
+        REFUSE
+    }
 
     /**
      * One rule: the method (null for any), the path without its query, and the class. Named groups 'object',
      * 'part' and 'group' in the pattern take their texts from the path; without 'object' the path is the object.
      * Headers that must have a value, by lower-case name; and the header that names the group, or null.
      */
-    public record Rule(String method, Pattern path, Map<String, String> headers, String requestClass,
-            String groupHeader) {
+    public record Rule(
+            String method, Pattern path, Map<String, String> headers, String requestClass, String groupHeader) {
 
         /** Checks the pattern; the exception's message says what is wrong with it. */
         public static Pattern pattern(String text) {
@@ -42,8 +46,7 @@
     }
 
     /** What a call is about. */
-    public record About(String requestClass, String object, int part, int group) {
-    }
+    public record About(String requestClass, String object, int part, int group) {}
 
     private final List<Rule> rules;
     private final NoRule noRule;
@@ -63,8 +66,10 @@
         String plain = query < 0 ? path : path.substring(0, query);
         for (Rule rule : rules) {
             Matcher match = rule.path().matcher(plain);
-            if ((rule.method() == null || rule.method().equals(method)) && match.matches()
-                    && rule.headers().entrySet().stream().allMatch(h -> h.getValue().equals(headers.get(h.getKey())))) {
+            if ((rule.method() == null || rule.method().equals(method))
+                    && match.matches()
+                    && rule.headers().entrySet().stream()
+                            .allMatch(h -> h.getValue().equals(headers.get(h.getKey())))) {
                 return about(rule, match, plain, headers);
             }
         }
@@ -79,8 +84,12 @@
         try {
             int partNumber = part == null ? 0 : Integer.parseInt(part);
             int groupNumber = group == null ? -1 : Integer.parseInt(group);
-            return object.isEmpty() || object.length() > LONGEST_OBJECT || partNumber < 0 || groupNumber < -1
-                    || groupNumber > LAST_GROUP ? Optional.empty()
+            return object.isEmpty()
+                            || object.length() > LONGEST_OBJECT
+                            || partNumber < 0
+                            || groupNumber < -1
+                            || groupNumber > LAST_GROUP
+                    ? Optional.empty()
                     : Optional.of(new About(rule.requestClass(), object, partNumber, groupNumber));
         } catch (NumberFormatException e) {
             return Optional.empty();
--- a/src/main/java/pumicemoor/calls/CallState.java
+++ b/src/main/java/pumicemoor/calls/CallState.java
@@ -11,55 +11,60 @@
 public final class CallState {
 
     /** Where a stream is. */
-    public enum Phase { NEW, DECIDING, NAMED, RESPONDED, OVER }
+    public enum Phase {
+        NEW,
+        DECIDING,
+        NAMED,
+        RESPONDED,
+        OVER
+    }
 
     /** How a caller works: told once before the request and heard once after, or as often as it takes. */
-    public enum Style { PROXY, REPORTER }
+    public enum Style {
+        PROXY,
+        REPORTER
+    }
 
     /** The code of a final answer. */
-    public enum Code { SERVED, REFUSED, FAILED }
+    public enum Code {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** What is to be done. */
     public sealed interface Act {
 
         /** Ask the decisions. */
-        record Ask() implements Act {
-        }
+        record Ask() implements Act {}
 
         /** Name the attempt to the caller. */
-        record TellName(int attempt) implements Act {
-        }
+        record TellName(int attempt) implements Act {}
 
         /** The one final answer to the caller. */
-        record TellFinal(Code code, long stayAway) implements Act {
-        }
+        record TellFinal(Code code, long stayAway) implements Act {}
 
         /** Let the phase that was heard go on as it is. */
-        record GoOn() implements Act {
-        }
+        record GoOn() implements Act {}
 
         /** Tell the decisions how the attempt ended, as it was heard. */
-        record End(int attempt) implements Act {
-        }
+        record End(int attempt) implements Act {}
 
         /** Tell the decisions that nobody waits for this call any more. */
-        record Withdraw() implements Act {
-        }
+        record Withdraw() implements Act {}
 
         /** End the stream in good order. */
-        record Complete() implements Act {
-        }
+        record Complete() implements Act {}
 
         /** End the stream with an error: what came was against the protocol. */
-        record Abort(String why) implements Act {
-        }
+        record Abort(String why) implements Act {}
     }
 
     private final Style style;
     private Phase phase = Phase.NEW;
-    private int attempt = -1;  // named to the caller and not ended
+    private int attempt = -1; // named to the caller and not ended
     private boolean halfClosed;
-    private boolean asked;  // the decisions hold the request
+    private boolean asked; // the decisions hold the request
     private boolean mayHaveRun;
 
     public CallState(Style style) {
@@ -150,7 +155,8 @@
 
     /** A body or trailers, which are no matter to the decision. */
     public List<Act> other() {
-        return phase == Phase.NEW ? abort("a body or trailers before the request")
+        return phase == Phase.NEW
+                ? abort("a body or trailers before the request")
                 : phase == Phase.OVER ? List.of() : List.of(new Act.GoOn());
     }
 
@@ -158,7 +164,7 @@
     public List<Act> halfClosed() {
         halfClosed = true;
         if (phase == Phase.DECIDING) {
-            return List.of();  // it still waits for the answer
+            return List.of(); // it still waits for the answer
         }
         return over(phase != Phase.OVER);
     }
@@ -182,7 +188,7 @@
             phase = Phase.NAMED;
             mayHaveRun = true;
             List<Act> acts = new ArrayList<>(List.of(new Act.TellName(number)));
-            if (halfClosed) {  // its end can't be heard any more
+            if (halfClosed) { // its end can't be heard any more
                 acts.addAll(over(true));
             }
             return acts;
@@ -194,7 +200,7 @@
     /** They have given their final answer; the request is no longer theirs. */
     public List<Act> decided(Code code, long stayAway) {
         asked = false;
-        attempt = -1;  // where one is out its time is up: a response that still comes goes on untouched
+        attempt = -1; // where one is out its time is up: a response that still comes goes on untouched
         if (phase == Phase.DECIDING || phase == Phase.NAMED && style == Style.REPORTER) {
             phase = Phase.OVER;
             return List.of(new Act.TellFinal(code, stayAway), new Act.Complete());
--- a/src/main/java/pumicemoor/calls/FairAdmission.java
+++ b/src/main/java/pumicemoor/calls/FairAdmission.java
@@ -14,17 +14,17 @@
 
     /** Callers remembered at most; past it the quietest is forgotten. */
     static final int MOST_CALLERS = 1_000;
+
     private static final double SECOND = 1_000_000;
-    private static final double BURST = 0.1;  // seconds of its part that a caller may save up
-    private static final long QUIET = 10_000_000;  // microseconds until a caller without open calls is forgotten
-    private static final double ACTIVE = 1 * SECOND;  // who asked within this has a part of the rate
-    private static final double RESERVE_LEFT = 0.5;  // share of the reserve that is not lent to who had its part
+    private static final double BURST = 0.1; // seconds of its part that a caller may save up
+    private static final long QUIET = 10_000_000; // microseconds until a caller without open calls is forgotten
+    private static final double ACTIVE = 1 * SECOND; // who asked within this has a part of the rate
+    private static final double RESERVE_LEFT = 0.5; // share of the reserve that is not lent to who had its part
 
-    private static final int LOOKED_AT = 16;  // of the quietest, for one to forget: some may have calls open
+    private static final int LOOKED_AT = 16; // of the quietest, for one to forget: some may have calls open
 
     /** The bounds: open calls in all and of one caller, new calls a second in all. */
-    public record Limits(int open, int openPerCaller, double rate, boolean fair) {
-    }
+    public record Limits(int open, int openPerCaller, double rate, boolean fair) {}
 
     /** What was decided, and for how long a caller that is turned away should stay away, in microseconds. */
     public record Verdict(boolean admitted, String bound, long stayAway) {
@@ -100,8 +100,8 @@
         }
         // the reserve holds what all may take in all; an account says how much of it is the caller's own part
         double part = limits.rate() / active(now);
-        account.tokens = Math.min(Math.max(1, part * BURST),
-                account.tokens + (now - account.lastEarned) / SECOND * part);
+        account.tokens =
+                Math.min(Math.max(1, part * BURST), account.tokens + (now - account.lastEarned) / SECOND * part);
         account.lastEarned = now;
         if (account.tokens >= 1 && reserve >= 1) {
             account.tokens--;
@@ -125,7 +125,11 @@
     private int active(long now) {
         if (now - activeAt > ACTIVE / 10) {
             activeAt = now;
-            active = (int) Math.max(1, accounts.values().stream().filter(a -> now - a.lastAsked < ACTIVE).count());
+            active = (int) Math.max(
+                    1,
+                    accounts.values().stream()
+                            .filter(a -> now - a.lastAsked < ACTIVE)
+                            .count());
         }
         return active;
     }
--- a/src/main/java/pumicemoor/cli/DrainCommands.java
+++ b/src/main/java/pumicemoor/cli/DrainCommands.java
@@ -13,12 +13,17 @@
 import pumicemoor.wire.WireException;
 
 /** Asks a running router's fleet to take members out for work, one after the other; it must never order them itself. */
-@Usage.Text("takes members out for work in an order that the routers settle: drain request|done|cancel|status HOST:PORT")
+@Usage.Text(
+        "takes members out for work in an order that the routers settle: drain request|done|cancel|status HOST:PORT")
 public final class DrainCommands extends NestedCommand {
 
     @Argument(handler = SubCommandHandler.class, metaVar = "request|done|cancel|status", required = true)
-    @SubCommands({@SubCommand(name = "request", impl = Request.class), @SubCommand(name = "done", impl = Done.class),
-            @SubCommand(name = "cancel", impl = Cancel.class), @SubCommand(name = "status", impl = Shown.class)})
+    @SubCommands({
+        @SubCommand(name = "request", impl = Request.class),
+        @SubCommand(name = "done", impl = Done.class),
+        @SubCommand(name = "cancel", impl = Cancel.class),
+        @SubCommand(name = "status", impl = Shown.class)
+    })
     private Command command;
 
     @Override
@@ -29,19 +34,28 @@
     /** A command that waits until the plan in force shows it. */
     abstract static class Told extends Command {
 
-        private static final long POLL = 200;  // milliseconds
+        private static final long POLL = 200; // milliseconds
 
-        @Argument(metaVar = "HOST:PORT", required = true, usage = "where any router of the fleet listens, on this machine")
+        @Argument(
+                metaVar = "HOST:PORT",
+                required = true,
+                usage = "where any router of the fleet listens, on this machine")
         private String address;
 
-        @Option(name = "--members", metaVar = "A,B,C", required = true,
+        @Option(
+                name = "--members",
+                metaVar = "A,B,C",
+                required = true,
                 usage = "names as listed; a router is router/NAME")
         String members;
 
         @Option(name = "--cluster", metaVar = "NAME", usage = "refuse where the router is of another fleet")
         private String cluster;
 
-        @Option(name = "--id", metaVar = "HEX", usage = "the command's own number; a repeat under it has no second effect")
+        @Option(
+                name = "--id",
+                metaVar = "HEX",
+                usage = "the command's own number; a repeat under it has no second effect")
         private String id = Long.toHexString(ThreadLocalRandom.current().nextLong());
 
         @Option(name = "--wait", metaVar = "SECONDS", usage = "how long to wait until the routers have agreed (10)")
@@ -76,9 +90,10 @@
             long end = System.nanoTime() + wait * 1_000_000_000L;
             while (!taken(address, id)) {
                 if (System.nanoTime() > end) {
-                    throw new WireException("not agreed within " + wait + " s: no majority of the routers, or they do not"
-                            + " list these members; " + address + " goes on asking for a minute, and --id " + id
-                            + " repeats it with no second effect");
+                    throw new WireException(
+                            "not agreed within " + wait + " s: no majority of the routers, or they do not"
+                                    + " list these members; " + address + " goes on asking for a minute, and --id " + id
+                                    + " repeats it with no second effect");
                 }
                 Thread.sleep(POLL);
             }
@@ -92,7 +107,9 @@
         /** The rows of this command's members. */
         List<Map<String, Object>> mine(String address) throws IOException, WireException {
             List<String> names = List.of(members.split("\\s*,\\s*"));
-            return rows(address).stream().filter(r -> names.contains(r.get("member"))).toList();
+            return rows(address).stream()
+                    .filter(r -> names.contains(r.get("member")))
+                    .toList();
         }
     }
 
@@ -100,10 +117,18 @@
     @Usage.Text("asks the fleet to take members out for work, in an order that the routers settle")
     public static final class Request extends Told {
 
-        @Option(name = "--max-at-once", metaVar = "K", required = true, usage = "how many may be out at once in the whole fleet")
+        @Option(
+                name = "--max-at-once",
+                metaVar = "K",
+                required = true,
+                usage = "how many may be out at once in the whole fleet")
         private int most;
 
-        @Option(name = "--min-serving", metaVar = "F", required = true, usage = "how many of each tier have to go on serving")
+        @Option(
+                name = "--min-serving",
+                metaVar = "F",
+                required = true,
+                usage = "how many of each tier have to go on serving")
         private int least;
 
         public Request() {
@@ -127,7 +152,10 @@
     @Usage.Text("says that the work on a member that is out is done: it is let back in and warms")
     public static final class Done extends Told {
 
-        @Option(name = "--fence", metaVar = "N", usage = "the fence that 'drain status' showed when the member went out")
+        @Option(
+                name = "--fence",
+                metaVar = "N",
+                usage = "the fence that 'drain status' showed when the member went out")
         private Long fence;
 
         public Done() {
@@ -162,7 +190,8 @@
 
         @Override
         boolean taken(String address, String id) throws IOException, WireException {
-            return mine(address).stream().noneMatch(r -> List.of("queued", "named", "draining").contains(r.get("phase")));
+            return mine(address).stream()
+                    .noneMatch(r -> List.of("queued", "named", "draining").contains(r.get("phase")));
         }
     }
 
--- a/src/main/java/pumicemoor/cli/FleetRows.java
+++ b/src/main/java/pumicemoor/cli/FleetRows.java
@@ -39,14 +39,17 @@
             return "(none)\n";
         }
         Set<String> keys = new LinkedHashSet<>();
-        rows.forEach(r -> keys.addAll(r.keySet()));  // the level, for one, is there in rows of the upper level alone
+        rows.forEach(r -> keys.addAll(r.keySet())); // the level, for one, is there in rows of the upper level alone
         List<String> names = List.copyOf(keys);
         List<List<String>> lines = new ArrayList<>(List.of(names));
-        rows.forEach(r -> lines.add(names.stream().map(n -> r.containsKey(n) ? String.valueOf(r.get(n)) : "-").toList()));
+        rows.forEach(r -> lines.add(names.stream()
+                .map(n -> r.containsKey(n) ? String.valueOf(r.get(n)) : "-")
+                .toList()));
         List<Integer> widths = new ArrayList<>();
         for (int i = 0; i < names.size(); i++) {
             int column = i;
-            widths.add(lines.stream().mapToInt(l -> l.get(column).length()).max().orElse(0));
+            widths.add(
+                    lines.stream().mapToInt(l -> l.get(column).length()).max().orElse(0));
         }
         StringBuilder table = new StringBuilder();
         for (List<String> line : lines) {
@@ -54,7 +57,8 @@
             for (int i = 0; i < line.size(); i++) {
                 cells.add(line.get(i) + " ".repeat(widths.get(i) - line.get(i).length()));
             }
-            table.append(cells.stream().collect(Collectors.joining("  ")).stripTrailing()).append('\n');
+            table.append(cells.stream().collect(Collectors.joining("  ")).stripTrailing())
+                    .append('\n');
         }
         return table.toString();
     }
--- a/src/main/java/pumicemoor/cli/HierarchyCommand.java
+++ b/src/main/java/pumicemoor/cli/HierarchyCommand.java
@@ -34,8 +34,9 @@
         @Override
         void run() throws OperatorException {
             HierarchySection section = OperatorFile.readHierarchy(Path.of(file));
-            System.out.println("usable: version " + section.shape().version() + ", " + section.shape().units().size()
-                    + " units, " + section.shape().links() + " links");
+            System.out.println("usable: version " + section.shape().version() + ", "
+                    + section.shape().units().size() + " units, "
+                    + section.shape().links() + " links");
         }
     }
 
@@ -45,6 +46,7 @@
     public static final class Plan extends Command {
         @Argument(index = 0, metaVar = "OLD", required = true, usage = "the operator's file that is in force")
         private String old;
+
         @Argument(index = 1, metaVar = "NEW", required = true, usage = "the operator's file that is to follow it")
         private String next;
 
@@ -58,11 +60,13 @@
             }
             MovePlan plan = MovePlan.between(from.shape(), to.shape(), to.timing());
             if (!plan.usable()) {
-                throw new WireException(next + ": refused: " + (plan.problems().isEmpty()
-                        ? "the change would not come to its end" : plan.problems().get(0)));
+                throw new WireException(next + ": refused: "
+                        + (plan.problems().isEmpty()
+                                ? "the change would not come to its end"
+                                : plan.problems().get(0)));
             }
-            System.out.println("version " + from.shape().version() + " to " + to.shape().version() + ", "
-                    + plan.steps().size() + " steps; times count from the announcement");
+            System.out.println("version " + from.shape().version() + " to "
+                    + to.shape().version() + ", " + plan.steps().size() + " steps; times count from the announcement");
             for (MovePlan.Step step : plan.steps()) {
                 System.out.printf("at %.1f s%n", step.after() / 1e6);
                 print("begins to fill from", step.begin());
--- a/src/main/java/pumicemoor/cli/LabCommand.java
+++ b/src/main/java/pumicemoor/cli/LabCommand.java
@@ -19,7 +19,8 @@
     @SubCommands({
         @SubCommand(name = "run", impl = Run.class),
         @SubCommand(name = "scale", impl = Scale.class),
-        @SubCommand(name = "processes", impl = Processes.class)})
+        @SubCommand(name = "processes", impl = Processes.class)
+    })
     private Command command;
 
     @Override
@@ -36,7 +37,10 @@
         @Option(name = "--out", metaVar = "FOLDER", usage = "where reports and logs go (default: logs/lab)")
         private String folder = "logs/lab";
 
-        @Option(name = "--by", metaVar = "feed|file|restart", usage = "how changes are told, in place of the scenario's way")
+        @Option(
+                name = "--by",
+                metaVar = "feed|file|restart",
+                usage = "how changes are told, in place of the scenario's way")
         private String by;
 
         @Override
@@ -65,8 +69,9 @@
     }
 
     /** Measures what each role costs at several sizes of a fleet. */
-    @Usage.Text("measures what each role costs as a fleet grows, in virtual time; scale.json, scale.md and plots stay in"
-            + " the folder")
+    @Usage.Text(
+            "measures what each role costs as a fleet grows, in virtual time; scale.json, scale.md and plots stay in"
+                    + " the folder")
     public static final class Scale extends Command {
         @Argument(metaVar = "FILE", required = true, usage = "what is measured, as YAML (docs/lab.md, \"Scale\")")
         private String file;
--- a/src/main/java/pumicemoor/cli/Logging.java
+++ b/src/main/java/pumicemoor/cli/Logging.java
@@ -16,11 +16,10 @@
 
     private static final String PROVIDER = "slf4j.provider";
 
-    private Logging() {
-    }
+    private Logging() {}
 
     static void choose(LogFormat format) {
-        System.setProperty("slf4j.internal.verbosity", "WARN");  // it tells on standard error what it loads
+        System.setProperty("slf4j.internal.verbosity", "WARN"); // it tells on standard error what it loads
         if (format == LogFormat.TEXT) {
             System.setProperty(PROVIDER, "org.slf4j.simple.SimpleServiceProvider");
             return;
--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -38,24 +38,27 @@
 public final class Main {
 
     @Argument(handler = SubCommandHandler.class, metaVar = "COMMAND", required = true)
-    @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "drill", impl = Replay.class),
-            @SubCommand(name = "processor", impl = Processor.class), @SubCommand(name = "status", impl = Status.class),
-            @SubCommand(name = "self-check", impl = SelfCheck.class),
-            @SubCommand(name = "check-config", impl = CheckConfig.class),
-            @SubCommand(name = "members", impl = FleetRows.Members.class),
-            @SubCommand(name = "limits", impl = FleetRows.Limits.class),
-            @SubCommand(name = "verdicts", impl = FleetRows.Verdicts.class),
-            @SubCommand(name = "drain", impl = DrainCommands.class),
-            @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
-            @SubCommand(name = "lab", impl = LabCommand.class),
-            @SubCommand(name = "version", impl = Version.class)})
+    @SubCommands({
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "drill", impl = Replay.class),
+        @SubCommand(name = "processor", impl = Processor.class),
+        @SubCommand(name = "status", impl = Status.class),
+        @SubCommand(name = "self-check", impl = SelfCheck.class),
+        @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "members", impl = FleetRows.Members.class),
+        @SubCommand(name = "limits", impl = FleetRows.Limits.class),
+        @SubCommand(name = "verdicts", impl = FleetRows.Verdicts.class),
+        @SubCommand(name = "drain", impl = DrainCommands.class),
+        @SubCommand(name = "hierarchy", impl = HierarchyCommand.class),
+        @SubCommand(name = "lab", impl = LabCommand.class),
+        @SubCommand(name = "version", impl = Version.class)
+    })
     private Command command;
 
     @Option(name = "--help", aliases = "-h", help = true, usage = "print this")
     private boolean help;
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the subcommand; exits 0 at its end, 1 on bad input, 2 on bad usage. */
     public static void main(String[] args) throws InterruptedException {
@@ -64,7 +67,8 @@
         try {
             parser.parseArgument(args);
         } catch (CmdLineException e) {
-            System.err.println("pumicemoor: " + e.getMessage().lines().findFirst().orElse(""));
+            System.err.println(
+                    "pumicemoor: " + e.getMessage().lines().findFirst().orElse(""));
             System.err.println(Usage.OF_ALL);
             System.exit(2);
         }
@@ -108,7 +112,10 @@
     public static class Serve extends Command {
         private static final long LONGEST_END = 10_000;
 
-        @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; none: all as the platform has it")
+        @Option(
+                name = "--operator",
+                metaVar = "FILE",
+                usage = "the operator's YAML file; none: all as the platform has it")
         private String operatorFile;
 
         @Override
@@ -123,7 +130,7 @@
             OperatorConfig operator = operator(operatorFile);
             Logging.choose(operator.log());
             Logger log = LoggerFactory.getLogger(Serve.class);
-            if (deaf) {  // as under nohup; the JVM takes no signal that its parent had it ignore, and says nothing
+            if (deaf) { // as under nohup; the JVM takes no signal that its parent had it ignore, and says nothing
                 log.warn("this process was started with SIGHUP ignored: no configuration will be read anew");
             }
             NodeConfig config = config(file);
@@ -178,7 +185,8 @@
     }
 
     /** Decides for proxies alone. */
-    @Usage.Text("decides for proxies that call, as 'processor' in the operator's file says; clients are not listened to")
+    @Usage.Text(
+            "decides for proxies that call, as 'processor' in the operator's file says; clients are not listened to")
     public static final class Processor extends Serve {
         @Override
         boolean clientsWanted() {
@@ -212,16 +220,22 @@
         void run() throws IOException, WireException, OperatorException {
             if (operatorFile != null) {
                 OperatorConfig operator = operator(operatorFile);
-                System.out.println("usable: " + operatorFile + operator.hierarchy().map(h -> ", hierarchy of version "
-                        + h.shape().version() + " with " + h.shape().units().size() + " units").orElse(operator.fleet().map(f -> ", fleet '" + f.cluster() + "' of "
-                        + f.size() + " routers with " + f.limits().size() + " limits").orElse(", all off")));
+                System.out.println("usable: " + operatorFile
+                        + operator.hierarchy()
+                                .map(h -> ", hierarchy of version " + h.shape().version() + " with "
+                                        + h.shape().units().size() + " units")
+                                .orElse(operator.fleet()
+                                        .map(f -> ", fleet '" + f.cluster() + "' of " + f.size() + " routers with "
+                                                + f.limits().size() + " limits")
+                                        .orElse(", all off")));
                 if (file == null) {
                     return;
                 }
             }
             NodeConfig config = config(file);
             System.out.println("usable: router '" + config.name() + "' on " + config.listen() + ", "
-                    + config.words().settings().classes().size() + " classes, " + config.known().size()
+                    + config.words().settings().classes().size() + " classes, "
+                    + config.known().size()
                     + " events known");
         }
     }
--- a/src/main/java/pumicemoor/cli/SelfCheck.java
+++ b/src/main/java/pumicemoor/cli/SelfCheck.java
@@ -27,10 +27,11 @@
     private static final int REQUEST = 7;
     private static final int ANSWER = 8;
     private static final int SERVED = 1;
-    private static final long LONGEST_END = 10_000;  // milliseconds
+    private static final long LONGEST_END = 10_000; // milliseconds
     private static final String STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n:\n\n";
     private static final String BODY = "whole and unaltered";
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             {"name":"self-check","listen":"127.0.0.1:0","coordinator":"127.0.0.1:%d",
              "known":{"index":1,"updates":[{"index":1,"endpoints":{"generation":1,"reset":true,"instances":[
               {"instanceId":"own","hostPort":"127.0.0.1:%d","zone":"here","lifecycle":"active"}]}}]},
@@ -45,12 +46,16 @@
             Thread answering = new Thread(() -> answer(cache));
             answering.setDaemon(true);
             answering.start();
-            NodeServer server = new NodeServer(NodeConfig.parse(
-                    CONFIG.formatted(cache.getLocalPort(), cache.getLocalPort())), OperatorConfig.NONE);
+            NodeServer server = new NodeServer(
+                    NodeConfig.parse(CONFIG.formatted(cache.getLocalPort(), cache.getLocalPort())),
+                    OperatorConfig.NONE);
             server.start();
-            try (FrameClient client = new FrameClient("127.0.0.1", server.address().getPort())) {
-                FrameClient.Answer answer = client.ask(REQUEST, Map.of("op", "any", "call", "0123456789abcdef",
-                        "row", "0123456789abcdef", "ttl", "2000"), ANSWER);
+            try (FrameClient client =
+                    new FrameClient("127.0.0.1", server.address().getPort())) {
+                FrameClient.Answer answer = client.ask(
+                        REQUEST,
+                        Map.of("op", "any", "call", "0123456789abcdef", "row", "0123456789abcdef", "ttl", "2000"),
+                        ANSWER);
                 if (answer.code() != SERVED
                         || !Arrays.equals(answer.body(), BODY.getBytes(StandardCharsets.US_ASCII))) {
                     throw new IOException("the request was not served, code " + answer.code());
@@ -73,14 +78,15 @@
                 each.setDaemon(true);
                 each.start();
             } catch (IOException e) {
-                return;  // the check is over
+                return; // the check is over
             }
         }
     }
 
     private static void answer(Socket socket) {
-        try (socket; BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                StandardCharsets.US_ASCII))) {
+        try (socket;
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))) {
             String first = in.readLine();
             if (first != null && first.startsWith("GET ")) {
                 socket.getOutputStream().write(STREAM.getBytes(StandardCharsets.US_ASCII));
@@ -88,9 +94,9 @@
                 return;
             }
             for (String line = first; line != null && line.startsWith("ASK "); line = in.readLine()) {
-                in.readLine();  // the end of the empty body
-                String answer = line.split(" ")[1] + " data entity=0,issued=1,tell=mem " + BODY.length() + "\r\n"
-                        + BODY + "\r\n";
+                in.readLine(); // the end of the empty body
+                String answer = line.split(" ")[1] + " data entity=0,issued=1,tell=mem " + BODY.length() + "\r\n" + BODY
+                        + "\r\n";
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
             }
         } catch (IOException e) {
--- a/src/main/java/pumicemoor/cli/Status.java
+++ b/src/main/java/pumicemoor/cli/Status.java
@@ -39,7 +39,8 @@
     /** The router's rows about a subject; an exception where it knows none. */
     static List<Map<String, Object>> rows(String address, String subject) throws IOException, WireException {
         int colon = colon(address);
-        try (FrameClient client = connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+        try (FrameClient client =
+                connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
             FrameClient.Answer answer = client.ask(READY_ASKED, Map.of("rows", subject), READY);
             if (answer.fields().isEmpty()) {
                 throw new WireException(address + ": this router has no section 'fleet' in its operator's file");
@@ -51,7 +52,8 @@
     /** What a router says to an operator's command. */
     static String command(String address, Map<String, String> fields) throws IOException, WireException {
         int colon = colon(address);
-        try (FrameClient client = connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
+        try (FrameClient client =
+                connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))) {
             return client.ask(READY_ASKED, fields, READY).fields().getOrDefault("said", "refused: no answer to that");
         }
     }
--- a/src/main/java/pumicemoor/cli/Usage.java
+++ b/src/main/java/pumicemoor/cli/Usage.java
@@ -15,7 +15,8 @@
         String value();
     }
 
-    static final String OF_ALL = """
+    static final String OF_ALL =
+            """
             usage: java -jar pumicemoor.jar COMMAND
               serve          route requests on sockets, as the JSON file that RELAY_CONFIG names says
               processor      decide for proxies that call, and listen to no clients
@@ -34,8 +35,7 @@
 
     private static final int WIDTH = 110;
 
-    private Usage() {
-    }
+    private Usage() {}
 
     static String of(Command command) {
         CmdLineParser parser = new CmdLineParser(command);
--- a/src/main/java/pumicemoor/client/FrameClient.java
+++ b/src/main/java/pumicemoor/client/FrameClient.java
@@ -18,7 +18,7 @@
  */
 public final class FrameClient implements Closeable {
 
-    private static final int PATIENCE = 3_000;  // milliseconds
+    private static final int PATIENCE = 3_000; // milliseconds
     private static final int LONGEST = 262_144;
 
     private final Socket socket = new Socket();
@@ -26,8 +26,7 @@
     private final DataOutputStream out;
 
     /** An answer: its code, its fields, what follows them. */
-    public record Answer(int code, Map<String, String> fields, byte[] body) {
-    }
+    public record Answer(int code, Map<String, String> fields, byte[] body) {}
 
     /** Connects; an address that does not answer is an exception. */
     public FrameClient(String host, int port) throws IOException {
--- a/src/main/java/pumicemoor/extproc/DecisionsService.java
+++ b/src/main/java/pumicemoor/extproc/DecisionsService.java
@@ -37,22 +37,34 @@
         switch (message.getMessageCase()) {
             case ASK -> {
                 Ask ask = message.getAsk();
-                if (ask.getObject().isEmpty() || ask.getObject().length() > CallRules.LONGEST_OBJECT || ask.getPart() < 0
-                        || ask.getGroup() < -1 || ask.getGroup() > LAST_GROUP || ask.getTimeLeftMs() < 0) {
+                if (ask.getObject().isEmpty()
+                        || ask.getObject().length() > CallRules.LONGEST_OBJECT
+                        || ask.getPart() < 0
+                        || ask.getGroup() < -1
+                        || ask.getGroup() > LAST_GROUP
+                        || ask.getTimeLeftMs() < 0) {
                     front.act(stream, front.malformed(stream, "an object, part, group or time that can't be"));
                 } else {
-                    front.request(stream, ask.getId(), new CallRules.About(ask.getRequestClass(), ask.getObject(),
-                            ask.getPart(), ask.getGroup()), ask.getTimeLeftMs(), ask.getAttempt() > 0);
+                    front.request(
+                            stream,
+                            ask.getId(),
+                            new CallRules.About(ask.getRequestClass(), ask.getObject(), ask.getPart(), ask.getGroup()),
+                            ask.getTimeLeftMs(),
+                            ask.getAttempt() > 0);
                 }
             }
             case END -> {
                 End end = message.getEnd();
-                if (end.getHow() == End.How.UNREACHED && stream.name != null
+                if (end.getHow() == End.How.UNREACHED
+                        && stream.name != null
                         && stream.name.attempt() == end.getAttempt()) {
                     front.unreached(stream);
                 } else {
-                    front.response(stream, end.getAttempt(), word(end.getHow()), end.getNote().isEmpty() ? null
-                            : end.getNote());
+                    front.response(
+                            stream,
+                            end.getAttempt(),
+                            word(end.getHow()),
+                            end.getNote().isEmpty() ? null : end.getNote());
                 }
             }
             default -> front.act(stream, front.malformed(stream, "a message that is neither ask nor end"));
@@ -88,16 +100,27 @@
 
         @Override
         void tellName(Effect.Name n) {
-            send(ToCaller.newBuilder().setNamed(Named.newBuilder().setAttempt(n.attempt()).setCache(n.instance())
-                    .setAddress(n.address()).setSource(n.source() == null ? "" : n.source()).addAllWay(n.way())
-                    .setKeepRank(n.keepRank()).setOldestMs(n.withinMillis()).setJoin(n.join())
-                    .setOnlyIfHeld(n.onlyIfHeld()).setRenew(n.renew()).setTimeoutMs(n.limitMillis())));
+            send(ToCaller.newBuilder()
+                    .setNamed(Named.newBuilder()
+                            .setAttempt(n.attempt())
+                            .setCache(n.instance())
+                            .setAddress(n.address())
+                            .setSource(n.source() == null ? "" : n.source())
+                            .addAllWay(n.way())
+                            .setKeepRank(n.keepRank())
+                            .setOldestMs(n.withinMillis())
+                            .setJoin(n.join())
+                            .setOnlyIfHeld(n.onlyIfHeld())
+                            .setRenew(n.renew())
+                            .setTimeoutMs(n.limitMillis())));
         }
 
         @Override
         void tellFinal(CallState.Code code, long stayAwayMillis) {
-            send(ToCaller.newBuilder().setFinal(Final.newBuilder().setCode(Final.Code.valueOf(code.name()))
-                    .setStayAwayMs(stayAwayMillis)));
+            send(ToCaller.newBuilder()
+                    .setFinal(Final.newBuilder()
+                            .setCode(Final.Code.valueOf(code.name()))
+                            .setStayAwayMs(stayAwayMillis)));
         }
 
         @Override
--- a/src/main/java/pumicemoor/extproc/ExtProcService.java
+++ b/src/main/java/pumicemoor/extproc/ExtProcService.java
@@ -27,7 +27,8 @@
     private static final ProcessingMode RESPONSE_HEADERS_ONLY = ProcessingMode.newBuilder()
             .setResponseHeaderMode(ProcessingMode.HeaderSendMode.SEND)
             .setRequestTrailerMode(ProcessingMode.HeaderSendMode.SKIP)
-            .setResponseTrailerMode(ProcessingMode.HeaderSendMode.SKIP).build();
+            .setResponseTrailerMode(ProcessingMode.HeaderSendMode.SKIP)
+            .build();
 
     private final ProcessorFront front;
 
@@ -46,7 +47,8 @@
         stream.heard = message.getRequestCase();
         switch (message.getRequestCase()) {
             case REQUEST_HEADERS -> {
-                Optional<Map<String, String>> headers = Headers.read(message.getRequestHeaders().getHeaders());
+                Optional<Map<String, String>> headers =
+                        Headers.read(message.getRequestHeaders().getHeaders());
                 if (headers.isEmpty()) {
                     front.act(stream, front.malformed(stream, "headers that are too many or not text"));
                 } else {
@@ -54,7 +56,8 @@
                 }
             }
             case RESPONSE_HEADERS -> {
-                Map<String, String> headers = Headers.read(message.getResponseHeaders().getHeaders()).orElse(Map.of());
+                Map<String, String> headers =
+                        Headers.read(message.getResponseHeaders().getHeaders()).orElse(Map.of());
                 front.response(stream, -1, Headers.end(headers), Headers.note(headers));
             }
             case REQUEST_NOT_SET -> front.act(stream, front.malformed(stream, "a phase that is not known"));
@@ -79,18 +82,23 @@
 
         @Override
         void tellName(Effect.Name attempt) {
-            send(ProcessingResponse.newBuilder().setModeOverride(RESPONSE_HEADERS_ONLY)
-                    .setRequestHeaders(HeadersResponse.newBuilder().setResponse(CommonResponse.newBuilder()
-                            .setHeaderMutation(Headers.name(attempt)).setClearRouteCache(true))));
+            send(ProcessingResponse.newBuilder()
+                    .setModeOverride(RESPONSE_HEADERS_ONLY)
+                    .setRequestHeaders(HeadersResponse.newBuilder()
+                            .setResponse(CommonResponse.newBuilder()
+                                    .setHeaderMutation(Headers.name(attempt))
+                                    .setClearRouteCache(true))));
         }
 
         @Override
         void tellFinal(CallState.Code code, long stayAwayMillis) {
             boolean refused = code == CallState.Code.REFUSED;
-            send(ProcessingResponse.newBuilder().setImmediateResponse(ImmediateResponse.newBuilder()
-                    .setStatus(HttpStatus.newBuilder().setCode(refused ? REFUSED : FAILED))
-                    .setHeaders(Headers.refusal(refused ? "refused" : "failed", stayAwayMillis))
-                    .setBody(ByteString.EMPTY).setDetails(refused ? "refused" : "failed")));
+            send(ProcessingResponse.newBuilder()
+                    .setImmediateResponse(ImmediateResponse.newBuilder()
+                            .setStatus(HttpStatus.newBuilder().setCode(refused ? REFUSED : FAILED))
+                            .setHeaders(Headers.refusal(refused ? "refused" : "failed", stayAwayMillis))
+                            .setBody(ByteString.EMPTY)
+                            .setDetails(refused ? "refused" : "failed")));
         }
 
         @Override
--- a/src/main/java/pumicemoor/extproc/FrontRehearsal.java
+++ b/src/main/java/pumicemoor/extproc/FrontRehearsal.java
@@ -34,22 +34,30 @@
 
     private static final int CALLS = 1_500;
     private static final int AT_ONCE = 16;
-    private static final long LONGEST = 5;  // seconds
+    private static final long LONGEST = 5; // seconds
     private static final FairAdmission.Limits NONE = new FairAdmission.Limits(1_000_000, 1_000_000, 1_000_000, true);
 
-    private FrontRehearsal() {
-    }
+    private FrontRehearsal() {}
 
     /** Goes on until so many calls are done or the longest time has passed; tells how many were. */
     static int run(ProcessorSection real, Vocabulary words) throws IOException, InterruptedException {
         String requestClass = real.rules().get(0).requestClass();
-        ProcessorSection section = new ProcessorSection("127.0.0.1:0", Optional.empty(), real.messageTimeout(), 0,
-                real.headerBytes(), 1_000, NONE, real.noRule(),
+        ProcessorSection section = new ProcessorSection(
+                "127.0.0.1:0",
+                Optional.empty(),
+                real.messageTimeout(),
+                0,
+                real.headerBytes(),
+                1_000,
+                NONE,
+                real.noRule(),
                 List.of(new ProcessorSection.RuleText("GET", "/(?P<object>.+)", Map.of(), requestClass, null)));
         ProcessorFront front = new ProcessorFront(section, words);
         OwnLoop loop = new OwnLoop(front);
         front.open(loop);
-        ManagedChannel channel = NettyChannelBuilder.forAddress("127.0.0.1", front.port()).usePlaintext().directExecutor()
+        ManagedChannel channel = NettyChannelBuilder.forAddress("127.0.0.1", front.port())
+                .usePlaintext()
+                .directExecutor()
                 .build();
         Semaphore room = new Semaphore(AT_ONCE);
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST);
@@ -87,14 +95,26 @@
 
         @Override
         public Runnable later(long micros, Runnable what) {
-            return () -> { };  // nothing is late here
+            return () -> {}; // nothing is late here
         }
 
         @Override
         public void submit(Input input) {
             if (input instanceof Input.Call c) {
-                front.named(new Effect.Name(c.number(), -c.number(), 0, "rehearsal", "127.0.0.1:1", 100, "rehearsal",
-                        List.of(), 1, 0, true, false, false));
+                front.named(new Effect.Name(
+                        c.number(),
+                        -c.number(),
+                        0,
+                        "rehearsal",
+                        "127.0.0.1:1",
+                        100,
+                        "rehearsal",
+                        List.of(),
+                        1,
+                        0,
+                        true,
+                        false,
+                        false));
             } else if (input instanceof Input.Answered a) {
                 front.answered(-a.attempt(), Effect.Code.SERVED, 0);
             }
@@ -121,21 +141,25 @@
 
         void begin(ExternalProcessorGrpc.ExternalProcessorStub stub, int number) {
             out = stub.process(this);
-            out.onNext(ProcessingRequest.newBuilder().setRequestHeaders(headers(Map.of(":method", "GET", ":path",
-                    "/" + number, "x-request-id", "rehearsal-" + number))).build());
+            out.onNext(ProcessingRequest.newBuilder()
+                    .setRequestHeaders(headers(
+                            Map.of(":method", "GET", ":path", "/" + number, "x-request-id", "rehearsal-" + number)))
+                    .build());
         }
 
         private static HttpHeaders headers(Map<String, String> values) {
             HeaderMap.Builder map = HeaderMap.newBuilder();
-            values.forEach((k, v) -> map.addHeaders(HeaderValue.newBuilder().setKey(k)
-                    .setRawValue(ByteString.copyFromUtf8(v))));
+            values.forEach((k, v) ->
+                    map.addHeaders(HeaderValue.newBuilder().setKey(k).setRawValue(ByteString.copyFromUtf8(v))));
             return HttpHeaders.newBuilder().setHeaders(map).build();
         }
 
         @Override
         public void onNext(ProcessingResponse response) {
             if (response.getResponseCase() == ProcessingResponse.ResponseCase.REQUEST_HEADERS) {
-                out.onNext(ProcessingRequest.newBuilder().setResponseHeaders(headers(Map.of(":status", "200"))).build());
+                out.onNext(ProcessingRequest.newBuilder()
+                        .setResponseHeaders(headers(Map.of(":status", "200")))
+                        .build());
             } else {
                 out.onCompleted();
             }
--- a/src/main/java/pumicemoor/extproc/Headers.java
+++ b/src/main/java/pumicemoor/extproc/Headers.java
@@ -21,8 +21,7 @@
     private static final String NOTE = "x-pumicemoor-note";
     private static final int MOST = 200;
 
-    private Headers() {
-    }
+    private Headers() {}
 
     /** By lower-case name, the first of each; empty where they are too many or not text. */
     static Optional<Map<String, String>> read(HeaderMap headers) {
@@ -34,12 +33,15 @@
             String value = h.getValue();
             if (value.isEmpty() && !h.getRawValue().isEmpty()) {
                 try {
-                    value = StandardCharsets.UTF_8.newDecoder().decode(h.getRawValue().asReadOnlyByteBuffer()).toString();
+                    value = StandardCharsets.UTF_8
+                            .newDecoder()
+                            .decode(h.getRawValue().asReadOnlyByteBuffer())
+                            .toString();
                 } catch (CharacterCodingException e) {
                     if (h.getKey().startsWith(":") || h.getKey().startsWith("x-")) {
-                        return Optional.empty();  // one that decides
+                        return Optional.empty(); // one that decides
                     }
-                    continue;  // a header that is no matter here may hold any bytes
+                    continue; // a header that is no matter here may hold any bytes
                 }
             }
             read.putIfAbsent(h.getKey().toLowerCase(Locale.ROOT), value);
@@ -80,7 +82,7 @@
         HeaderMutation.Builder all = HeaderMutation.newBuilder();
         set(all, END, end);
         if (stayAwayMillis > 0) {
-            set(all, "retry-after", Long.toString((stayAwayMillis + 999) / 1_000));  // seconds, RFC 9110 10.2.3
+            set(all, "retry-after", Long.toString((stayAwayMillis + 999) / 1_000)); // seconds, RFC 9110 10.2.3
             set(all, "x-pumicemoor-stay-away-ms", Long.toString(stayAwayMillis));
         }
         return all.build();
@@ -106,8 +108,11 @@
             }
         }
         String status = headers.getOrDefault(":status", "");
-        return status.equals("429") ? Word.FULL : status.equals("304") ? Word.UNCHANGED
-                : status.startsWith("5") || status.isEmpty() ? Word.FAILED : Word.DATA;
+        return status.equals("429")
+                ? Word.FULL
+                : status.equals("304")
+                        ? Word.UNCHANGED
+                        : status.startsWith("5") || status.isEmpty() ? Word.FAILED : Word.DATA;
     }
 
     static String note(Map<String, String> headers) {
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -63,18 +63,32 @@
     /** The transport would log a stack trace for each message that is too long; the caller is told, which is enough. */
     private static final java.util.logging.Logger TRANSPORT_LOG =
             java.util.logging.Logger.getLogger("io.grpc.netty.shaded.io.grpc.netty");
+
     private static final Context.Key<String> CALLER = Context.key("caller");
     private static final Metadata.Key<String> CALLER_NAME =
             Metadata.Key.of("x-pumicemoor-caller", Metadata.ASCII_STRING_MARSHALLER);
     private static final int LONGEST_NAME = 128;
-    private static final int BOOK = 100_000;  // ids of requests with an effect
-    private static final long BOOK_KEPT = 600_000_000L;  // microseconds
-    private static final long MARGIN = 15_000;  // microseconds before a caller's time-out in which an answer leaves
-    private static final long STREAM_GRACE = 2_000_000;  // microseconds a stream may outlast its request's time
+    private static final int BOOK = 100_000; // ids of requests with an effect
+    private static final long BOOK_KEPT = 600_000_000L; // microseconds
+    private static final long MARGIN = 15_000; // microseconds before a caller's time-out in which an answer leaves
+    private static final long STREAM_GRACE = 2_000_000; // microseconds a stream may outlast its request's time
     private static final long MILLI = 1_000;
 
-    enum Count { CALLS, PASSED, REFUSED_BY_BOUND, REFUSED_BY_RULE, REFUSED_LATE, REPEATS_FAILED, NAMED, ENDS, FINALS,
-        WITHDRAWN, ABORTED, TRIED_AGAIN, STREAMS_EXPIRED }
+    enum Count {
+        CALLS,
+        PASSED,
+        REFUSED_BY_BOUND,
+        REFUSED_BY_RULE,
+        REFUSED_LATE,
+        REPEATS_FAILED,
+        NAMED,
+        ENDS,
+        FINALS,
+        WITHDRAWN,
+        ABORTED,
+        TRIED_AGAIN,
+        STREAMS_EXPIRED
+    }
 
     private final Vocabulary words;
     private ProcessorSection section;
@@ -93,24 +107,23 @@
     private boolean draining;
 
     /** An attempt that the decisions hold ready until the caller tries again by itself. */
-    private record Held(long number, Effect.Name name, String bookId, boolean mayHaveRun) {
-    }
+    private record Held(long number, Effect.Name name, String bookId, boolean mayHaveRun) {}
 
     /** One stream of a caller, whichever service it came by. */
     abstract static class Stream {
         final String caller;
         final CallState state;
-        long number;  // of the request in the reducer, under 0
+        long number; // of the request in the reducer, under 0
         String id = "";
-        String bookId;  // where its request must not run twice
-        Effect.Name name;  // the attempt named last
-        Word end;  // how that ended, as it was heard
+        String bookId; // where its request must not run twice
+        Effect.Name name; // the attempt named last
+        Word end; // how that ended, as it was heard
         String note;
         boolean admitted;
         boolean ended;
-        boolean unreached;  // the attempt that ends never reached its member
-        Object heard;  // the phase that GoOn answers
-        final List<Runnable> timers = new ArrayList<>(2);  // to be taken back at its end
+        boolean unreached; // the attempt that ends never reached its member
+        Object heard; // the phase that GoOn answers
+        final List<Runnable> timers = new ArrayList<>(2); // to be taken back at its end
 
         private final ServerCallStreamObserver<?> out;
 
@@ -174,14 +187,18 @@
     public void rehearse() throws IOException, InterruptedException {
         long began = System.nanoTime();
         int calls = FrontRehearsal.run(section, words);
-        LOG.info("{} calls of other proxies were rehearsed in {} ms", calls,
+        LOG.info(
+                "{} calls of other proxies were rehearsed in {} ms",
+                calls,
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
     }
 
     @Override
     public void start(CallLoop on) throws IOException {
         open(on);
-        LOG.info("calls of other proxies are taken on {}{}; no call is known from before", section.listen(),
+        LOG.info(
+                "calls of other proxies are taken on {}{}; no call is known from before",
+                section.listen(),
                 tls == null ? " in plain text" : "");
     }
 
@@ -189,16 +206,24 @@
     void open(CallLoop on) throws IOException {
         loop = on;
         int colon = section.listen().lastIndexOf(':');
-        InetSocketAddress address = new InetSocketAddress(section.listen().substring(0, colon),
+        InetSocketAddress address = new InetSocketAddress(
+                section.listen().substring(0, colon),
                 Integer.parseInt(section.listen().substring(colon + 1)));
-        NettyServerBuilder builder = tls == null ? NettyServerBuilder.forAddress(address)
+        NettyServerBuilder builder = tls == null
+                ? NettyServerBuilder.forAddress(address)
                 : NettyServerBuilder.forAddress(address, tls.credentials());
-        server = builder.bossEventLoopGroup(boss).workerEventLoopGroup(workers)
-                .channelType(NioServerSocketChannel.class).directExecutor()
-                .maxInboundMessageSize(section.headerBytes()).maxInboundMetadataSize(section.headerBytes())
+        server = builder.bossEventLoopGroup(boss)
+                .workerEventLoopGroup(workers)
+                .channelType(NioServerSocketChannel.class)
+                .directExecutor()
+                .maxInboundMessageSize(section.headerBytes())
+                .maxInboundMetadataSize(section.headerBytes())
                 .maxConcurrentCallsPerConnection(section.callsPerConnection())
-                .addService(new ExtProcService(this)).addService(new DecisionsService(this))
-                .intercept(new NameCaller()).build().start();
+                .addService(new ExtProcService(this))
+                .addService(new DecisionsService(this))
+                .intercept(new NameCaller())
+                .build()
+                .start();
     }
 
     /** Where it listens. */
@@ -209,8 +234,8 @@
     /** Who calls: the subject of its certificate, else the name it gives, else its connection. */
     private static final class NameCaller implements ServerInterceptor {
         @Override
-        public <Q, A> ServerCall.Listener<Q> interceptCall(ServerCall<Q, A> call, Metadata headers,
-                ServerCallHandler<Q, A> next) {
+        public <Q, A> ServerCall.Listener<Q> interceptCall(
+                ServerCall<Q, A> call, Metadata headers, ServerCallHandler<Q, A> next) {
             SSLSession session = call.getAttributes().get(Grpc.TRANSPORT_ATTR_SSL_SESSION);
             SocketAddress address = call.getAttributes().get(Grpc.TRANSPORT_ATTR_REMOTE_ADDR);
             String name = headers.get(CALLER_NAME);
@@ -222,8 +247,11 @@
                 }
             }
             String caller = name == null ? String.valueOf(address) : name;
-            return Contexts.interceptCall(Context.current().withValue(CALLER,
-                    caller.substring(0, Math.min(LONGEST_NAME, caller.length()))), call, headers, next);
+            return Contexts.interceptCall(
+                    Context.current().withValue(CALLER, caller.substring(0, Math.min(LONGEST_NAME, caller.length()))),
+                    call,
+                    headers,
+                    next);
         }
     }
 
@@ -268,8 +296,11 @@
         String method = headers.getOrDefault(":method", "");
         String path = headers.get(":path");
         if (path == null || headers.get("x-request-id") == null) {
-            act(stream, stream.state.phase() == Phase.NEW ? malformed(stream, "no path or no x-request-id")
-                    : stream.state.request());
+            act(
+                    stream,
+                    stream.state.phase() == Phase.NEW
+                            ? malformed(stream, "no path or no x-request-id")
+                            : stream.state.request());
             return;
         }
         Optional<About> about = rules.fit(method, path, headers);
@@ -295,8 +326,11 @@
             return;
         }
         if (id.isEmpty() || id.length() > LONGEST_NAME || stream.state.phase() != Phase.NEW) {
-            act(stream, stream.state.phase() == Phase.NEW ? malformed(stream, "an id that is empty or too long")
-                    : stream.state.request());
+            act(
+                    stream,
+                    stream.state.phase() == Phase.NEW
+                            ? malformed(stream, "an id that is empty or too long")
+                            : stream.state.request());
             return;
         }
         stream.id = stream.caller + '/' + id;
@@ -307,7 +341,9 @@
             if (ready != null) {
                 held.put(stream.id, ready);
             }
-            act(stream, stream.state.answered(CallState.Code.REFUSED, verdict == null ? 1_000_000 : verdict.stayAway()));
+            act(
+                    stream,
+                    stream.state.answered(CallState.Code.REFUSED, verdict == null ? 1_000_000 : verdict.stayAway()));
             return;
         }
         stream.admitted = true;
@@ -324,7 +360,7 @@
         }
         if (type.effect() != RouterApi.Effect.SAFE) {
             if (!book.mayBegin(loop.clock(), stream.id, repeat)) {
-                count(Count.REPEATS_FAILED);  // it may have run, so nothing is named for it again
+                count(Count.REPEATS_FAILED); // it may have run, so nothing is named for it again
                 act(stream, stream.state.answered(CallState.Code.FAILED, 0));
                 return;
             }
@@ -334,13 +370,20 @@
         streams.put(stream.number, stream);
         long ttl = ttlMillis > 0 ? Math.min(ttlMillis, type.deadline() / MILLI) : type.deadline() / MILLI;
         List<Act> acts = stream.state.request();
-        stream.timers.add(loop.later(Math.max(1, Math.min(section.messageTimeout(), ttl * MILLI) - MARGIN),
-                () -> messageTimeUp(stream)));
+        stream.timers.add(loop.later(
+                Math.max(1, Math.min(section.messageTimeout(), ttl * MILLI) - MARGIN), () -> messageTimeUp(stream)));
         stream.timers.add(loop.later(ttl * MILLI + STREAM_GRACE, () -> expire(stream)));
         for (Act act : acts) {
             if (act instanceof Act.Ask) {
-                loop.submit(new Input.Call(stream.number, stream.id, about.requestClass(), about.object(), about.part(),
-                        about.group(), ttl, repeat));
+                loop.submit(new Input.Call(
+                        stream.number,
+                        stream.id,
+                        about.requestClass(),
+                        about.object(),
+                        about.part(),
+                        about.group(),
+                        ttl,
+                        repeat));
             }
         }
     }
@@ -404,8 +447,12 @@
                 Word word = stream.end;
                 boolean unreached = stream.unreached;
                 stream.unreached = false;
-                loop.submit(unreached ? new Input.Unreached(ended.key()) : word == null ? new Input.Broken(ended.key())
-                        : new Input.Answered(ended.key(), word, stream.note, Map.of(), Bytes.NONE));
+                loop.submit(
+                        unreached
+                                ? new Input.Unreached(ended.key())
+                                : word == null
+                                        ? new Input.Broken(ended.key())
+                                        : new Input.Answered(ended.key(), word, stream.note, Map.of(), Bytes.NONE));
             } else if (act instanceof Act.Withdraw) {
                 count(Count.WITHDRAWN);
                 streams.remove(stream.number);
@@ -447,7 +494,7 @@
     public void named(Effect.Name name) {
         Stream stream = streams.get(name.call());
         if (stream == null) {
-            return;  // withdrawn meanwhile
+            return; // withdrawn meanwhile
         }
         if (stream.state.phase() == Phase.RESPONDED && section.retryWait() > 0) {
             holdReady(stream, name);
@@ -531,8 +578,8 @@
     @Override
     public Map<String, String> state() {
         Map<String, String> state = new LinkedHashMap<>();
-        counts.forEach((c, n) -> state.put("processor-" + c.name().toLowerCase(Locale.ROOT).replace('_', '-'),
-                Long.toString(n)));
+        counts.forEach((c, n) ->
+                state.put("processor-" + c.name().toLowerCase(Locale.ROOT).replace('_', '-'), Long.toString(n)));
         state.put("processor-open", Integer.toString(admission.open()));
         state.put("processor-held-ready", Integer.toString(held.size()));
         state.put("processor-ids-kept", Integer.toString(book.size()));
--- a/src/main/java/pumicemoor/extproc/TlsFiles.java
+++ b/src/main/java/pumicemoor/extproc/TlsFiles.java
@@ -26,8 +26,11 @@
     TlsFiles(ProcessorSection.Tls files) throws IOException {
         this.files = files;
         try {
-            callers = files.callers() == null ? null : AdvancedTlsX509TrustManager.newBuilder()
-                    .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION).build();
+            callers = files.callers() == null
+                    ? null
+                    : AdvancedTlsX509TrustManager.newBuilder()
+                            .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION)
+                            .build();
             load();
         } catch (GeneralSecurityException e) {
             throw new IOException("certificates can't be used: " + e.getMessage(), e);
--- a/src/main/java/pumicemoor/fleet/BadPacketException.java
+++ b/src/main/java/pumicemoor/fleet/BadPacketException.java
@@ -5,12 +5,16 @@
 
     private static final long serialVersionUID = 1;
 
-    enum Reason { UNREADABLE, FOREIGN, IMPOSSIBLE }
+    enum Reason {
+        UNREADABLE,
+        FOREIGN,
+        IMPOSSIBLE
+    }
 
     final transient Reason reason;
 
     BadPacketException(Reason reason) {
-        super(reason.name(), null, false, false);  // bad packets must be cheap: no trace
+        super(reason.name(), null, false, false); // bad packets must be cheap: no trace
         this.reason = reason;
     }
 }
--- a/src/main/java/pumicemoor/fleet/Bounds.java
+++ b/src/main/java/pumicemoor/fleet/Bounds.java
@@ -5,8 +5,7 @@
 /** The stated bounds of docs/fleet-design.md as formulas, for tests and for who watches a fleet. */
 public final class Bounds {
 
-    private Bounds() {
-    }
+    private Bounds() {}
 
     private static int log(int routers) {
         return Math.max(1, 32 - Integer.numberOfLeadingZeros(routers));
--- a/src/main/java/pumicemoor/fleet/Fleet.java
+++ b/src/main/java/pumicemoor/fleet/Fleet.java
@@ -64,11 +64,13 @@
 public final class Fleet implements FleetPart {
 
     private static final int ASKS_A_LEASE = 5;
-    private static final int QUIET = 8;  // periods until a router in a cell knows to whom to report; it changes that slowly
-    private static final int CELL_NEWS = 300;  // bytes of news of routers in a packet: a start at once is spread over time
-    private static final int VOTE = 3;  // leases that a vote binds a router in a cell; it outlasts its cell's own vote
-    private static final int INFORMED = 16;  // periods until a process has compared all that it knows of routers
-    private static final int MOST_CHANGES = 256;  // lines kept until they are fetched
+    private static final int QUIET =
+            8; // periods until a router in a cell knows to whom to report; it changes that slowly
+    private static final int CELL_NEWS =
+            300; // bytes of news of routers in a packet: a start at once is spread over time
+    private static final int VOTE = 3; // leases that a vote binds a router in a cell; it outlasts its cell's own vote
+    private static final int INFORMED = 16; // periods until a process has compared all that it knows of routers
+    private static final int MOST_CHANGES = 256; // lines kept until they are fetched
 
     /** What is known of a listed member; ready where the list has nothing against it. */
     public record Listed(String name, Role role, long started, boolean ready) {
@@ -79,11 +81,14 @@
         }
     }
 
-    private record Accused(Accusation accusation, long until) {
-    }
+    private record Accused(Accusation accusation, long until) {}
 
     /** A whole fleet; the routers of a cell; the delegates of all cells. */
-    private enum Level { FLAT, CELL, UPPER }
+    private enum Level {
+        FLAT,
+        CELL,
+        UPPER
+    }
 
     private static final Drains.Usage NOTHING = new Drains.Usage() {
         @Override
@@ -105,11 +110,11 @@
     private final Membership membership;
     private final Votes votes;
     private final Rumours<RouterNews> routerNews = new Rumours<>();
-    private final Rumours<Long> verdictNews = new Rumours<>();  // the members meant; the verdict is told as it stands
+    private final Rumours<Long> verdictNews = new Rumours<>(); // the members meant; the verdict is told as it stands
     private final Map<Long, HeldLease> leases = new TreeMap<>();
     private final Map<Long, LeaseBook> books = new HashMap<>();
-    private final Map<Long, CellShare> shares = new TreeMap<>();  // of its own cell, where this is the level above
-    private final List<Verdict> passing = new ArrayList<>();  // verdicts that are new here, for the other level
+    private final Map<Long, CellShare> shares = new TreeMap<>(); // of its own cell, where this is the level above
+    private final List<Verdict> passing = new ArrayList<>(); // verdicts that are new here, for the other level
     private final Map<Long, Want> wants = new HashMap<>();
     private final VerdictTable verdicts = new VerdictTable();
     private final Bench bench;
@@ -126,7 +131,7 @@
     private long askAt;
     private long askedAt;
     private long plannedAt;
-    private long planAt;  // when the keeper of the plan is to hear again
+    private long planAt; // when the keeper of the plan is to hear again
     private long gossipAt;
     private long sent;
     private long sentBytes;
@@ -136,12 +141,12 @@
     private boolean verdictsNew = true;
     private boolean membersNew;
     private int routersTold;
-    private List<RouterNews> placed = List.of();  // those that live, of which the first by the cluster's hash is known
-    private RouterNews firstPlaced;  // null where there are none
-    private Map<Long, String> tiers = Map.of();  // of the members that may be out
-    private Fleet below;  // the own cell, where this is the level above
-    private Fleet above;  // the level above, where this is a cell and this router is a delegate
-    private String accusedTo = "";  // the cell's grantor that accusations were last told
+    private List<RouterNews> placed = List.of(); // those that live, of which the first by the cluster's hash is known
+    private RouterNews firstPlaced; // null where there are none
+    private Map<Long, String> tiers = Map.of(); // of the members that may be out
+    private Fleet below; // the own cell, where this is the level above
+    private Fleet above; // the level above, where this is a cell and this router is a delegate
+    private String accusedTo = ""; // the cell's grantor that accusations were last told
     private long accusedAt;
 
     /** One whose router has nothing under way. */
@@ -169,7 +174,8 @@
         return upper;
     }
 
-    private Fleet(FleetSetup setup, String order, long time, long seed, Drains.Usage usage, Level level, long instance) {
+    private Fleet(
+            FleetSetup setup, String order, long time, long seed, Drains.Usage usage, Level level, long instance) {
         this.level = level;
         this.order = Hashes.of(order);
         this.times = switch (level) {
@@ -185,61 +191,78 @@
         this.bench = new Bench(setup.verdicts().orElse(new Bench.Rules(0, 1, 1, 1)));
         this.askAt = time + setup.membership().period();
         this.gossipAt = askAt;
-        this.membership = new Membership(setup.membership(), time, seed, instance, level != Level.FLAT, new Membership.Outlet() {
-            @Override
-            public long send(String address, Body body) {
-                return Fleet.this.send(address, body);
-            }
-
-            @Override
-            public void sendAll(String address, Predicate<RouterNews> which) {
-                Fleet.this.sendAll(address, which);
-            }
-
-            @Override
-            public void spread(RouterNews news) {
-                routerNews.put(news.name(), news);
-            }
-
-            @Override
-            public void changed(RouterNews news, Standing before, String cause) {
-                notice("router " + news.name() + " is " + lower(news.standing()) + ": " + cause,
-                        Map.of("router", news.name(), "standing", lower(news.standing()),
-                                "before", before == null ? "unknown" : lower(before),
-                                "incarnation", news.incarnation(), "cause", cause));
-                if (news.standing().compareTo(Standing.DEAD) >= 0) {
-                    votes.forget(news.name());
-                }
-            }
-
-            @Override
-            public void dropped(String what) {
-                drop(what);
-            }
-        });
-        this.planAt = askAt;
-        this.drains = setup.drains().map(t -> new Drains(t, setup.times(), setup.membership().name(),
-                membership.self().instance(), time, usage, new Drains.Outlet() {
+        this.membership =
+                new Membership(setup.membership(), time, seed, instance, level != Level.FLAT, new Membership.Outlet() {
                     @Override
                     public long send(String address, Body body) {
                         return Fleet.this.send(address, body);
                     }
 
                     @Override
-                    public void term(long term) {
-                        votes.heard(term);
+                    public void sendAll(String address, Predicate<RouterNews> which) {
+                        Fleet.this.sendAll(address, which);
                     }
 
                     @Override
-                    public void dropped(String what) {
-                        drop(what);
+                    public void spread(RouterNews news) {
+                        routerNews.put(news.name(), news);
                     }
 
                     @Override
-                    public void changed(String text, Map<String, Object> figures) {
-                        notice(text, figures);
+                    public void changed(RouterNews news, Standing before, String cause) {
+                        notice(
+                                "router " + news.name() + " is " + lower(news.standing()) + ": " + cause,
+                                Map.of(
+                                        "router",
+                                        news.name(),
+                                        "standing",
+                                        lower(news.standing()),
+                                        "before",
+                                        before == null ? "unknown" : lower(before),
+                                        "incarnation",
+                                        news.incarnation(),
+                                        "cause",
+                                        cause));
+                        if (news.standing().compareTo(Standing.DEAD) >= 0) {
+                            votes.forget(news.name());
+                        }
                     }
-                }));
+
+                    @Override
+                    public void dropped(String what) {
+                        drop(what);
+                    }
+                });
+        this.planAt = askAt;
+        this.drains = setup.drains()
+                .map(t -> new Drains(
+                        t,
+                        setup.times(),
+                        setup.membership().name(),
+                        membership.self().instance(),
+                        time,
+                        usage,
+                        new Drains.Outlet() {
+                            @Override
+                            public long send(String address, Body body) {
+                                return Fleet.this.send(address, body);
+                            }
+
+                            @Override
+                            public void term(long term) {
+                                votes.heard(term);
+                            }
+
+                            @Override
+                            public void dropped(String what) {
+                                drop(what);
+                            }
+
+                            @Override
+                            public void changed(String text, Map<String, Object> figures) {
+                                notice(text, figures);
+                            }
+                        }));
     }
 
     private static String lower(Enum<?> value) {
@@ -289,7 +312,10 @@
     }
 
     private static boolean ofDrains(Body body) {
-        return body instanceof PlanReport || body instanceof PlanGrant || body instanceof Piece || body instanceof DrainAsk;
+        return body instanceof PlanReport
+                || body instanceof PlanGrant
+                || body instanceof Piece
+                || body instanceof DrainAsk;
     }
 
     private void heard(Drains d, Packet packet) {
@@ -298,7 +324,7 @@
             d.answered(now, from.address(), g);
         } else if (packet.body() instanceof Piece p) {
             if (d.take(p)) {
-                planAt = now;  // the keeper waits for a majority that holds it
+                planAt = now; // the keeper waits for a majority that holds it
             }
         } else if (ofDrains(packet.body()) && !grants()) {
             drop("asked-not-grantor");
@@ -319,23 +345,31 @@
         listed(Map.copyOf(listed));
         membersNew = true;
         Map<Long, FleetLimit> limits = new TreeMap<>();
-        members.forEach((id, m) -> setup.limits().stream().filter(r -> covers(r, m) && setup.limits().stream()
-                .noneMatch(o -> covers(o, m) && o.measure() == r.measure() && tighter(o, r))).forEach(r -> limits
-                .put(Hashes.of(r.name() + "/" + m.name()), new FleetLimit(r.name(), id, r.measure(), r.amount()))));
-        setup.limits().stream().filter(r -> r.scope() == Scope.ACROSS_ZONES).forEach(r -> limits.put(Hashes.of(r.name()),
-                new FleetLimit(r.name(), Allowance.ACROSS_ZONES, r.measure(), r.amount())));
+        members.forEach((id, m) -> setup.limits().stream()
+                .filter(r -> covers(r, m)
+                        && setup.limits().stream()
+                                .noneMatch(o -> covers(o, m) && o.measure() == r.measure() && tighter(o, r)))
+                .forEach(r -> limits.put(
+                        Hashes.of(r.name() + "/" + m.name()), new FleetLimit(r.name(), id, r.measure(), r.amount()))));
+        setup.limits().stream()
+                .filter(r -> r.scope() == Scope.ACROSS_ZONES)
+                .forEach(r -> limits.put(
+                        Hashes.of(r.name()),
+                        new FleetLimit(r.name(), Allowance.ACROSS_ZONES, r.measure(), r.amount())));
         leases.keySet().retainAll(limits.keySet());
         shares.keySet().retainAll(limits.keySet());
         books.keySet().retainAll(limits.keySet());
         wants.keySet().retainAll(limits.keySet());
         if (level == Level.UPPER) {
-            limits.forEach((id, limit) -> shares.computeIfAbsent(id, i -> new CellShare(limit, times,
-                    setup.times().lease(), startedAt)));
+            limits.forEach((id, limit) -> shares.computeIfAbsent(
+                    id, i -> new CellShare(limit, times, setup.times().lease(), startedAt)));
         } else {
             limits.forEach((id, limit) -> leases.computeIfAbsent(id, i -> new HeldLease(limit, times, startedAt)));
         }
-        accused.entrySet().removeIf(e -> !members.containsKey(e.getKey())
-                || members.get(e.getKey()).started() != e.getValue().accusation().started());
+        accused.entrySet()
+                .removeIf(e -> !members.containsKey(e.getKey())
+                        || members.get(e.getKey()).started()
+                                != e.getValue().accusation().started());
         allowancesNew = true;
     }
 
@@ -351,7 +385,9 @@
 
     /** Of two limits of one measure on one member the lower counts; the names settle a tie. */
     private static boolean tighter(LimitRule one, LimitRule other) {
-        return one.amount() != other.amount() ? one.amount() < other.amount() : one.name().compareTo(other.name()) < 0;
+        return one.amount() != other.amount()
+                ? one.amount() < other.amount()
+                : one.name().compareTo(other.name()) < 0;
     }
 
     private static boolean covers(LimitRule rule, Listed m) {
@@ -360,7 +396,7 @@
             case EACH_CACHE -> m.role() == Role.CACHE;
             case EACH_PARENT -> m.role() == Role.PARENT;
             case ORIGIN -> m.role() == Role.ORIGIN;
-            case ACROSS_ZONES -> false;  // it is for none of them
+            case ACROSS_ZONES -> false; // it is for none of them
         };
     }
 
@@ -383,9 +419,16 @@
             return;
         }
         if (j.failing()) {
-            accused.put(j.member(), new Accused(new Accusation(j.member(), m.started(),
-                    j.silent() ? Cause.SILENT : Cause.FAILING, j.strikes(), j.failShare()),
-                    j.until() + setup.verdicts().get().hold()));
+            accused.put(
+                    j.member(),
+                    new Accused(
+                            new Accusation(
+                                    j.member(),
+                                    m.started(),
+                                    j.silent() ? Cause.SILENT : Cause.FAILING,
+                                    j.strikes(),
+                                    j.failShare()),
+                            j.until() + setup.verdicts().get().hold()));
         } else {
             accused.remove(j.member());
         }
@@ -425,11 +468,12 @@
             askedAt = now;
             accused.values().removeIf(a -> now >= a.until());
             if (inOffice) {
-                office();  // also where nobody reports here any more
+                office(); // also where nobody reports here any more
             }
             if (level == Level.UPPER) {
                 reportCell();
-            } else if (level == Level.FLAT || now >= startedAt + QUIET * setup.membership().period()) {
+            } else if (level == Level.FLAT
+                    || now >= startedAt + QUIET * setup.membership().period()) {
                 report();
             }
         }
@@ -493,7 +537,11 @@
     /** Whether this router is among the first so many. */
     public boolean among(int count) {
         long own = place(membership.self());
-        return membership.living().stream().filter(n -> Long.compareUnsigned(place(n), own) > 0).limit(count).count() < count;
+        return membership.living().stream()
+                        .filter(n -> Long.compareUnsigned(place(n), own) > 0)
+                        .limit(count)
+                        .count()
+                < count;
     }
 
     /** Those known to live on this level, without this router. */
@@ -573,8 +621,12 @@
         RouterNews to = grantor();
         boolean own = to.name().equals(setup.membership().name());
         boolean vote = votes.vote(now, to.name(), to.instance());
-        List<Accusation> accusations = mayAccuse(to.name()) ? accused.values().stream().map(Accused::accusation)
-                .limit(PacketCodec.ACCUSATIONS).toList() : List.of();
+        List<Accusation> accusations = mayAccuse(to.name())
+                ? accused.values().stream()
+                        .map(Accused::accusation)
+                        .limit(PacketCodec.ACCUSATIONS)
+                        .toList()
+                : List.of();
         if (own) {
             bench.reported(to.name(), ++numbers, now + times.lease(), accusations);
             keepOwn(to);
@@ -615,14 +667,21 @@
         RouterNews to = grantor();
         boolean own = to.name().equals(setup.membership().name());
         boolean vote = votes.vote(now, to.name(), to.instance());
-        List<Accusation> accusations = below.bench.inSum(now).stream().limit(PacketCodec.ACCUSATIONS).toList();
-        List<Long> ids = shares.keySet().stream().filter(id -> below.held(id, now) > 0).toList();
+        List<Accusation> accusations =
+                below.bench.inSum(now).stream().limit(PacketCodec.ACCUSATIONS).toList();
+        List<Long> ids =
+                shares.keySet().stream().filter(id -> below.held(id, now) > 0).toList();
         if (own) {
             bench.reported(to.name(), ++numbers, now + times.lease(), accusations);
             for (long id : ids) {
                 CellWant w = cellWant(id, to, ++numbers);
                 if (w.holds() >= 0) {
-                    granted(shares.get(id), to.name(), to.instance(), numbers, ask(to.name(), to.instance(), numbers, w));
+                    granted(
+                            shares.get(id),
+                            to.name(),
+                            to.instance(),
+                            numbers,
+                            ask(to.name(), to.instance(), numbers, w));
                 }
             }
             sit();
@@ -631,21 +690,41 @@
         Votes.Backing backing = below.votes.backing(now + times.lease());
         for (int from = 0; from == 0 || from < ids.size(); from += PacketCodec.CELL_WANTS) {
             List<CellWant> list = ids.subList(from, Math.min(ids.size(), from + PacketCodec.CELL_WANTS)).stream()
-                    .map(id -> cellWant(id, to, numbers + 1)).filter(w -> w.holds() >= 0).toList();
-            send(to.address(), new CellAsk(vote, votes.seen(to.name(), to.instance()), votes.term(), backing.routers(),
-                    Math.min(backing.term(), votes.term()), list, accusations));
+                    .map(id -> cellWant(id, to, numbers + 1))
+                    .filter(w -> w.holds() >= 0)
+                    .toList();
+            send(
+                    to.address(),
+                    new CellAsk(
+                            vote,
+                            votes.seen(to.name(), to.instance()),
+                            votes.term(),
+                            backing.routers(),
+                            Math.min(backing.term(), votes.term()),
+                            list,
+                            accusations));
         }
     }
 
     private CellWant cellWant(long id, RouterNews to, long number) {
         LeaseBook book = below.books.get(id);
-        return new CellWant(id, shares.get(id).asks(now, to.name(), to.instance(), number, book.held()), book.held(),
-                book.wanted(), book.countedOfHolders(routers()));
+        return new CellWant(
+                id,
+                shares.get(id).asks(now, to.name(), to.instance(), number, book.held()),
+                book.held(),
+                book.wanted(),
+                book.countedOfHolders(routers()));
     }
 
     private double ask(String name, long instance, long number, CellWant w) {
-        return book(w.limit()).ask(now, new LeaseBook.Asker(name, instance, number, w.holds(), w.routers()), w.wanted(),
-                w.inUse(), routers(), held -> held * limitOf(w.limit()).evenPart(routers()));
+        return book(w.limit())
+                .ask(
+                        now,
+                        new LeaseBook.Asker(name, instance, number, w.holds(), w.routers()),
+                        w.wanted(),
+                        w.inUse(),
+                        routers(),
+                        held -> held * limitOf(w.limit()).evenPart(routers()));
     }
 
     /** How many routers this cell's book of a limit holds now. */
@@ -670,8 +749,14 @@
 
     private double ask(String name, long instance, long number, Want w) {
         double inUse = limitOf(w.limit()).measure().whole ? w.inUse() : 0;
-        return book(w.limit()).ask(now, new LeaseBook.Asker(name, instance, number, w.holds(), 1), w.wanted(), inUse,
-                routers(), held -> pool(w.limit(), held));
+        return book(w.limit())
+                .ask(
+                        now,
+                        new LeaseBook.Asker(name, instance, number, w.holds(), 1),
+                        w.wanted(),
+                        inUse,
+                        routers(),
+                        held -> pool(w.limit(), held));
     }
 
     private void asked(Packet packet, CellAsk a) {
@@ -708,9 +793,19 @@
             return false;
         }
         if (!before || !grantorBefore.equals(name)) {
-            notice("the cell's share of " + share.limit().name() + " from " + name + ": " + part, Map.of("limit",
-                    share.limit().name(), "member", nameOf(share.limit().member()), "grantor", name, "part", part,
-                    "cause", before ? "another grantor" : "none was held"));
+            notice(
+                    "the cell's share of " + share.limit().name() + " from " + name + ": " + part,
+                    Map.of(
+                            "limit",
+                            share.limit().name(),
+                            "member",
+                            nameOf(share.limit().member()),
+                            "grantor",
+                            name,
+                            "part",
+                            part,
+                            "cause",
+                            before ? "another grantor" : "none was held"));
         }
         return true;
     }
@@ -780,7 +875,8 @@
                 drop("unknown-limit");
             } else if (p.amount() > limitOf(p.limit()).amount()) {
                 drop("oversized-lease");
-            } else if (share != null ? !granted(share, from.name(), from.instance(), g.ask(), p.amount())
+            } else if (share != null
+                    ? !granted(share, from.name(), from.instance(), g.ask(), p.amount())
                     : !granted(lease, from.name(), from.instance(), g.ask(), p.amount())) {
                 drop("late-grant");
             }
@@ -795,9 +891,19 @@
         }
         allowancesNew = true;
         if (!before || !grantorBefore.equals(name)) {
-            notice("lease of " + lease.limit().name() + " from " + name + ": " + part, Map.of("limit",
-                    lease.limit().name(), "member", nameOf(lease.limit().member()), "grantor", name, "part", part,
-                    "cause", before ? "another grantor" : "none was held"));
+            notice(
+                    "lease of " + lease.limit().name() + " from " + name + ": " + part,
+                    Map.of(
+                            "limit",
+                            lease.limit().name(),
+                            "member",
+                            nameOf(lease.limit().member()),
+                            "grantor",
+                            name,
+                            "part",
+                            part,
+                            "cause",
+                            before ? "another grantor" : "none was held"));
         }
         return true;
     }
@@ -806,12 +912,15 @@
 
     /** Whether this router is the keeper now. */
     private boolean office() {
-        boolean office = level != Level.CELL && votes.inOffice(now, routers(),
-                level == Level.FLAT ? Votes.Backing.ONE : below.votes.backing(now));
+        boolean office = level != Level.CELL
+                && votes.inOffice(now, routers(), level == Level.FLAT ? Votes.Backing.ONE : below.votes.backing(now));
         if (office != inOffice) {
             inOffice = office;
-            notice(office ? "this router is the keeper of term " + votes.ownTerm()
-                    : "this router is not the keeper any more", Map.of("keeper", office, "term", votes.ownTerm()));
+            notice(
+                    office
+                            ? "this router is the keeper of term " + votes.ownTerm()
+                            : "this router is not the keeper any more",
+                    Map.of("keeper", office, "term", votes.ownTerm()));
         }
         return office;
     }
@@ -829,7 +938,8 @@
     private void take(Verdict v) {
         VerdictTable.Held before = verdicts.on(v.member());
         boolean stood = before != null && before.verdict().failing() && now < before.until();
-        if (setup.verdicts().isEmpty() || !verdicts.take(now, v, setup.verdicts().get().hold())) {
+        if (setup.verdicts().isEmpty()
+                || !verdicts.take(now, v, setup.verdicts().get().hold())) {
             return;
         }
         bench.heard(verdicts.on(v.member()));
@@ -844,14 +954,29 @@
     }
 
     private void notice(Verdict v, String cause) {
-        notice("verdict on " + nameOf(v.member()) + (cause.startsWith("ended") ? " " : v.failing() ? ": out, "
-                : ": lifted, ") + cause, Map.of("member", nameOf(v.member()), "out", v.failing()
-                && !cause.startsWith("ended"), "version", v.version(), "accusers", v.accusers(), "strikes", v.strikes(),
-                "keeper", v.keeper(), "cause", cause));
+        notice(
+                "verdict on " + nameOf(v.member())
+                        + (cause.startsWith("ended") ? " " : v.failing() ? ": out, " : ": lifted, ") + cause,
+                Map.of(
+                        "member",
+                        nameOf(v.member()),
+                        "out",
+                        v.failing() && !cause.startsWith("ended"),
+                        "version",
+                        v.version(),
+                        "accusers",
+                        v.accusers(),
+                        "strikes",
+                        v.strikes(),
+                        "keeper",
+                        v.keeper(),
+                        "cause",
+                        cause));
     }
 
     private String nameOf(long member) {
-        return member == Allowance.ACROSS_ZONES ? "across-zones"
+        return member == Allowance.ACROSS_ZONES
+                ? "across-zones"
                 : members.containsKey(member) ? members.get(member).name() : Long.toString(member);
     }
 
@@ -868,8 +993,13 @@
         for (VerdictTable.Held h : standing) {
             Listed m = members.get(h.verdict().member());
             if (m != null && m.started() == h.verdict().started() && room.merge(m.role(), -1, Integer::sum) >= 0) {
-                out.add(new MemberOut(h.verdict().member(), Math.max(m.started(), drains.map(d -> d.returned(
-                        h.verdict().member())).orElse(0L)), h.until()));
+                out.add(new MemberOut(
+                        h.verdict().member(),
+                        Math.max(
+                                m.started(),
+                                drains.map(d -> d.returned(h.verdict().member()))
+                                        .orElse(0L)),
+                        h.until()));
             }
         }
         return out;
@@ -879,28 +1009,44 @@
 
     /** What is known beside the plan; a process that may not yet know of every router is no keeper of it. */
     private World world() {
-        boolean keeps = office() && now >= startedAt + INFORMED * setup.membership().period();
+        boolean keeps =
+                office() && now >= startedAt + INFORMED * setup.membership().period();
         Map<Long, World.Target> targets = new TreeMap<>();
         members.forEach((id, m) -> {
             if (m.role() != Role.ORIGIN) {
-                targets.put(id, new World.Target(m.name(), m.role() == Role.CACHE ? Tier.CACHE : Tier.PARENT, m.ready(),
-                        m.started()));
+                targets.put(
+                        id,
+                        new World.Target(
+                                m.name(), m.role() == Role.CACHE ? Tier.CACHE : Tier.PARENT, m.ready(), m.started()));
             }
         });
-        Set<Long> failing = verdicts.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
-        return new World(now, keeps ? votes.ownTerm() : 0, votes.officeSince(), routers(),
-                membership.table().stream().map(this::peer).toList(), targets, failing);
+        Set<Long> failing =
+                verdicts.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
+        return new World(
+                now,
+                keeps ? votes.ownTerm() : 0,
+                votes.officeSince(),
+                routers(),
+                membership.table().stream().map(this::peer).toList(),
+                targets,
+                failing);
     }
 
     private World.Peer peer(RouterNews n) {
-        return new World.Peer(Hashes.of(World.ROUTERS + n.name()), n.name(), n.address(), n.instance(), n.standing(),
+        return new World.Peer(
+                Hashes.of(World.ROUTERS + n.name()),
+                n.name(),
+                n.address(),
+                n.instance(),
+                n.standing(),
                 membership.since(n.name()));
     }
 
     /** What the decisions are to go by where members are taken out in order; empty where that is as before. */
     @Override
     public Optional<Drains.View> takeView() {
-        Optional<Drains.View> view = drains.filter(d -> membersNew || d.viewMayChange(now)).map(d -> d.takeView(now, world()));
+        Optional<Drains.View> view =
+                drains.filter(d -> membersNew || d.viewMayChange(now)).map(d -> d.takeView(now, world()));
         membersNew = false;
         return view;
     }
@@ -930,12 +1076,14 @@
             return "refused: this router has no section 'fleet.drains' in its operator's file";
         }
         try {
-            DrainCommand c = DrainWords.command(fields, setup.cluster(), world(), drains.get().plan());
+            DrainCommand c = DrainWords.command(
+                    fields, setup.cluster(), world(), drains.get().plan());
             if (!drains.get().command(now, c)) {
                 return "refused: too many commands wait to be taken";
             }
             // the keeper hears at once, but however often commands come, no more than four times a period
-            planAt = Math.min(planAt, Math.max(now, plannedAt + setup.membership().period() / 4));
+            planAt = Math.min(
+                    planAt, Math.max(now, plannedAt + setup.membership().period() / 4));
             return "waits " + Long.toUnsignedString(c.id(), 16);
         } catch (DrainWords.Wrong e) {
             return "refused: " + e.getMessage();
@@ -952,8 +1100,16 @@
         RouterNews self = membership.self().as(Standing.ALIVE);
         int room = codec.room(self, body);
         // verdicts first: they are few, and under loss there is always more news of routers than a packet holds
-        List<Verdict> told = verdictNews.take(room / 2, membership.times(), m -> verdicts.on(m) == null
-                ? PacketCodec.LONGEST : PacketCodec.size(verdicts.on(m).verdict())).stream().map(this::asItStands).toList();
+        List<Verdict> told = verdictNews
+                .take(
+                        room / 2,
+                        membership.times(),
+                        m -> verdicts.on(m) == null
+                                ? PacketCodec.LONGEST
+                                : PacketCodec.size(verdicts.on(m).verdict()))
+                .stream()
+                .map(this::asItStands)
+                .toList();
         int left = room - told.stream().mapToInt(PacketCodec::size).sum();
         int news = level == Level.FLAT ? left : reports(body) ? 0 : Math.min(left, CELL_NEWS);
         List<RouterNews> routers = routerNews.take(news, membership.times(), PacketCodec::size);
@@ -1020,7 +1176,8 @@
     @Override
     public List<Event> takeEvents() {
         if (allowancesNew && !setup.limits().isEmpty()) {
-            events.add(new AllowancesGiven(leases.values().stream().map(this::allowance).toList()));
+            events.add(new AllowancesGiven(
+                    leases.values().stream().map(this::allowance).toList()));
         }
         if (verdictsNew && setup.verdicts().isPresent()) {
             events.add(new VerdictsGiven(out()));
@@ -1032,8 +1189,12 @@
 
     private Allowance allowance(HeldLease lease) {
         FleetLimit limit = lease.limit();
-        return new Allowance(limit.member(), limit.measure(), lease.part(now, routers()),
-                lease.leased(now) ? lease.until() : Long.MAX_VALUE, lease.after(routers()));
+        return new Allowance(
+                limit.member(),
+                limit.measure(),
+                lease.part(now, routers()),
+                lease.leased(now) ? lease.until() : Long.MAX_VALUE,
+                lease.after(routers()));
     }
 
     @Override
@@ -1071,9 +1232,11 @@
     @Override
     public Optional<List<Map<String, Object>>> rows(String subject) {
         return switch (subject) {
-            case "members" -> Optional.of(membership.table().stream().map(this::row).toList());
+            case "members" ->
+                Optional.of(membership.table().stream().map(this::row).toList());
             case "limits" -> Optional.of(leases.values().stream().map(this::row).toList());
-            case "verdicts" -> Optional.of(verdicts.all().stream().map(this::row).toList());
+            case "verdicts" ->
+                Optional.of(verdicts.all().stream().map(this::row).toList());
             case "drains" -> drains.map(d -> d.rows(world(), grantor().name()));
             case "drain-requests" -> drains.map(Drains::requestRows);
             default -> Optional.empty();
@@ -1103,8 +1266,12 @@
         row.put("state", lease.leased(now) ? "leased" : "alone");
         row.put("left-ms", Math.max(0, lease.until() - now) / 1_000);
         row.put("grantor", lease.grantor());
-        row.put("counted", books.entrySet().stream().filter(b -> leases.get(b.getKey()) == lease)
-                .mapToDouble(b -> b.getValue().counted(routers())).sum());
+        row.put(
+                "counted",
+                books.entrySet().stream()
+                        .filter(b -> leases.get(b.getKey()) == lease)
+                        .mapToDouble(b -> b.getValue().counted(routers()))
+                        .sum());
         return row;
     }
 
--- a/src/main/java/pumicemoor/fleet/PacketCodec.java
+++ b/src/main/java/pumicemoor/fleet/PacketCodec.java
@@ -30,22 +30,38 @@
 
     /** The longest packet, in bytes; it passes every link whole. */
     public static final int LONGEST = 1_200;
+
     public static final int LONGEST_NAME = 64;
-    static final int WANTS = 24;  // of limits in one packet
-    static final int ACCUSATIONS = 12;  // in one packet
-    static final int CELL_WANTS = 14;  // of limits in one packet
-    public static final int PLACES = 8;  // addresses of one kind in one packet
-    public static final int MOST_DEPTH = 16;  // that a cell can be split to
-    public static final int MOST_HOPS = 4;  // that a join is passed on
-    static final int MOST_ROUTERS = 1_000_000;  // that a packet can speak for
+    static final int WANTS = 24; // of limits in one packet
+    static final int ACCUSATIONS = 12; // in one packet
+    static final int CELL_WANTS = 14; // of limits in one packet
+    public static final int PLACES = 8; // addresses of one kind in one packet
+    public static final int MOST_DEPTH = 16; // that a cell can be split to
+    public static final int MOST_HOPS = 4; // that a join is passed on
+    static final int MOST_ROUTERS = 1_000_000; // that a packet can speak for
     static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     static final Pattern ADDRESS = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}");
 
-    private static final int MAGIC = 0x504d4631;  // PMF1
+    private static final int MAGIC = 0x504d4631; // PMF1
     private static final int VERDICT_BYTES = 48;
 
-    private enum Type { PING, ACK, RELAY, COMPARE, NEWS, ASK, GRANT, PLAN_REPORT, PLAN_GRANT, PIECE, DRAIN_ASK, CELL_ASK, JOIN,
-        PLACE, SUMS }
+    private enum Type {
+        PING,
+        ACK,
+        RELAY,
+        COMPARE,
+        NEWS,
+        ASK,
+        GRANT,
+        PLAN_REPORT,
+        PLAN_GRANT,
+        PIECE,
+        DRAIN_ASK,
+        CELL_ASK,
+        JOIN,
+        PLACE,
+        SUMS
+    }
 
     private final long cluster;
 
@@ -96,7 +112,8 @@
     private static void write(ByteBuffer out, RouterNews news) {
         write(out, news.name());
         write(out, news.address());
-        out.putLong(news.instance()).putLong(news.incarnation()).put((byte) news.standing().ordinal());
+        out.putLong(news.instance()).putLong(news.incarnation()).put((byte)
+                news.standing().ordinal());
     }
 
     private static void write(ByteBuffer out, String text) {
@@ -105,9 +122,15 @@
     }
 
     private static void write(ByteBuffer out, Verdict v) {
-        out.putLong(v.member()).putLong(v.started()).putLong(v.version()).put((byte) (v.failing() ? 1 : 0))
-                .putLong(v.left()).putShort((short) v.accusers()).put((byte) v.cause().ordinal())
-                .putShort((short) v.strikes()).putFloat((float) v.failShare());
+        out.putLong(v.member())
+                .putLong(v.started())
+                .putLong(v.version())
+                .put((byte) (v.failing() ? 1 : 0))
+                .putLong(v.left())
+                .putShort((short) v.accusers())
+                .put((byte) v.cause().ordinal())
+                .putShort((short) v.strikes())
+                .putFloat((float) v.failShare());
         write(out, v.keeper());
     }
 
@@ -122,39 +145,74 @@
         } else if (body instanceof Packet.Compare c) {
             out.put((byte) Type.COMPARE.ordinal()).putLong(c.digest()).put((byte) (c.back() ? 1 : 0));
         } else if (body instanceof Packet.Sums s) {
-            out.put((byte) Type.SUMS.ordinal()).put((byte) (s.back() ? 1 : 0)).put((byte) s.sums().size());
+            out.put((byte) Type.SUMS.ordinal()).put((byte) (s.back() ? 1 : 0)).put((byte)
+                    s.sums().size());
             s.sums().forEach(out::putLong);
         } else if (body instanceof Packet.News) {
             out.put((byte) Type.NEWS.ordinal());
         } else if (body instanceof Packet.Ask a) {
-            out.put((byte) Type.ASK.ordinal()).put((byte) (a.vote() ? 1 : 0)).putLong(a.seen()).putLong(a.term())
+            out.put((byte) Type.ASK.ordinal())
+                    .put((byte) (a.vote() ? 1 : 0))
+                    .putLong(a.seen())
+                    .putLong(a.term())
                     .put((byte) a.wants().size());
-            a.wants().forEach(w -> out.putLong(w.limit()).putLong(w.holds()).putFloat((float) w.wanted())
+            a.wants().forEach(w -> out.putLong(w.limit())
+                    .putLong(w.holds())
+                    .putFloat((float) w.wanted())
                     .putFloat((float) w.inUse()));
             out.put((byte) a.accusations().size());
             a.accusations().forEach(c -> write(out, c));
         } else if (body instanceof Packet.Grant g) {
-            out.put((byte) Type.GRANT.ordinal()).putLong(g.ask()).putLong(g.term()).put((byte) g.parts().size());
+            out.put((byte) Type.GRANT.ordinal())
+                    .putLong(g.ask())
+                    .putLong(g.term())
+                    .put((byte) g.parts().size());
             g.parts().forEach(p -> out.putLong(p.limit()).putDouble(p.amount()));
         } else if (body instanceof Packet.PlanReport r) {
-            out.put((byte) Type.PLAN_REPORT.ordinal()).putLong(r.term()).putLong(r.held()).putLong(r.applied())
-                    .put((byte) (r.seasoned() ? 1 : 0)).put((byte) r.uses().size());
+            out.put((byte) Type.PLAN_REPORT.ordinal())
+                    .putLong(r.term())
+                    .putLong(r.held())
+                    .putLong(r.applied())
+                    .put((byte) (r.seasoned() ? 1 : 0))
+                    .put((byte) r.uses().size());
             r.uses().forEach(u -> out.putLong(u.member()).putInt(u.underWay()).putFloat((float) u.hits()));
         } else if (body instanceof Packet.PlanGrant g) {
-            out.put((byte) Type.PLAN_GRANT.ordinal()).putLong(g.report()).putLong(g.instance()).putLong(g.term())
-                    .put((byte) (g.office() ? 1 : 0)).putLong(g.held()).putLong(g.inForce());
+            out.put((byte) Type.PLAN_GRANT.ordinal())
+                    .putLong(g.report())
+                    .putLong(g.instance())
+                    .putLong(g.term())
+                    .put((byte) (g.office() ? 1 : 0))
+                    .putLong(g.held())
+                    .putLong(g.inForce());
         } else if (body instanceof Packet.Piece p) {
-            out.put((byte) Type.PIECE.ordinal()).putLong(p.stamp()).put((byte) p.index()).put((byte) p.count())
-                    .putShort((short) p.bytes().length).put(p.bytes());
+            out.put((byte) Type.PIECE.ordinal())
+                    .putLong(p.stamp())
+                    .put((byte) p.index())
+                    .put((byte) p.count())
+                    .putShort((short) p.bytes().length)
+                    .put(p.bytes());
         } else if (body instanceof Packet.DrainAsk a) {
             DrainCommand c = a.command();
-            out.put((byte) Type.DRAIN_ASK.ordinal()).put((byte) c.kind().ordinal()).putLong(c.id()).putInt(c.mostOut())
-                    .putInt(c.leastServing()).putLong(c.fence()).put((byte) c.members().size());
+            out.put((byte) Type.DRAIN_ASK.ordinal())
+                    .put((byte) c.kind().ordinal())
+                    .putLong(c.id())
+                    .putInt(c.mostOut())
+                    .putInt(c.leastServing())
+                    .putLong(c.fence())
+                    .put((byte) c.members().size());
             c.members().forEach(out::putLong);
         } else if (body instanceof Packet.CellAsk a) {
-            out.put((byte) Type.CELL_ASK.ordinal()).put((byte) (a.vote() ? 1 : 0)).putLong(a.seen()).putLong(a.term())
-                    .putInt(a.backing()).putLong(a.known()).put((byte) a.wants().size());
-            a.wants().forEach(w -> out.putLong(w.limit()).putLong(w.holds()).putInt(w.routers()).putDouble(w.wanted())
+            out.put((byte) Type.CELL_ASK.ordinal())
+                    .put((byte) (a.vote() ? 1 : 0))
+                    .putLong(a.seen())
+                    .putLong(a.term())
+                    .putInt(a.backing())
+                    .putLong(a.known())
+                    .put((byte) a.wants().size());
+            a.wants().forEach(w -> out.putLong(w.limit())
+                    .putLong(w.holds())
+                    .putInt(w.routers())
+                    .putDouble(w.wanted())
                     .putDouble(w.inUse()));
             out.put((byte) a.accusations().size());
             a.accusations().forEach(c -> {
@@ -173,8 +231,11 @@
     }
 
     private static void write(ByteBuffer out, Accusation c) {
-        out.putLong(c.member()).putLong(c.started()).put((byte) c.cause().ordinal())
-                .putShort((short) Math.min(c.strikes(), Short.MAX_VALUE)).putFloat((float) c.failShare());
+        out.putLong(c.member())
+                .putLong(c.started())
+                .put((byte) c.cause().ordinal())
+                .putShort((short) Math.min(c.strikes(), Short.MAX_VALUE))
+                .putFloat((float) c.failShare());
     }
 
     private static void write(ByteBuffer out, List<String> texts) {
@@ -260,8 +321,8 @@
     }
 
     private static RouterNews router(ByteBuffer in, long lastIncarnation) throws BadPacketException {
-        RouterNews news = new RouterNews(text(in, NAME), address(in), in.getLong(), in.getLong(),
-                of(Standing.values(), in.get()));
+        RouterNews news = new RouterNews(
+                text(in, NAME), address(in), in.getLong(), in.getLong(), of(Standing.values(), in.get()));
         if (news.incarnation() < 1 || news.incarnation() > lastIncarnation || news.instance() < 1) {
             throw new BadPacketException(Reason.IMPOSSIBLE);
         }
@@ -269,8 +330,17 @@
     }
 
     private static Verdict verdict(ByteBuffer in) throws BadPacketException {
-        Verdict v = new Verdict(in.getLong(), in.getLong(), in.getLong(), in.get() == 1, in.getLong(), in.getShort(),
-                of(Cause.values(), in.get()), in.getShort(), in.getFloat(), text(in, NAME));
+        Verdict v = new Verdict(
+                in.getLong(),
+                in.getLong(),
+                in.getLong(),
+                in.get() == 1,
+                in.getLong(),
+                in.getShort(),
+                of(Cause.values(), in.get()),
+                in.getShort(),
+                in.getFloat(),
+                text(in, NAME));
         if (v.left() < 0 || v.accusers() < 0 || v.version() < 1 || !Double.isFinite(v.failShare())) {
             throw new BadPacketException(Reason.IMPOSSIBLE);
         }
@@ -302,8 +372,14 @@
                 yield new Packet.Grant(ask, term, parts);
             }
             case PLAN_REPORT -> planReport(in);
-            case PLAN_GRANT -> new Packet.PlanGrant(in.getLong(), in.getLong(), term(in.getLong()), in.get() == 1,
-                    stamp(in.getLong()), stamp(in.getLong()));
+            case PLAN_GRANT ->
+                new Packet.PlanGrant(
+                        in.getLong(),
+                        in.getLong(),
+                        term(in.getLong()),
+                        in.get() == 1,
+                        stamp(in.getLong()),
+                        stamp(in.getLong()));
             case PIECE -> {
                 long stamp = stamp(in.getLong());
                 int index = in.get();
@@ -385,8 +461,9 @@
         for (int left = in.get() & 0xff; left > 0; left--) {
             members.add(in.getLong());
         }
-        if (members.isEmpty() || leastServing < 0 || kind == DrainCommand.Kind.REQUEST && (mostOut < 1
-                || mostOut > Drains.MOST_OUT)) {
+        if (members.isEmpty()
+                || leastServing < 0
+                || kind == DrainCommand.Kind.REQUEST && (mostOut < 1 || mostOut > Drains.MOST_OUT)) {
             throw new BadPacketException(Reason.IMPOSSIBLE);
         }
         return new Packet.DrainAsk(new DrainCommand(kind, id, mostOut, leastServing, fence, members));
@@ -415,13 +492,22 @@
         long known = term(in.getLong());
         List<Packet.CellWant> wants = new ArrayList<>();
         for (int left = in.get() & 0xff; left > 0; left--) {
-            wants.add(new Packet.CellWant(in.getLong(), in.getLong(), count(in.getInt(), MOST_ROUTERS),
-                    amount(in.getDouble()), amount(in.getDouble())));
+            wants.add(new Packet.CellWant(
+                    in.getLong(),
+                    in.getLong(),
+                    count(in.getInt(), MOST_ROUTERS),
+                    amount(in.getDouble()),
+                    amount(in.getDouble())));
         }
         List<Accusation> accusations = new ArrayList<>();
         for (int left = in.get() & 0xff; left > 0; left--) {
-            accusations.add(new Accusation(in.getLong(), in.getLong(), of(Cause.values(), in.get()), in.getShort(),
-                    in.getFloat(), count(in.getShort(), Short.MAX_VALUE)));
+            accusations.add(new Accusation(
+                    in.getLong(),
+                    in.getLong(),
+                    of(Cause.values(), in.get()),
+                    in.getShort(),
+                    in.getFloat(),
+                    count(in.getShort(), Short.MAX_VALUE)));
         }
         return new Packet.CellAsk(vote, seen, term, backing, known, wants, accusations);
     }
@@ -436,8 +522,8 @@
         }
         List<Accusation> accusations = new ArrayList<>();
         for (int left = in.get() & 0xff; left > 0; left--) {
-            accusations.add(new Accusation(in.getLong(), in.getLong(), of(Cause.values(), in.get()), in.getShort(),
-                    in.getFloat()));
+            accusations.add(new Accusation(
+                    in.getLong(), in.getLong(), of(Cause.values(), in.get()), in.getShort(), in.getFloat()));
         }
         return new Packet.Ask(vote, seen, term, wants, accusations);
     }
--- a/src/main/java/pumicemoor/fleet/Rumours.java
+++ b/src/main/java/pumicemoor/fleet/Rumours.java
@@ -28,8 +28,8 @@
     }
 
     private final Map<String, Rumour<T>> bySubject = new HashMap<>();
-    private final TreeSet<Rumour<T>> byTold = new TreeSet<>(Comparator.comparingInt((Rumour<T> r) -> r.told)
-            .thenComparingLong(r -> -r.order));
+    private final TreeSet<Rumour<T>> byTold =
+            new TreeSet<>(Comparator.comparingInt((Rumour<T> r) -> r.told).thenComparingLong(r -> -r.order));
     private long order;
 
     void put(String subject, T news) {
--- a/src/main/java/pumicemoor/fleet/Votes.java
+++ b/src/main/java/pumicemoor/fleet/Votes.java
@@ -12,25 +12,23 @@
  */
 final class Votes {
 
-    private static final int REMEMBERED = 8;  // packets to each router
+    private static final int REMEMBERED = 8; // packets to each router
 
-    private record Seen(String name, long instance) {
-    }
+    private record Seen(String name, long instance) {}
 
-    private record Vote(long instance, long until, long term, int weight) {
-    }
+    private record Vote(long instance, long until, long term, int weight) {}
 
     private final String self;
     private final long lease;
-    private long free;  // from when this router may vote for another
+    private long free; // from when this router may vote for another
     private Seen bound;
     private long seenNumber;
-    private final Map<String, Map<Long, Long>> sent = new HashMap<>();  // when each packet to each router left
+    private final Map<String, Map<Long, Long>> sent = new HashMap<>(); // when each packet to each router left
     private final Map<String, Vote> votes = new HashMap<>();
-    private long term;  // the highest known
-    private long ownTerm;  // of this router's time in office; 0 for none
+    private long term; // the highest known
+    private long ownTerm; // of this router's time in office; 0 for none
     private long officeSince;
-    private long lookedAt;  // when it was last seen to be in office
+    private long lookedAt; // when it was last seen to be in office
 
     /** A fresh process does not know whom it voted for: it votes for nobody until that has ended. */
     Votes(String self, long lease, long startedAt) {
@@ -96,17 +94,25 @@
         Long left = sent.getOrDefault(from, Map.of()).get(seen);
         if (vote && left != null) {
             Vote before = votes.get(from);
-            boolean longer = before != null && before.until > left + lease;  // what it promised before is not made more of
-            votes.put(from, new Vote(instance, longer ? before.until : left + lease, knownTerm,
-                    longer ? Math.min(before.weight, weight) : weight));
+            boolean longer =
+                    before != null && before.until > left + lease; // what it promised before is not made more of
+            votes.put(
+                    from,
+                    new Vote(
+                            instance,
+                            longer ? before.until : left + lease,
+                            knownTerm,
+                            longer ? Math.min(before.weight, weight) : weight));
         }
     }
 
     /** How many routers are bound to this one until then, itself among them, and the highest term that all of these know. */
     Backing backing(long until) {
         boolean own = bound != null && bound.name().equals(self) && until < free;
-        List<Vote> lasting = votes.values().stream().filter(v -> until < v.until).toList();
-        return new Backing(lasting.stream().mapToInt(Vote::weight).sum() + (own ? 1 : 0),
+        List<Vote> lasting =
+                votes.values().stream().filter(v -> until < v.until).toList();
+        return new Backing(
+                lasting.stream().mapToInt(Vote::weight).sum() + (own ? 1 : 0),
                 lasting.stream().mapToLong(Vote::term).min().orElse(own ? term : 0));
     }
 
@@ -129,14 +135,18 @@
             ownTerm = 0;
             return false;
         }
-        // between two looks so near nobody else can have been in office: a vote binds for longer; else this is a new time
+        // between two looks so near nobody else can have been in office: a vote binds for longer; else this is a new
+        // time
         if (ownTerm == 0 || now - lookedAt > lease / 2 || term > ownTerm) {
             ownTerm = term + 1;
             term = ownTerm;
             officeSince = now;
         }
         lookedAt = now;
-        long knowing = votes.values().stream().filter(v -> v.term >= ownTerm).mapToInt(Vote::weight).sum()
+        long knowing = votes.values().stream()
+                        .filter(v -> v.term >= ownTerm)
+                        .mapToInt(Vote::weight)
+                        .sum()
                 + (own && self.term() >= ownTerm ? self.routers() : 0);
         return 2 * knowing > routers;
     }
--- a/src/main/java/pumicemoor/fleet/cells/CellFleet.java
+++ b/src/main/java/pumicemoor/fleet/cells/CellFleet.java
@@ -41,15 +41,16 @@
 
     /** Cells' periods between delegates: the way between regions is longer. */
     public static final int UPPER_PERIOD = 5;
-    private static final int UPPER_MOST = 8_192;  // delegates in the table
-    private static final int SETTLING = 24;  // periods in a cell before a router counts itself among its delegates
-    private static final int OVER = 10;  // periods that a cell is over its bound before it is split
-    private static final int MOVING = 2;  // leases, from the first word of a split until its grantor itself moves
-    private static final int TOLD = 16;  // routers that are told of a split, a period
-    private static final int FIRST_WAIT = 2;  // periods until a join is sent again, doubled each time
-    private static final int LAST_WAIT = 64;  // periods, between joins that only look for what was missed
-    private static final int JOINS = 64;  // answered or passed on, a period
-    private static final int OPEN_JOINS = 16;  // whose answers are taken
+
+    private static final int UPPER_MOST = 8_192; // delegates in the table
+    private static final int SETTLING = 24; // periods in a cell before a router counts itself among its delegates
+    private static final int OVER = 10; // periods that a cell is over its bound before it is split
+    private static final int MOVING = 2; // leases, from the first word of a split until its grantor itself moves
+    private static final int TOLD = 16; // routers that are told of a split, a period
+    private static final int FIRST_WAIT = 2; // periods until a join is sent again, doubled each time
+    private static final int LAST_WAIT = 64; // periods, between joins that only look for what was missed
+    private static final int JOINS = 64; // answered or passed on, a period
+    private static final int OPEN_JOINS = 16; // whose answers are taken
 
     private final FleetSetup setup;
     private final CellSetup cells;
@@ -67,9 +68,9 @@
     private final Map<String, Long> dropped = new TreeMap<>();
     private Map<Long, Listed> members = Map.of();
     private Fleet cell;
-    private Fleet upper;  // null for none: this router is no delegate
+    private Fleet upper; // null for none: this router is no delegate
     private int depth;
-    private int wantedDepth;  // over depth where the cell is being split
+    private int wantedDepth; // over depth where the cell is being split
     private long now;
     private long inCellSince;
     private long checkAt;
@@ -106,7 +107,8 @@
 
     /** A router's name as it stands behind its root's on the level above: cut to a hash where both are too long. */
     private String label(String router) {
-        return cells.root().length() + 1 + router.length() <= PacketCodec.LONGEST_NAME ? router
+        return cells.root().length() + 1 + router.length() <= PacketCodec.LONGEST_NAME
+                ? router
                 : Long.toHexString(Hashes.of(router));
     }
 
@@ -141,13 +143,22 @@
 
     private FleetSetup level(String cluster, String as, List<String> seeds, long every, int most) {
         Membership.Setup m = setup.membership();
-        return new FleetSetup(cluster, new Membership.Setup(as, address, seeds, every, m.indirect(), m.fanout(), m.remember(),
-                most), setup.size(), setup.times(), setup.limits(), setup.verdicts());
+        return new FleetSetup(
+                cluster,
+                new Membership.Setup(as, address, seeds, every, m.indirect(), m.fanout(), m.remember(), most),
+                setup.size(),
+                setup.times(),
+                setup.limits(),
+                setup.verdicts());
     }
 
     private Fleet newCell() {
-        return Fleet.ofCell(level(setup.cluster() + "/" + cellName(), name, cellSeeds, period, 4 * cells.most() + 64),
-                setup.cluster() + "/" + cells.root(), now, random.nextLong(), instance);
+        return Fleet.ofCell(
+                level(setup.cluster() + "/" + cellName(), name, cellSeeds, period, 4 * cells.most() + 64),
+                setup.cluster() + "/" + cells.root(),
+                now,
+                random.nextLong(),
+                instance);
     }
 
     // ---- what comes in --------------------------------------------------------------------------------
@@ -236,8 +247,17 @@
         boolean settled = now >= inCellSince + SETTLING * period;
         boolean among = cell.among(cells.delegates());
         if (upper == null && settled && among) {
-            upper = Fleet.ofDelegates(level(setup.cluster() + "/^", cells.root() + "." + label(name), upperSeeds,
-                    UPPER_PERIOD * period, UPPER_MOST), now, random.nextLong(), instance, cell);
+            upper = Fleet.ofDelegates(
+                    level(
+                            setup.cluster() + "/^",
+                            cells.root() + "." + label(name),
+                            upperSeeds,
+                            UPPER_PERIOD * period,
+                            UPPER_MOST),
+                    now,
+                    random.nextLong(),
+                    instance,
+                    cell);
             upper.members(now, members);
             cell.setAbove(upper);
             joinAt = now;
@@ -248,8 +268,9 @@
             fetch(upper);
             cell.setAbove(null);
             upper = null;
-            notice("this router is no delegate of cell " + cellName() + " any more", Map.of("cell", cellName(),
-                    "delegate", false));
+            notice(
+                    "this router is no delegate of cell " + cellName() + " any more",
+                    Map.of("cell", cellName(), "delegate", false));
         }
     }
 
@@ -275,9 +296,13 @@
         List<RouterNews> living = cell.living();
         boolean over = living.size() + 1 > cells.most() && depth < PacketCodec.MOST_DEPTH;
         overSince = over ? Math.min(overSince, now) : Long.MAX_VALUE;
-        if (over && wantedDepth == depth && now >= inCellSince + SETTLING * period && now - overSince >= OVER * period) {
+        if (over
+                && wantedDepth == depth
+                && now >= inCellSince + SETTLING * period
+                && now - overSince >= OVER * period) {
             wantedDepth = Math.min(PacketCodec.MOST_DEPTH, depth + bitsFor(living.size() + 1));
-            notice("cell " + cellName() + " is split: it has " + (living.size() + 1) + " routers of " + cells.most(),
+            notice(
+                    "cell " + cellName() + " is split: it has " + (living.size() + 1) + " routers of " + cells.most(),
                     Map.of("cell", cellName(), "routers", living.size() + 1, "depth", wantedDepth));
         }
         if (wantedDepth <= depth) {
@@ -305,8 +330,10 @@
 
     /** Goes to the part of its cell that shares so many bits; the leases and books stay, for they name processes. */
     private void move(int to, List<String> seeds) {
-        List<String> known = new ArrayList<>(cell.living().stream().filter(n -> shares(n.name(), to))
-                .map(RouterNews::address).toList());
+        List<String> known = new ArrayList<>(cell.living().stream()
+                .filter(n -> shares(n.name(), to))
+                .map(RouterNews::address)
+                .toList());
         Collections.shuffle(known, random);
         Fleet old = cell;
         cellSeeds.clear();
@@ -373,9 +400,10 @@
     }
 
     private Optional<RouterNews> nearest(String root, String router, int bits, List<RouterNews> without) {
-        return upper.living().stream().filter(n -> rootOf(n.name()).equals(root)
-                && common(labelOf(n.name()), router) > bits
-                && without.stream().noneMatch(c -> c.address().equals(n.address())))
+        return upper.living().stream()
+                .filter(n -> rootOf(n.name()).equals(root)
+                        && common(labelOf(n.name()), router) > bits
+                        && without.stream().noneMatch(c -> c.address().equals(n.address())))
                 .max(Comparator.comparingInt(n -> common(labelOf(n.name()), router)));
     }
 
@@ -412,22 +440,44 @@
     private void joins(Packet packet, Join j) {
         RouterNews from = packet.from();
         if (j.root().equals(cells.root()) && shares(from.name(), depth)) {
-            List<String> known = new ArrayList<>(cell.living().stream().map(RouterNews::address).toList());
+            List<String> known = new ArrayList<>(
+                    cell.living().stream().map(RouterNews::address).toList());
             Collections.shuffle(known, random);
             known.add(0, address);
-            put(from.address(), new Packet(cell.self(), ++number, new Place(packet.number(), depth,
-                    known.subList(0, Math.min(PacketCodec.PLACES, known.size())), delegates()), List.of(), List.of()));
+            put(
+                    from.address(),
+                    new Packet(
+                            cell.self(),
+                            ++number,
+                            new Place(
+                                    packet.number(),
+                                    depth,
+                                    known.subList(0, Math.min(PacketCodec.PLACES, known.size())),
+                                    delegates()),
+                            List.of(),
+                            List.of()));
             if (j.depth() > depth) {
-                wantedDepth = Math.max(wantedDepth, depth + 1);  // the deeper one stays: cells are never joined again
+                wantedDepth = Math.max(wantedDepth, depth + 1); // the deeper one stays: cells are never joined again
             }
             return;
         }
         if (j.hops() < PacketCodec.MOST_HOPS) {
-            Optional<RouterNews> next = upper == null ? cell.first(1).stream().findFirst() : nearest(j.root(),
-                    label(from.name()), j.root().equals(cells.root()) ? common(label(name), label(from.name())) : -1, List.of());
-            next.filter(n -> !n.address().equals(address) && !n.address().equals(from.address())).ifPresent(n ->
-                    put(n.address(), new Packet(from, packet.number(), new Join(j.root(), j.depth(), j.hops() + 1), List.of(),
-                            List.of())));
+            Optional<RouterNews> next = upper == null
+                    ? cell.first(1).stream().findFirst()
+                    : nearest(
+                            j.root(),
+                            label(from.name()),
+                            j.root().equals(cells.root()) ? common(label(name), label(from.name())) : -1,
+                            List.of());
+            next.filter(n -> !n.address().equals(address) && !n.address().equals(from.address()))
+                    .ifPresent(n -> put(
+                            n.address(),
+                            new Packet(
+                                    from,
+                                    packet.number(),
+                                    new Join(j.root(), j.depth(), j.hops() + 1),
+                                    List.of(),
+                                    List.of())));
         }
         if (upper != null) {
             send(from.address(), new Place(packet.number(), -1, List.of(), List.of(address)));
@@ -510,7 +560,7 @@
     @Override
     public List<Event> takeEvents() {
         if (upper != null) {
-            upper.takeEvents();  // the decisions go by what the cell tells
+            upper.takeEvents(); // the decisions go by what the cell tells
         }
         return cell.takeEvents();
     }
@@ -541,7 +591,9 @@
             fields.put("fleet-delegates", above.get("fleet-living"));
             fields.put("fleet-upper-grantor", above.get("fleet-grantor"));
             above.forEach((key, value) -> {
-                if (key.startsWith("fleet-dropped-") || key.equals("fleet-packets-out") || key.equals("fleet-bytes-out")
+                if (key.startsWith("fleet-dropped-")
+                        || key.equals("fleet-packets-out")
+                        || key.equals("fleet-bytes-out")
                         || key.equals("fleet-packets-in")) {
                     add(fields, key, Long.parseLong(value));
                 }
