--- a/src/main/java/pumicemoor/fleet/drains/Audience.java
+++ b/src/main/java/pumicemoor/fleet/drains/Audience.java
@@ -23,9 +23,9 @@
     private final String self;
     private final PlanKeeper keeper;
     private final Map<String, Long> answeredAt = new HashMap<>();
-    private final Map<String, Map<Long, Integer>> underWay = new HashMap<>();  // by router
+    private final Map<String, Map<Long, Integer>> underWay = new HashMap<>(); // by router
     private final Map<String, Map<Long, Double>> heat = new HashMap<>();
-    private final Map<String, Map<Long, Long>> stoppedAt = new HashMap<>();  // by router, then by fence and member
+    private final Map<String, Map<Long, Long>> stoppedAt = new HashMap<>(); // by router, then by fence and member
     private long ownApplied;
     private World world;
 
@@ -76,7 +76,8 @@
 
     private boolean gone(Peer p) {
         long dead = world.now() - p.since();
-        return p.standing() == Standing.LEFT && dead > times.drain() || p.standing() == Standing.DEAD && dead > times.gone();
+        return p.standing() == Standing.LEFT && dead > times.drain()
+                || p.standing() == Standing.DEAD && dead > times.gone();
     }
 
     /** When a router that was not answered since has left alone what was named to it, whoever was keeper then. */
@@ -95,7 +96,10 @@
 
     @Override
     public String notTold(Order order) {
-        return world.peers().stream().filter(p -> !gone(p) && applied(p) < order.fence()).map(Peer::name).findFirst()
+        return world.peers().stream()
+                .filter(p -> !gone(p) && applied(p) < order.fence())
+                .map(Peer::name)
+                .findFirst()
                 .orElse(null);
     }
 
@@ -105,31 +109,40 @@
             return "any router";
         }
         if (order.tier() == Tier.ROUTER) {
-            return null;  // no router uses another
+            return null; // no router uses another
         }
-        return world.peers().stream().filter(p -> !gone(p) && uses(p, order)).map(Peer::name).findFirst().orElse(null);
+        return world.peers().stream()
+                .filter(p -> !gone(p) && uses(p, order))
+                .map(Peer::name)
+                .findFirst()
+                .orElse(null);
     }
 
     private boolean uses(Peer p, Order order) {
         if (applied(p) < order.fence()) {
             return world.now() < aloneFrom(p) + times.drain();
         }
-        long stopped = stoppedAt.computeIfAbsent(p.name(), n -> new HashMap<>())
-                .computeIfAbsent(key(order), k -> world.now());
+        long stopped =
+                stoppedAt.computeIfAbsent(p.name(), n -> new HashMap<>()).computeIfAbsent(key(order), k -> world.now());
         return underWay.getOrDefault(p.name(), Map.of()).getOrDefault(order.member(), 0) > 0
                 && world.now() < stopped + times.drain();
     }
 
     @Override
     public int serving(Tier tier) {
-        return (int) (tier == Tier.ROUTER ? world.peers().stream().filter(p -> serves(p.id())).count()
-                : world.targets().entrySet().stream().filter(t -> t.getValue().tier() == tier && serves(t.getKey())).count());
+        return (int)
+                (tier == Tier.ROUTER
+                        ? world.peers().stream().filter(p -> serves(p.id())).count()
+                        : world.targets().entrySet().stream()
+                                .filter(t -> t.getValue().tier() == tier && serves(t.getKey()))
+                                .count());
     }
 
     @Override
     public boolean serves(long member) {
         Target t = world.targets().get(member);
-        return t != null ? t.ready() && !failing(member)
+        return t != null
+                ? t.ready() && !failing(member)
                 : world.peers().stream().anyMatch(p -> p.id() == member && p.lives());
     }
 
@@ -145,16 +158,18 @@
 
     @Override
     public double heat(long member) {
-        return heat.values().stream().mapToDouble(h -> h.getOrDefault(member, 0.0)).sum();
+        return heat.values().stream()
+                .mapToDouble(h -> h.getOrDefault(member, 0.0))
+                .sum();
     }
 
     @Override
     public boolean warm(Order order) {
-        if (order.tier() == Tier.ROUTER) {  // it has come back once its process goes by the plan
-            return world.peers().stream().anyMatch(p -> p.id() == order.member() && p.lives() && applied(p) >= order.fence());
+        if (order.tier() == Tier.ROUTER) { // it has come back once its process goes by the plan
+            return world.peers().stream()
+                    .anyMatch(p -> p.id() == order.member() && p.lives() && applied(p) >= order.fence());
         }
         Target t = world.targets().get(order.member());
-        return t != null && t.ready()
-                && world.now() >= Math.max(order.since(), t.started()) + times.warm(order.tier());
+        return t != null && t.ready() && world.now() >= Math.max(order.since(), t.started()) + times.warm(order.tier());
     }
 }
--- a/src/main/java/pumicemoor/fleet/drains/DrainCommand.java
+++ b/src/main/java/pumicemoor/fleet/drains/DrainCommand.java
@@ -10,5 +10,9 @@
 public record DrainCommand(Kind kind, long id, int mostOut, int leastServing, long fence, List<Long> members) {
 
     /** What is wanted. */
-    public enum Kind { REQUEST, DONE, CANCEL }
+    public enum Kind {
+        REQUEST,
+        DONE,
+        CANCEL
+    }
 }
--- a/src/main/java/pumicemoor/fleet/drains/DrainWords.java
+++ b/src/main/java/pumicemoor/fleet/drains/DrainWords.java
@@ -25,25 +25,27 @@
         }
     }
 
-    private DrainWords() {
-    }
+    private DrainWords() {}
 
     /** Reads a command; done without a fence is about the phase that this router knows the member to be in. */
-    public static DrainCommand command(Map<String, String> fields, String cluster, World world, Plan plan) throws Wrong {
+    public static DrainCommand command(Map<String, String> fields, String cluster, World world, Plan plan)
+            throws Wrong {
         String asked = fields.getOrDefault("cluster", cluster);
         if (!asked.equals(cluster)) {
             throw new Wrong("cluster", "this is a router of '" + cluster + "', not of '" + asked + "'");
         }
-        DrainCommand.Kind kind = switch (fields.getOrDefault("drain", "")) {
-            case "request" -> DrainCommand.Kind.REQUEST;
-            case "done" -> DrainCommand.Kind.DONE;
-            case "cancel" -> DrainCommand.Kind.CANCEL;
-            default -> throw new Wrong("drain", "it is none of request, done, cancel");
-        };
+        DrainCommand.Kind kind =
+                switch (fields.getOrDefault("drain", "")) {
+                    case "request" -> DrainCommand.Kind.REQUEST;
+                    case "done" -> DrainCommand.Kind.DONE;
+                    case "cancel" -> DrainCommand.Kind.CANCEL;
+                    default -> throw new Wrong("drain", "it is none of request, done, cancel");
+                };
         List<Long> members = members(fields.getOrDefault("members", ""), world, plan);
         long id = id(fields.get("id"));
         return switch (kind) {
-            case REQUEST -> new DrainCommand(kind, id, most(fields, members, world), least(fields, members, world), 0, members);
+            case REQUEST ->
+                new DrainCommand(kind, id, most(fields, members, world), least(fields, members, world), 0, members);
             case DONE -> new DrainCommand(kind, id, 0, 0, fence(fields, members, plan), members);
             case CANCEL -> new DrainCommand(kind, id, 0, 0, 0, members);
         };
@@ -75,7 +77,8 @@
             }
         }
         if (members.size() > Drains.MOST_MEMBERS) {
-            throw new Wrong("members", members.size() + " are over the " + Drains.MOST_MEMBERS + " that one request may have");
+            throw new Wrong(
+                    "members", members.size() + " are over the " + Drains.MOST_MEMBERS + " that one request may have");
         }
         return members;
     }
@@ -87,10 +90,15 @@
 
     private static Map<Tier, Integer> sizes(List<Long> members, World world) {
         Set<Tier> tiers = EnumSet.noneOf(Tier.class);
-        members.forEach(m -> tiers.add(world.targets().containsKey(m) ? world.targets().get(m).tier() : Tier.ROUTER));
+        members.forEach(m -> tiers.add(
+                world.targets().containsKey(m) ? world.targets().get(m).tier() : Tier.ROUTER));
         Map<Tier, Integer> sizes = new HashMap<>();
-        tiers.forEach(t -> sizes.put(t, (int) (t == Tier.ROUTER ? world.peers().stream().filter(World.Peer::lives).count()
-                : world.targets().values().stream().filter(x -> x.tier() == t).count())));
+        tiers.forEach(t -> sizes.put(t, (int)
+                (t == Tier.ROUTER
+                        ? world.peers().stream().filter(World.Peer::lives).count()
+                        : world.targets().values().stream()
+                                .filter(x -> x.tier() == t)
+                                .count())));
         return sizes;
     }
 
@@ -119,8 +127,14 @@
         int least = number(fields, "min-serving");
         for (Map.Entry<Tier, Integer> tier : sizes(members, world).entrySet()) {
             if (least < 0 || least >= tier.getValue()) {
-                throw new Wrong("min-serving", least + (least < 0 ? " is under 0" : least > tier.getValue()
-                        ? " is over the tier: " + describe(tier) : " leaves none to go out: " + describe(tier)));
+                throw new Wrong(
+                        "min-serving",
+                        least
+                                + (least < 0
+                                        ? " is under 0"
+                                        : least > tier.getValue()
+                                                ? " is over the tier: " + describe(tier)
+                                                : " leaves none to go out: " + describe(tier)));
             }
         }
         return least;
--- a/src/main/java/pumicemoor/fleet/drains/Drains.java
+++ b/src/main/java/pumicemoor/fleet/drains/Drains.java
@@ -31,11 +31,11 @@
     /** The most members of one request; a command fits a packet. */
     public static final int MOST_MEMBERS = 120;
 
-    private static final int REMEMBERED = 8;  // reports whose answer may come
-    private static final int MOST_COMMANDS = 64;  // not taken yet
-    private static final long COMMAND_LIFE = 60_000_000;  // microseconds that one is asked for again
-    private static final int USES = 60;  // members in a report
-    private static final int ROUNDS = 4;  // of writing at one sitting, where this router is a majority alone
+    private static final int REMEMBERED = 8; // reports whose answer may come
+    private static final int MOST_COMMANDS = 64; // not taken yet
+    private static final long COMMAND_LIFE = 60_000_000; // microseconds that one is asked for again
+    private static final int USES = 60; // members in a report
+    private static final int ROUNDS = 4; // of writing at one sitting, where this router is a majority alone
     private static final String PIECE_DROPPED = "plan-piece";
 
     /** Where packets, terms and lines go. */
@@ -54,8 +54,7 @@
     }
 
     /** What the decisions go by: members that nothing is sent to, and when those that came back did. */
-    public record View(boolean settled, Set<Long> alone, Map<Long, Long> returned) {
-    }
+    public record View(boolean settled, Set<Long> alone, Map<Long, Long> returned) {}
 
     /** What this router does with a member, asked when it is to be told. */
     public interface Usage {
@@ -67,8 +66,7 @@
         double hits(long member);
     }
 
-    private record Pending(DrainCommand command, long since) {
-    }
+    private record Pending(DrainCommand command, long since) {}
 
     private final DrainTimes times;
     private final LeaseTimes leases;
@@ -80,19 +78,25 @@
     private final PlanKeeper keeper = new PlanKeeper(book);
     private final Audience audience;
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
-    private final Map<Long, Long> sentAt = new TreeMap<>();  // of reports, by their numbers
-    private final Map<Long, String> causes = new HashMap<>();  // of steps being written, by member
+    private final Map<Long, Long> sentAt = new TreeMap<>(); // of reports, by their numbers
+    private final Map<Long, String> causes = new HashMap<>(); // of steps being written, by member
     private final Map<Long, Long> returned = new TreeMap<>();
     private final Usage usage;
     private Plan logged = Plan.NONE;
     private View lastView;
-    private long toldStamp;  // of the plan that the decisions go by
+    private long toldStamp; // of the plan that the decisions go by
     private long touchUntil;
-    private boolean touched;  // since the start
-    private boolean cutOff;  // when the decisions were last told
+    private boolean touched; // since the start
+    private boolean cutOff; // when the decisions were last told
     private int nextUse;
 
-    public Drains(DrainTimes times, LeaseTimes leases, String self, long instance, long startedAt, Usage usage,
+    public Drains(
+            DrainTimes times,
+            LeaseTimes leases,
+            String self,
+            long instance,
+            long startedAt,
+            Usage usage,
             Outlet outlet) {
         this.times = times;
         this.leases = leases;
@@ -118,7 +122,8 @@
 
     /** Tells the keeper, or who is taken for it, what is held here; the commands that it has not taken go along. */
     public void report(long now, String address, long term) {
-        long number = outlet.send(address, new PlanReport(term, book.held().stamp(), toldStamp, book.seasoned(), someUses()));
+        long number =
+                outlet.send(address, new PlanReport(term, book.held().stamp(), toldStamp, book.seasoned(), someUses()));
         sentAt.put(number, now);
         if (sentAt.size() > REMEMBERED) {
             sentAt.remove(sentAt.keySet().iterator().next());
@@ -154,8 +159,12 @@
         if (c.kind() == DrainCommand.Kind.REQUEST) {
             return book.applied().knows(c.id());
         }
-        return c.members().stream().allMatch(m -> book.applied().of(m).map(o -> c.kind() == DrainCommand.Kind.DONE
-                ? o.fence() != c.fence() : !o.phase().waits() && o.phase() != Phase.DRAINING).orElse(true));
+        return c.members().stream().allMatch(m -> book.applied()
+                .of(m)
+                .map(o -> c.kind() == DrainCommand.Kind.DONE
+                        ? o.fence() != c.fence()
+                        : !o.phase().waits() && o.phase() != Phase.DRAINING)
+                .orElse(true));
     }
 
     /** An operator's command; false where there are too many that wait to be taken. */
@@ -182,7 +191,7 @@
                 touch(left + leases.lease());
             }
             follow();
-            logged = book.applied();  // its steps are logged where they are written
+            logged = book.applied(); // its steps are logged where they are written
         }
         if (g.held() < book.held().stamp()) {
             sendPieces(address);
@@ -213,7 +222,8 @@
     }
 
     private void follow() {
-        book.applied().orders().stream().filter(o -> o.phase() == Phase.RETURNING)
+        book.applied().orders().stream()
+                .filter(o -> o.phase() == Phase.RETURNING)
                 .forEach(o -> returned.merge(o.member(), o.since(), Math::max));
     }
 
@@ -224,7 +234,9 @@
 
     /** Whether what the decisions go by may be another now; cheap, for it is asked at every input. */
     public boolean viewMayChange(long now) {
-        return lastView == null || book.applied().stamp() != toldStamp || !lastView.settled()
+        return lastView == null
+                || book.applied().stamp() != toldStamp
+                || !lastView.settled()
                 || cutOff != now >= touchUntil;
     }
 
@@ -235,11 +247,13 @@
                 returned.remove(id);
             }
         });
-        returned.keySet().removeIf(id -> !world.targets().containsKey(id) && book.applied().of(id).isEmpty());
+        returned.keySet()
+                .removeIf(id -> !world.targets().containsKey(id)
+                        && book.applied().of(id).isEmpty());
         toldStamp = book.applied().stamp();
         cutOff = now >= touchUntil;
         Set<Long> alone = new HashSet<>();
-        Plan plan = touched ? book.applied() : book.held();  // who has heard of no keeper yet goes by what there is
+        Plan plan = touched ? book.applied() : book.held(); // who has heard of no keeper yet goes by what there is
         plan.orders().stream().filter(o -> leftAlone(o, now)).forEach(o -> alone.add(o.member()));
         View view = new View(settled(now), alone, Map.copyOf(returned));
         if (view.equals(lastView)) {
@@ -265,16 +279,25 @@
     public void reported(World world, Peer from, long number, PlanReport r) {
         outlet.term(r.term());
         outlet.term(Plan.term(r.held()));
-        keeper.reported(from.name(), new PlanKeeper.Report(from.instance(), r.term(), r.held(), r.applied(), r.seasoned()));
+        keeper.reported(
+                from.name(), new PlanKeeper.Report(from.instance(), r.term(), r.held(), r.applied(), r.seasoned()));
         audience.uses(from.name(), r.uses());
         sit(world);
         boolean office = world.term() > 0 && keeper.inForce() > 0;
         if (office) {
             audience.answered(from.name(), world.now());
         }
-        outlet.send(from.address(), new PlanGrant(number, from.instance(), world.term(), office, book.held().stamp(),
-                keeper.inForce()));
-        if (r.held() < book.held().stamp()) {  // also out of office: a process just started is better off with an old plan
+        outlet.send(
+                from.address(),
+                new PlanGrant(
+                        number,
+                        from.instance(),
+                        world.term(),
+                        office,
+                        book.held().stamp(),
+                        keeper.inForce()));
+        if (r.held()
+                < book.held().stamp()) { // also out of office: a process just started is better off with an old plan
             sendPieces(from.address());
         }
     }
@@ -357,16 +380,34 @@
                 line(world, o, was == null ? "none" : lower(was.phase()), lower(o.phase()));
             }
         }
-        before.values().stream().filter(o -> o.phase() != Phase.FINISHED).forEach(o -> line(world, o, lower(o.phase()), "finished"));
+        before.values().stream()
+                .filter(o -> o.phase() != Phase.FINISHED)
+                .forEach(o -> line(world, o, lower(o.phase()), "finished"));
         logged = plan;
         causes.clear();
     }
 
     private void line(World world, Order o, String from, String to) {
         String cause = causes.getOrDefault(o.member(), "an earlier keeper wrote it");
-        outlet.changed("drain of " + name(world, o.member()) + ": " + to + ", " + cause, Map.of("member",
-                name(world, o.member()), "tier", lower(o.tier()), "before", from, "phase", to, "fence", o.fence(),
-                "plan", book.applied().stamp(), "out", book.applied().out(), "cause", cause));
+        outlet.changed(
+                "drain of " + name(world, o.member()) + ": " + to + ", " + cause,
+                Map.of(
+                        "member",
+                        name(world, o.member()),
+                        "tier",
+                        lower(o.tier()),
+                        "before",
+                        from,
+                        "phase",
+                        to,
+                        "fence",
+                        o.fence(),
+                        "plan",
+                        book.applied().stamp(),
+                        "out",
+                        book.applied().out(),
+                        "cause",
+                        cause));
     }
 
     private static String lower(Enum<?> value) {
@@ -375,8 +416,13 @@
 
     private static String name(World world, long member) {
         World.Target t = world.targets().get(member);
-        return t != null ? t.name() : world.peers().stream().filter(p -> p.id() == member).map(Peer::asMember).findFirst()
-                .orElse(Long.toString(member));
+        return t != null
+                ? t.name()
+                : world.peers().stream()
+                        .filter(p -> p.id() == member)
+                        .map(Peer::asMember)
+                        .findFirst()
+                        .orElse(Long.toString(member));
     }
 
     // ---- what can be seen -----------------------------------------------------------------------------
@@ -406,8 +452,11 @@
             row.put("fence", o.fence());
             row.put("confirmed", world.now() < touchUntil);
             row.put("overdue", o.phase() == Phase.OUT && world.now() - o.since() > times.overdue());
-            row.put("held-up", office ? Steps.heldUp(book.applied(), o, world.now(), world.majority(), audience)
-                    : "(ask " + keeperName + ")");
+            row.put(
+                    "held-up",
+                    office
+                            ? Steps.heldUp(book.applied(), o, world.now(), world.majority(), audience)
+                            : "(ask " + keeperName + ")");
             rows.add(row);
         }
         return rows;
@@ -417,11 +466,24 @@
     public List<Map<String, Object>> requestRows() {
         List<Map<String, Object>> rows = new ArrayList<>();
         Plan plan = book.applied();
-        plan.requests().forEach(r -> rows.add(requestRow(r.id(), "open", r.mostOut(), r.leastServing(),
-                plan.orders().stream().filter(o -> o.isFor(r) && o.phase() != Phase.FINISHED).count())));
+        plan.requests()
+                .forEach(r -> rows.add(requestRow(
+                        r.id(),
+                        "open",
+                        r.mostOut(),
+                        r.leastServing(),
+                        plan.orders().stream()
+                                .filter(o -> o.isFor(r) && o.phase() != Phase.FINISHED)
+                                .count())));
         plan.closed().forEach(id -> rows.add(requestRow(id, "ended", 0, 0, 0)));
-        pending.values().stream().filter(p -> !taken(p.command())).forEach(p -> rows.add(requestRow(p.command().id(),
-                "not-taken", p.command().mostOut(), p.command().leastServing(), p.command().members().size())));
+        pending.values().stream()
+                .filter(p -> !taken(p.command()))
+                .forEach(p -> rows.add(requestRow(
+                        p.command().id(),
+                        "not-taken",
+                        p.command().mostOut(),
+                        p.command().leastServing(),
+                        p.command().members().size())));
         return rows;
     }
 
@@ -440,7 +502,11 @@
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("drain-plan", Long.toString(book.applied().stamp()));
         fields.put("drain-out", Integer.toString(book.applied().out()));
-        fields.put("drain-waiting", Long.toString(book.applied().orders().stream().filter(o -> o.phase().waits()).count()));
+        fields.put(
+                "drain-waiting",
+                Long.toString(book.applied().orders().stream()
+                        .filter(o -> o.phase().waits())
+                        .count()));
         fields.put("drain-in-touch", now < touchUntil ? "yes" : "no");
         return fields;
     }
--- a/src/main/java/pumicemoor/fleet/drains/Phase.java
+++ b/src/main/java/pumicemoor/fleet/drains/Phase.java
@@ -6,7 +6,12 @@
  * done and the member warms.
  */
 public enum Phase {
-    QUEUED, NAMED, DRAINING, OUT, RETURNING, FINISHED;
+    QUEUED,
+    NAMED,
+    DRAINING,
+    OUT,
+    RETURNING,
+    FINISHED;
 
     /** Whether the member counts as one that is out. */
     public boolean takesAPlace() {
--- a/src/main/java/pumicemoor/fleet/drains/Plan.java
+++ b/src/main/java/pumicemoor/fleet/drains/Plan.java
@@ -19,7 +19,7 @@
     /** Terms are below this, so that a stamp has room for one. */
     public static final long MOST_TERM = 1L << 38;
 
-    static final int MOST_REQUESTS = 31;  // open at once
+    static final int MOST_REQUESTS = 31; // open at once
     static final int MOST_ORDERS = 256;
     static final int MOST_CLOSED = 32;
     private static final int TERM_SHIFT = 24;
@@ -50,13 +50,21 @@
 
     /** The least that any open request allows to be out at once. */
     public int mostOut() {
-        return requests.stream().filter(this::open).mapToInt(DrainRequest::mostOut).min().orElse(0);
+        return requests.stream()
+                .filter(this::open)
+                .mapToInt(DrainRequest::mostOut)
+                .min()
+                .orElse(0);
     }
 
     /** The most that any open request wants to serve in this tier. */
     public int leastServing(Tier tier) {
-        return requests.stream().filter(r -> orders.stream().anyMatch(o -> o.tier() == tier && o.isFor(r)
-                && o.phase() != Phase.FINISHED)).mapToInt(DrainRequest::leastServing).max().orElse(0);
+        return requests.stream()
+                .filter(r ->
+                        orders.stream().anyMatch(o -> o.tier() == tier && o.isFor(r) && o.phase() != Phase.FINISHED))
+                .mapToInt(DrainRequest::leastServing)
+                .max()
+                .orElse(0);
     }
 
     /** How many are out now. */
@@ -87,9 +95,18 @@
         for (Order o : orders) {
             boolean meant = all.containsKey(o.member());
             all.remove(o.member());
-            merged.add(!meant ? o : o.phase() == Phase.FINISHED
-                    ? new Order(o.member(), o.tier(), 1 << slot, Phase.QUEUED, next, now)
-                    : new Order(o.member(), o.tier(), o.requests() | 1 << slot, o.phase(), o.fence(), o.since()));
+            merged.add(
+                    !meant
+                            ? o
+                            : o.phase() == Phase.FINISHED
+                                    ? new Order(o.member(), o.tier(), 1 << slot, Phase.QUEUED, next, now)
+                                    : new Order(
+                                            o.member(),
+                                            o.tier(),
+                                            o.requests() | 1 << slot,
+                                            o.phase(),
+                                            o.fence(),
+                                            o.since()));
         }
         for (long m : all.keySet()) {
             merged.add(new Order(m, tiers.get(m), 1 << slot, Phase.QUEUED, next, now));
@@ -110,11 +127,16 @@
             return this;
         }
         int gone = ended.stream().mapToInt(r -> 1 << r.slot()).sum();
-        List<Order> kept = orders.stream().map(o -> new Order(o.member(), o.tier(), o.requests() & ~gone, o.phase(), o.fence(),
-                o.since())).filter(o -> o.requests() != 0).toList();
+        List<Order> kept = orders.stream()
+                .map(o -> new Order(o.member(), o.tier(), o.requests() & ~gone, o.phase(), o.fence(), o.since()))
+                .filter(o -> o.requests() != 0)
+                .toList();
         List<Long> ids = new ArrayList<>(closed);
         ended.forEach(r -> ids.add(r.id()));
-        return new Plan(stamp, requests.stream().filter(r -> !ended.contains(r)).toList(), kept,
+        return new Plan(
+                stamp,
+                requests.stream().filter(r -> !ended.contains(r)).toList(),
+                kept,
                 List.copyOf(ids.subList(Math.max(0, ids.size() - MOST_CLOSED), ids.size())));
     }
 }
--- a/src/main/java/pumicemoor/fleet/drains/PlanBook.java
+++ b/src/main/java/pumicemoor/fleet/drains/PlanBook.java
@@ -11,12 +11,12 @@
  */
 final class PlanBook {
 
-    static final int PIECE = 900;  // bytes
+    static final int PIECE = 900; // bytes
 
     private Plan held = Plan.NONE;
     private Plan applied = Plan.NONE;
     private boolean seasoned;
-    private long coming;  // the stamp whose pieces are gathered
+    private long coming; // the stamp whose pieces are gathered
     private byte[][] pieces = new byte[0][];
 
     Plan held() {
@@ -43,8 +43,13 @@
 
     /** Takes a piece of a plan; true where the plan is whole with it and newer. */
     boolean take(long stamp, int index, int count, byte[] bytes) {
-        if (stamp <= held.stamp() || stamp < coming || count < 1 || count > PlanCodec.LONGEST / PIECE + 1 || index < 0
-                || index >= count || bytes.length > PIECE) {
+        if (stamp <= held.stamp()
+                || stamp < coming
+                || count < 1
+                || count > PlanCodec.LONGEST / PIECE + 1
+                || index < 0
+                || index >= count
+                || bytes.length > PIECE) {
             return false;
         }
         if (stamp > coming || pieces.length != count) {
@@ -78,11 +83,11 @@
      */
     boolean inForce(long stamp) {
         if (held.stamp() < stamp) {
-            return false;  // it is still on its way
+            return false; // it is still on its way
         }
         seasoned = true;
         if (held.stamp() > stamp || applied.stamp() >= stamp) {
-            return false;  // what is newer is not yet known to be in force
+            return false; // what is newer is not yet known to be in force
         }
         applied = held;
         return true;
--- a/src/main/java/pumicemoor/fleet/drains/PlanCodec.java
+++ b/src/main/java/pumicemoor/fleet/drains/PlanCodec.java
@@ -12,16 +12,22 @@
 
     static final int LONGEST = 24 + Plan.MOST_REQUESTS * 17 + Plan.MOST_ORDERS * 30 + Plan.MOST_CLOSED * 8;
 
-    private PlanCodec() {
-    }
+    private PlanCodec() {}
 
     static byte[] write(Plan plan) {
         ByteBuffer out = ByteBuffer.allocate(LONGEST);
         out.putLong(plan.stamp()).put((byte) plan.requests().size());
-        plan.requests().forEach(r -> out.putLong(r.id()).put((byte) r.slot()).putInt(r.mostOut()).putInt(r.leastServing()));
+        plan.requests().forEach(r -> out.putLong(r.id())
+                .put((byte) r.slot())
+                .putInt(r.mostOut())
+                .putInt(r.leastServing()));
         out.putShort((short) plan.orders().size());
-        plan.orders().forEach(o -> out.putLong(o.member()).put((byte) o.tier().ordinal()).putInt(o.requests())
-                .put((byte) o.phase().ordinal()).putLong(o.fence()).putLong(o.since()));
+        plan.orders().forEach(o -> out.putLong(o.member())
+                .put((byte) o.tier().ordinal())
+                .putInt(o.requests())
+                .put((byte) o.phase().ordinal())
+                .putLong(o.fence())
+                .putLong(o.since()));
         out.put((byte) plan.closed().size());
         plan.closed().forEach(out::putLong);
         byte[] bytes = new byte[out.position()];
@@ -38,7 +44,10 @@
             Set<Integer> slots = new HashSet<>();
             for (int left = count(in.get() & 0xff, Plan.MOST_REQUESTS); left > 0; left--) {
                 DrainRequest r = new DrainRequest(in.getLong(), in.get(), in.getInt(), in.getInt());
-                if (r.slot() < 0 || r.slot() >= Plan.MOST_REQUESTS || !slots.add(r.slot()) || r.mostOut() < 1
+                if (r.slot() < 0
+                        || r.slot() >= Plan.MOST_REQUESTS
+                        || !slots.add(r.slot())
+                        || r.mostOut() < 1
                         || r.leastServing() < 0) {
                     return null;
                 }
@@ -47,8 +56,13 @@
             List<Order> orders = new ArrayList<>();
             Set<Long> members = new HashSet<>();
             for (int left = count(in.getShort(), Plan.MOST_ORDERS); left > 0; left--) {
-                Order o = new Order(in.getLong(), Tier.values()[in.get()], in.getInt(), Phase.values()[in.get()],
-                        in.getLong(), in.getLong());
+                Order o = new Order(
+                        in.getLong(),
+                        Tier.values()[in.get()],
+                        in.getInt(),
+                        Phase.values()[in.get()],
+                        in.getLong(),
+                        in.getLong());
                 if (!members.add(o.member()) || o.fence() > stamp || o.fence() < 1) {
                     return null;
                 }
@@ -58,7 +72,8 @@
             for (int left = count(in.get(), Plan.MOST_CLOSED); left > 0; left--) {
                 closed.add(in.getLong());
             }
-            return stamp < 1 || in.hasRemaining() ? null
+            return stamp < 1 || in.hasRemaining()
+                    ? null
                     : new Plan(stamp, List.copyOf(requests), List.copyOf(orders), List.copyOf(closed));
         } catch (BufferUnderflowException | ArrayIndexOutOfBoundsException e) {
             return null;
--- a/src/main/java/pumicemoor/fleet/drains/PlanKeeper.java
+++ b/src/main/java/pumicemoor/fleet/drains/PlanKeeper.java
@@ -12,11 +12,15 @@
 final class PlanKeeper {
 
     /** How far the keeper is: none of its office, reading, waiting for a majority, or done with that. */
-    enum Stage { IDLE, READING, WRITING, SETTLED }
+    enum Stage {
+        IDLE,
+        READING,
+        WRITING,
+        SETTLED
+    }
 
     /** What a router last told of the plans that it holds, and which term it knew when it told that. */
-    record Report(long instance, long term, long held, long applied, boolean seasoned) {
-    }
+    record Report(long instance, long term, long held, long applied, boolean seasoned) {}
 
     private final PlanBook book;
     private final Map<String, Report> reports = new TreeMap<>();
@@ -92,15 +96,25 @@
      */
     private boolean read(int routers, boolean patient) {
         long since = reports.values().stream().filter(r -> r.term() >= term).count();
-        long remember = reports.values().stream().filter(r -> r.term() >= term && r.seasoned()).count()
+        long remember = reports.values().stream()
+                        .filter(r -> r.term() >= term && r.seasoned())
+                        .count()
                 + (book.seasoned() ? 1 : 0);
         int majority = routers / 2 + 1;
-        long newest = reports.values().stream().filter(r -> r.term() >= term).mapToLong(Report::held).max().orElse(0);
-        return (remember >= routers - majority + 1 || since + 1 >= routers || patient) && book.held().stamp() >= newest;
+        long newest = reports.values().stream()
+                .filter(r -> r.term() >= term)
+                .mapToLong(Report::held)
+                .max()
+                .orElse(0);
+        return (remember >= routers - majority + 1 || since + 1 >= routers || patient)
+                && book.held().stamp() >= newest;
     }
 
     private long holders() {
-        return 1 + reports.values().stream().filter(r -> r.held() == book.held().stamp()).count();
+        return 1
+                + reports.values().stream()
+                        .filter(r -> r.held() == book.held().stamp())
+                        .count();
     }
 
     /** Writes the next plan, whose stamp has to be nextStamp; only after the one before is in force. */
--- a/src/main/java/pumicemoor/fleet/drains/Steps.java
+++ b/src/main/java/pumicemoor/fleet/drains/Steps.java
@@ -16,17 +16,15 @@
 final class Steps {
 
     /** A member's way from one phase to the next, and why. */
-    record Step(long member, Tier tier, Phase from, Phase to, String cause) {
-    }
+    record Step(long member, Tier tier, Phase from, Phase to, String cause) {}
 
     /** The plan that follows, and the steps that lead there; where there are none it is the plan itself. */
-    record Outcome(Plan plan, List<Step> steps) {
-    }
+    record Outcome(Plan plan, List<Step> steps) {}
 
     private final Evidence evidence;
     private final long stamp;
     private final long now;
-    private final int majority;  // of routers, which have to live on
+    private final int majority; // of routers, which have to live on
     private final Map<Long, Order> orders = new LinkedHashMap<>();
     private final List<Step> steps = new ArrayList<>();
     private final Map<Tier, Integer> serving = new EnumMap<>(Tier.class);
@@ -40,8 +38,13 @@
         this.evidence = evidence;
         plan.orders().forEach(o -> orders.put(o.member(), o));
         for (Tier tier : Tier.values()) {
-            serving.put(tier, evidence.serving(tier) - (int) plan.orders().stream().filter(o -> o.tier() == tier
-                    && o.phase().takesAPlace() && evidence.serves(o.member())).count());
+            serving.put(
+                    tier,
+                    evidence.serving(tier)
+                            - (int) plan.orders().stream()
+                                    .filter(o ->
+                                            o.tier() == tier && o.phase().takesAPlace() && evidence.serves(o.member()))
+                                    .count());
         }
     }
 
@@ -51,7 +54,8 @@
         if (next.steps.isEmpty()) {
             return new Outcome(plan, List.of());
         }
-        return new Outcome(new Plan(stamp, plan.requests(), List.copyOf(next.orders.values()), plan.closed()).closedUp(),
+        return new Outcome(
+                new Plan(stamp, plan.requests(), List.copyOf(next.orders.values()), plan.closed()).closedUp(),
                 next.steps);
     }
 
@@ -69,15 +73,19 @@
         int out = plan.out();
         for (Order o : List.copyOf(orders.values())) {
             if (o.phase() == Phase.NAMED && orders.get(o.member()) == o && held(o, out) == null) {
-                to(o, Phase.DRAINING, evidence.failing(o.member()) ? "it is its turn, since it fails as it is"
-                        : "it is its turn");
+                to(
+                        o,
+                        Phase.DRAINING,
+                        evidence.failing(o.member()) ? "it is its turn, since it fails as it is" : "it is its turn");
                 out++;
                 serving.merge(o.tier(), evidence.serves(o.member()) ? -1 : 0, Integer::sum);
             }
         }
         for (Tier tier : Tier.values()) {
-            long ahead = plan.mostOut() - orders.values().stream().filter(o -> o.tier() == tier
-                    && o.phase() == Phase.NAMED).count();
+            long ahead = plan.mostOut()
+                    - orders.values().stream()
+                            .filter(o -> o.tier() == tier && o.phase() == Phase.NAMED)
+                            .count();
             Optional<Order> next = first(tier);
             for (; ahead > 0 && next.isPresent(); ahead--) {
                 to(next.get(), Phase.NAMED, "it comes next");
@@ -91,11 +99,12 @@
      * ever; within one who holds least of what is asked for; a hash settles ties.
      */
     private Optional<Order> first(Tier tier) {
-        return orders.values().stream().filter(o -> o.tier() == tier && o.phase() == Phase.QUEUED).min(Comparator
-                .comparing((Order o) -> !evidence.failing(o.member()))
-                .thenComparingInt(o -> age(o))
-                .thenComparingDouble(o -> evidence.heat(o.member()))
-                .thenComparing(o -> Hashes.mix(o.member()), Long::compareUnsigned));
+        return orders.values().stream()
+                .filter(o -> o.tier() == tier && o.phase() == Phase.QUEUED)
+                .min(Comparator.comparing((Order o) -> !evidence.failing(o.member()))
+                        .thenComparingInt(o -> age(o))
+                        .thenComparingDouble(o -> evidence.heat(o.member()))
+                        .thenComparing(o -> Hashes.mix(o.member()), Long::compareUnsigned));
     }
 
     private int age(Order o) {
@@ -127,7 +136,10 @@
         return switch (o.phase()) {
             case QUEUED -> "others come first";
             case NAMED -> Optional.ofNullable(here.held(o, plan.out())).orElse("");
-            case DRAINING -> Optional.ofNullable(evidence.stillUsed(o)).map(r -> "router " + r + " may still use it").orElse("");
+            case DRAINING ->
+                Optional.ofNullable(evidence.stillUsed(o))
+                        .map(r -> "router " + r + " may still use it")
+                        .orElse("");
             case OUT -> "the work: drain done";
             case RETURNING -> evidence.warm(o) ? "" : "it is not back or not warm";
             case FINISHED -> "";
@@ -143,24 +155,42 @@
     static Outcome told(Plan plan, DrainCommand c, Map<Long, Tier> tiers, long stamp, long now) {
         if (c.kind() == DrainCommand.Kind.REQUEST) {
             Plan next = plan.with(c, tiers, stamp, now);
-            return new Outcome(next, next == plan ? List.of() : next.orders().stream()
-                    .filter(o -> o.phase() == Phase.QUEUED && o.fence() == stamp)
-                    .map(o -> new Step(o.member(), o.tier(), Phase.FINISHED, Phase.QUEUED, "an operator asked for it")).toList());
+            return new Outcome(
+                    next,
+                    next == plan
+                            ? List.of()
+                            : next.orders().stream()
+                                    .filter(o -> o.phase() == Phase.QUEUED && o.fence() == stamp)
+                                    .map(o -> new Step(
+                                            o.member(),
+                                            o.tier(),
+                                            Phase.FINISHED,
+                                            Phase.QUEUED,
+                                            "an operator asked for it"))
+                                    .toList());
         }
         List<Step> steps = new ArrayList<>();
         List<Order> orders = new ArrayList<>();
         for (Order o : plan.orders()) {
-            Phase to = !c.members().contains(o.member()) ? null
-                    : c.kind() == DrainCommand.Kind.DONE && o.phase() == Phase.OUT && o.fence() == c.fence() ? Phase.RETURNING
-                    : c.kind() == DrainCommand.Kind.CANCEL && (o.phase().waits() || o.phase() == Phase.DRAINING)
-                    ? Phase.FINISHED : null;
+            Phase to = !c.members().contains(o.member())
+                    ? null
+                    : c.kind() == DrainCommand.Kind.DONE && o.phase() == Phase.OUT && o.fence() == c.fence()
+                            ? Phase.RETURNING
+                            : c.kind() == DrainCommand.Kind.CANCEL && (o.phase().waits() || o.phase() == Phase.DRAINING)
+                                    ? Phase.FINISHED
+                                    : null;
             orders.add(to == null ? o : o.in(to, stamp, now));
             if (to != null) {
-                steps.add(new Step(o.member(), o.tier(), o.phase(), to, to == Phase.RETURNING ? "the work is done"
-                        : "an operator called it off"));
+                steps.add(new Step(
+                        o.member(),
+                        o.tier(),
+                        o.phase(),
+                        to,
+                        to == Phase.RETURNING ? "the work is done" : "an operator called it off"));
             }
         }
-        return steps.isEmpty() ? new Outcome(plan, List.of())
+        return steps.isEmpty()
+                ? new Outcome(plan, List.of())
                 : new Outcome(new Plan(stamp, plan.requests(), List.copyOf(orders), plan.closed()).closedUp(), steps);
     }
 }
--- a/src/main/java/pumicemoor/fleet/drains/Tier.java
+++ b/src/main/java/pumicemoor/fleet/drains/Tier.java
@@ -1,4 +1,8 @@
 package pumicemoor.fleet.drains;
 
 /** The kinds of members that can be taken out; a budget of members that must serve holds for each by itself. */
-public enum Tier { CACHE, PARENT, ROUTER }
+public enum Tier {
+    CACHE,
+    PARENT,
+    ROUTER
+}
--- a/src/main/java/pumicemoor/fleet/drains/World.java
+++ b/src/main/java/pumicemoor/fleet/drains/World.java
@@ -9,7 +9,13 @@
  * What a router knows beside the plan at one moment: its term where it is the keeper (0 where it is not) and since when,
  * how many routers the fleet is taken for, the routers and the members one by one, and which of those fail.
  */
-public record World(long now, long term, long officeSince, int routers, Collection<Peer> peers, Map<Long, Target> targets,
+public record World(
+        long now,
+        long term,
+        long officeSince,
+        int routers,
+        Collection<Peer> peers,
+        Map<Long, Target> targets,
         Set<Long> failing) {
 
     /** What stands before the name of a router among members. */
@@ -29,8 +35,7 @@
     }
 
     /** A member that may be taken out; ready where the list has it so. */
-    public record Target(String name, Tier tier, boolean ready, long started) {
-    }
+    public record Target(String name, Tier tier, boolean ready, long started) {}
 
     int majority() {
         return routers / 2 + 1;
--- a/src/main/java/pumicemoor/fleet/limits/CellShare.java
+++ b/src/main/java/pumicemoor/fleet/limits/CellShare.java
@@ -10,13 +10,13 @@
  */
 public final class CellShare {
 
-    private static final int ASKS = 16;  // that are remembered
+    private static final int ASKS = 16; // that are remembered
 
     private final HeldLease lease;
     private final LeaseTimes upper;
     private final long routersLease;
-    private final Map<Long, Integer> asked = new LinkedHashMap<>();  // for how many routers each ask was
-    private int askedFor;  // routers, in the ask whose grant is lived by
+    private final Map<Long, Integer> asked = new LinkedHashMap<>(); // for how many routers each ask was
+    private int askedFor; // routers, in the ask whose grant is lived by
     private double amount;
 
     /** Times are those of the level above; routersLease is how long a router's lease of this cell lasts (microseconds). */
@@ -79,7 +79,8 @@
      */
     public double pool(long now, int held, int routers) {
         double even = limit().evenPart(routers);
-        double base = now + routersLease <= lease.until() ? amount
+        double base = now + routersLease <= lease.until()
+                ? amount
                 : now < lease.until() + upper.shrink() ? Math.min(amount, askedFor * even) : askedFor * even;
         return base + (held - askedFor) * even;
     }
--- a/src/main/java/pumicemoor/fleet/limits/FleetLimit.java
+++ b/src/main/java/pumicemoor/fleet/limits/FleetLimit.java
@@ -8,7 +8,7 @@
  */
 public record FleetLimit(String name, long member, Measure measure, double amount) {
 
-    private static final double LEAST = 0.1;  // of the even part
+    private static final double LEAST = 0.1; // of the even part
 
     /** What each router of so many may spend by itself; a whole part is one at least. */
     public double evenPart(int routers) {
@@ -20,5 +20,4 @@
     double leastPart(int routers) {
         return measure.whole ? 1 : evenPart(routers) * LEAST;
     }
-
 }
--- a/src/main/java/pumicemoor/fleet/limits/HeldLease.java
+++ b/src/main/java/pumicemoor/fleet/limits/HeldLease.java
@@ -11,12 +11,12 @@
  */
 public final class HeldLease {
 
-    private static final int ASKS = 16;  // that are remembered
+    private static final int ASKS = 16; // that are remembered
 
     private final FleetLimit limit;
     private final LeaseTimes times;
     private final long startedAt;
-    private final Map<Long, Long> asked = new HashMap<>();  // when each ask left
+    private final Map<Long, Long> asked = new HashMap<>(); // when each ask left
     private String grantor = "";
     private long grantorInstance;
     private long holds;
@@ -88,8 +88,11 @@
     public boolean granted(long now, String name, long instance, long number, double part) {
         Long left = asked.remove(number);
         boolean same = grantor.equals(name) && grantorInstance == instance;
-        if (left == null || now - left > times.guard() || same && number <= holds
-                || !same && holds != 0 && now < until + times.shrink() || part > limit.amount()) {
+        if (left == null
+                || now - left > times.guard()
+                || same && number <= holds
+                || !same && holds != 0 && now < until + times.shrink()
+                || part > limit.amount()) {
             return false;
         }
         grantor = name;
--- a/src/main/java/pumicemoor/fleet/limits/LeaseBook.java
+++ b/src/main/java/pumicemoor/fleet/limits/LeaseBook.java
@@ -14,14 +14,12 @@
  */
 public final class LeaseBook {
 
-    private static final double AHEAD = 1.25;  // of what is wanted, so that a rising demand shows
+    private static final double AHEAD = 1.25; // of what is wanted, so that a rising demand shows
 
-    private record Given(long number, int routers, double amount, long until) {
-    }
+    private record Given(long number, int routers, double amount, long until) {}
 
     /** Who asks: a process, the number of its ask, the ask whose grant it lives by, and for how many routers. */
-    public record Asker(String name, long instance, long number, long holds, int routers) {
-    }
+    public record Asker(String name, long instance, long number, long holds, int routers) {}
 
     /** What the holders of a book may be spending together, by how many routers they stand for. */
     public interface Pool {
@@ -32,10 +30,10 @@
     private static final class Holder {
         long instance;
         long lastAsk;
-        long shown;  // the grant that it last showed to live by, 0 for none
+        long shown; // the grant that it last showed to live by, 0 for none
         double wanted;
         double inUse;
-        int routers = 1;  // that it stands for
+        int routers = 1; // that it stands for
         final List<Given> given = new ArrayList<>();
 
         /**
@@ -84,7 +82,10 @@
 
     private double countedWithout(Holder one, int routers) {
         double even = limit.evenPart(routers);
-        return holders.values().stream().filter(h -> h != one).mapToDouble(h -> h.counts(even)).sum();
+        return holders.values().stream()
+                .filter(h -> h != one)
+                .mapToDouble(h -> h.counts(even))
+                .sum();
     }
 
     /** What the holders want together. */
@@ -101,9 +102,14 @@
      * Answers an ask with a part of the limit, or with -1 where a newer ask of that router was answered before. Holds is
      * the ask whose grant it lives by, 0 for none; then it counts with the even part until it shows that it has a lease.
      */
-    public double ask(long now, String router, long instance, long number, long holds, double wanted, double inUse,
-            int routers) {
-        return ask(now, new Asker(router, instance, number, holds, 1), wanted, limit.measure().whole ? inUse : 0, routers,
+    public double ask(
+            long now, String router, long instance, long number, long holds, double wanted, double inUse, int routers) {
+        return ask(
+                now,
+                new Asker(router, instance, number, holds, 1),
+                wanted,
+                limit.measure().whole ? inUse : 0,
+                routers,
                 held -> held * limit.evenPart(routers));
     }
 
@@ -115,7 +121,7 @@
             if (asker.instance() < h.instance) {
                 return -1;
             }
-            h.instance = asker.instance();  // what its process before held is counted until it ends
+            h.instance = asker.instance(); // what its process before held is counted until it ends
             h.lastAsk = 0;
         }
         if (asker.number() <= h.lastAsk) {
@@ -159,7 +165,8 @@
             routers -= h.routers;
             level = Double.MAX_VALUE;
         }
-        return level == Double.MAX_VALUE ? wish(asker) + left * asker.routers / all
+        return level == Double.MAX_VALUE
+                ? wish(asker) + left * asker.routers / all
                 : Math.min(level * asker.routers, wish(asker));
     }
 
--- a/src/main/java/pumicemoor/fleet/limits/LeaseTimes.java
+++ b/src/main/java/pumicemoor/fleet/limits/LeaseTimes.java
@@ -7,8 +7,9 @@
  */
 public record LeaseTimes(long lease, long guard, long shrink) {
 
-    private static final int UPPER_LEASE = 2;  // times a cell's, so that what a router is lent ends before the cell's does
-    private static final int UPPER_GUARD = 4;  // times a cell's: the way between regions
+    private static final int UPPER_LEASE =
+            2; // times a cell's, so that what a router is lent ends before the cell's does
+    private static final int UPPER_GUARD = 4; // times a cell's: the way between regions
 
     /** Those of one level: others' leases end, and the book forgets. */
     public LeaseTimes(long lease, long guard) {
--- a/src/main/java/pumicemoor/fleet/membership/Membership.java
+++ b/src/main/java/pumicemoor/fleet/membership/Membership.java
@@ -30,21 +30,28 @@
  */
 public final class Membership {
 
-    private static final double SUSPICION = 2;  // periods, times the logarithm of the fleet, until a suspect is dead
-    private static final int SHORTEST_SUSPICION = 4;  // periods
-    private static final int COMPARE_EVERY = 8;  // periods, until all that is known is compared with another's
-    private static final int WHOLE_ANSWERS = 4;  // of all that is known, or of some parts, a period at most
-    private static final int SUMS_ANSWERS = 8;  // of digests in parts, a period at most
-    private static final int IN_A_PART = 8;  // routers, in the mean
+    private static final double SUSPICION = 2; // periods, times the logarithm of the fleet, until a suspect is dead
+    private static final int SHORTEST_SUSPICION = 4; // periods
+    private static final int COMPARE_EVERY = 8; // periods, until all that is known is compared with another's
+    private static final int WHOLE_ANSWERS = 4; // of all that is known, or of some parts, a period at most
+    private static final int SUMS_ANSWERS = 8; // of digests in parts, a period at most
+    private static final int IN_A_PART = 8; // routers, in the mean
     /** The most parts that a table is compared in; a power of two. */
     public static final int MOST_PARTS = 64;
-    private static final int ASIDE = 20;  // periods that a second router of a name keeps silent
-    private static final int RELAYS = 32;  // pings under way for others
+
+    private static final int ASIDE = 20; // periods that a second router of a name keeps silent
+    private static final int RELAYS = 32; // pings under way for others
 
     /** What it is set up with; times are microseconds. */
-    public record Setup(String name, String address, List<String> seeds, long period, int indirect, int fanout,
-            long remember, int most) {
-    }
+    public record Setup(
+            String name,
+            String address,
+            List<String> seeds,
+            long period,
+            int indirect,
+            int fanout,
+            long remember,
+            int most) {}
 
     /** Where its packets and its changes go. */
     public interface Outlet {
@@ -67,14 +74,13 @@
 
     private static final class Peer {
         RouterNews news;
-        long sum;  // the digest of the news
-        long since;  // of this standing
+        long sum; // the digest of the news
+        long since; // of this standing
         long suspectUntil = Long.MAX_VALUE;
-        long reminded;  // when it was last told what is believed of it
+        long reminded; // when it was last told what is believed of it
     }
 
-    private record Asked(String address, long number, long at) {
-    }
+    private record Asked(String address, long number, long at) {}
 
     private final Setup setup;
     private final Outlet outlet;
@@ -82,11 +88,11 @@
     private final long instance;
     private final boolean inParts;
     private final Map<String, Peer> peers = new TreeMap<>();
-    private List<RouterNews> living = List.of();  // of the peers; null where it is to be made anew
-    private int left;  // peers that left in good order
+    private List<RouterNews> living = List.of(); // of the peers; null where it is to be made anew
+    private int left; // peers that left in good order
     private long peersDigest;
-    private final List<String> order = new ArrayList<>();  // whom to probe next, the last first
-    private final Map<Long, Asked> relays = new HashMap<>();  // pings sent for another, by their number
+    private final List<String> order = new ArrayList<>(); // whom to probe next, the last first
+    private final Map<Long, Asked> relays = new HashMap<>(); // pings sent for another, by their number
     private long incarnation;
     private long now;
     private long tickAt;
@@ -95,8 +101,8 @@
     private long periods;
     private int wholeAnswers;
     private int sumsAnswers;
-    private String probed;  // whose answer is waited for
-    private final Set<Long> probeNumbers = new HashSet<>();  // of the ping and of those asked to ping for it
+    private String probed; // whose answer is waited for
+    private final Set<Long> probeNumbers = new HashSet<>(); // of the ping and of those asked to ping for it
     private boolean leaving;
 
     /** Begins at this time, which also tells this start from earlier ones of the name (Unix microseconds). */
@@ -126,8 +132,8 @@
 
     /** This router as it tells of itself. */
     public RouterNews self() {
-        return new RouterNews(setup.name(), setup.address(), instance, incarnation,
-                leaving ? Standing.LEFT : Standing.ALIVE);
+        return new RouterNews(
+                setup.name(), setup.address(), instance, incarnation, leaving ? Standing.LEFT : Standing.ALIVE);
     }
 
     /** Whether it keeps silent since an older router of the same name lives. */
@@ -155,8 +161,10 @@
     /** Those that may be asked for something: alive or only suspected; never this router itself. */
     public List<RouterNews> living() {
         if (living == null) {
-            living = peers.values().stream().map(p -> p.news)
-                    .filter(n -> n.standing() == Standing.ALIVE || n.standing() == Standing.SUSPECT).toList();
+            living = peers.values().stream()
+                    .map(p -> p.news)
+                    .filter(n -> n.standing() == Standing.ALIVE || n.standing() == Standing.SUSPECT)
+                    .toList();
         }
         return living;
     }
@@ -172,7 +180,10 @@
     }
 
     private static long sum(RouterNews n) {
-        return Hashes.mix(Hashes.of(n.name()) + 31 * n.instance() + 17 * n.incarnation() + n.standing().ordinal());
+        return Hashes.mix(Hashes.of(n.name())
+                + 31 * n.instance()
+                + 17 * n.incarnation()
+                + n.standing().ordinal());
     }
 
     /** The digest in so many parts, a power of two. */
@@ -264,8 +275,7 @@
     private void askOthers() {
         if (probed != null && peers.containsKey(probed)) {
             String address = peers.get(probed).news.address();
-            some(setup.indirect(), probed)
-                    .forEach(n -> probeNumbers.add(outlet.send(n.address(), new Relay(address))));
+            some(setup.indirect(), probed).forEach(n -> probeNumbers.add(outlet.send(n.address(), new Relay(address))));
         }
     }
 
@@ -302,8 +312,11 @@
             return;
         }
         List<String> gone = new ArrayList<>(setup.seeds());
-        peers.values().stream().filter(p -> p.news.standing() == Standing.DEAD).forEach(p -> gone.add(p.news.address()));
-        gone.removeIf(a -> a.equals(setup.address()) || living().stream().anyMatch(n -> n.address().equals(a)));
+        peers.values().stream()
+                .filter(p -> p.news.standing() == Standing.DEAD)
+                .forEach(p -> gone.add(p.news.address()));
+        gone.removeIf(a -> a.equals(setup.address())
+                || living().stream().anyMatch(n -> n.address().equals(a)));
         some(1, "").forEach(n -> outlet.send(n.address(), new Compare(digest(), true)));
         if (alone) {
             gone.forEach(a -> outlet.send(a, new Compare(digest(), true)));
@@ -327,11 +340,11 @@
         packet.routers().forEach(n -> take(n, "told by " + from.name()));
         Peer sender = peers.get(from.name());
         if (sender == null) {
-            return false;  // the table is full
+            return false; // the table is full
         }
-        boolean other = sender.news.instance() != from.instance();  // that has followed it, or that it follows
+        boolean other = sender.news.instance() != from.instance(); // that has followed it, or that it follows
         if ((other || sender.news.standing() != Standing.ALIVE) && now - sender.reminded > setup.period() / 2) {
-            sender.reminded = now;  // it can only refute what it knows
+            sender.reminded = now; // it can only refute what it knows
             outlet.spread(sender.news);
             outlet.send(from.address(), new News());
         }
@@ -447,7 +460,7 @@
             if (same) {
                 outlet.changed(self(), news.standing(), "it refutes that");
             } else if (!news.address().equals(setup.address()) && !aside(now)) {
-                outlet.send(news.address(), new Ping());  // is that one still there?
+                outlet.send(news.address(), new Ping()); // is that one still there?
             }
         }
     }
@@ -455,13 +468,15 @@
     /** A packet under this router's own name: of an older process that lives, whose name it is, or nothing. */
     private void namesake(RouterNews from) {
         if (from.instance() == instance || from.address().equals(setup.address())) {
-            return;  // its own packet come back, or what its predecessor sent
+            return; // its own packet come back, or what its predecessor sent
         }
         outlet.dropped("duplicate-names");
         if (from.instance() < instance) {
             if (!aside(now)) {
-                outlet.changed(self(), Standing.ALIVE, "an older router of this name lives at " + from.address()
-                        + ": this one stands aside");
+                outlet.changed(
+                        self(),
+                        Standing.ALIVE,
+                        "an older router of this name lives at " + from.address() + ": this one stands aside");
             }
             asideUntil = now + ASIDE * setup.period();
         } else if (now >= asideUntil) {
--- a/src/main/java/pumicemoor/fleet/membership/RouterNews.java
+++ b/src/main/java/pumicemoor/fleet/membership/RouterNews.java
@@ -9,7 +9,8 @@
 public record RouterNews(String name, String address, long instance, long incarnation, Standing standing) {
 
     private static final Comparator<RouterNews> ORDER = Comparator.comparingLong(RouterNews::incarnation)
-            .thenComparing(RouterNews::standing).thenComparingLong(RouterNews::instance);
+            .thenComparing(RouterNews::standing)
+            .thenComparingLong(RouterNews::instance);
 
     /** Whether this overrides the other belief about the same name. */
     boolean overrides(RouterNews other) {
--- a/src/main/java/pumicemoor/fleet/membership/Standing.java
+++ b/src/main/java/pumicemoor/fleet/membership/Standing.java
@@ -1,4 +1,9 @@
 package pumicemoor.fleet.membership;
 
 /** What is believed of a router; of two beliefs of one incarnation the later in this order holds. */
-public enum Standing { ALIVE, SUSPECT, DEAD, LEFT }
+public enum Standing {
+    ALIVE,
+    SUSPECT,
+    DEAD,
+    LEFT
+}
--- a/src/main/java/pumicemoor/fleet/verdicts/Accusation.java
+++ b/src/main/java/pumicemoor/fleet/verdicts/Accusation.java
@@ -12,5 +12,8 @@
     }
 
     /** What was seen: no answers, or answers that were failures. */
-    public enum Cause { SILENT, FAILING }
+    public enum Cause {
+        SILENT,
+        FAILING
+    }
 }
--- a/src/main/java/pumicemoor/fleet/verdicts/Bench.java
+++ b/src/main/java/pumicemoor/fleet/verdicts/Bench.java
@@ -17,15 +17,13 @@
 public final class Bench {
 
     /** The share of a tier that may be out at once, how many accusers it takes, for how long a verdict stands. */
-    public record Rules(double mostOut, int witnesses, long hold, long guard) {
-    }
+    public record Rules(double mostOut, int witnesses, long hold, long guard) {}
 
-    private record Report(long number, long until, List<Accusation> accusations) {
-    }
+    private record Report(long number, long until, List<Accusation> accusations) {}
 
     private final Rules rules;
     private final Map<String, Report> reports = new HashMap<>();
-    private final Map<Long, Long> placesUntil = new HashMap<>();  // by member
+    private final Map<Long, Long> placesUntil = new HashMap<>(); // by member
     private final Map<Long, Long> renewAt = new HashMap<>();
 
     public Bench(Rules rules) {
@@ -51,18 +49,26 @@
      * The verdicts that are to be given now. Tiers names the tier of every member that may be out; new ones are given
      * only where fresh is true, which is when all that a keeper before may have given is known or over.
      */
-    public List<Verdict> sit(long now, long term, String keeper, boolean fresh, Map<Long, String> tiers,
-            VerdictTable table, int routers) {
+    public List<Verdict> sit(
+            long now,
+            long term,
+            String keeper,
+            boolean fresh,
+            Map<Long, String> tiers,
+            VerdictTable table,
+            int routers) {
         reports.values().removeIf(r -> now >= r.until);
         placesUntil.values().removeIf(until -> now >= until);
-        if (table.standing(now).isEmpty() && reports.values().stream().allMatch(r -> r.accusations().isEmpty())) {
-            return List.of();  // as nearly always: a keeper sits at each report
+        if (table.standing(now).isEmpty()
+                && reports.values().stream().allMatch(r -> r.accusations().isEmpty())) {
+            return List.of(); // as nearly always: a keeper sits at each report
         }
         Map<Long, List<Accusation>> byMember = byMember();
         byMember.keySet().retainAll(tiers.keySet());
         Set<Long> guilty = byMember.entrySet().stream()
                 .filter(e -> count(e.getValue()) >= Math.min(rules.witnesses(), routers))
-                .map(Map.Entry::getKey).collect(Collectors.toSet());
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
         List<Verdict> given = new ArrayList<>();
         for (VerdictTable.Held held : table.standing(now)) {
             Verdict v = held.verdict();
@@ -75,13 +81,23 @@
             }
         }
         if (fresh) {
-            Set<Long> out = table.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
-            byMember.entrySet().stream().filter(e -> guilty.contains(e.getKey()) && !out.contains(e.getKey()))
+            Set<Long> out =
+                    table.standing(now).stream().map(h -> h.verdict().member()).collect(Collectors.toSet());
+            byMember.entrySet().stream()
+                    .filter(e -> guilty.contains(e.getKey()) && !out.contains(e.getKey()))
                     .sorted(Comparator.comparingInt((Map.Entry<Long, List<Accusation>> e) -> -count(e.getValue())))
                     .forEach(e -> {
                         if (room(e.getKey(), tiers)) {
-                            given.add(place(now, verdict(e.getKey(), e.getValue().get(0).started(), table, term, true,
-                                    e.getValue(), keeper)));
+                            given.add(place(
+                                    now,
+                                    verdict(
+                                            e.getKey(),
+                                            e.getValue().get(0).started(),
+                                            table,
+                                            term,
+                                            true,
+                                            e.getValue(),
+                                            keeper)));
                         }
                     });
         }
@@ -89,7 +105,8 @@
     }
 
     private Map<Long, List<Accusation>> byMember() {
-        Map<Long, List<Accusation>> byMember = reports.values().stream().flatMap(r -> r.accusations().stream())
+        Map<Long, List<Accusation>> byMember = reports.values().stream()
+                .flatMap(r -> r.accusations().stream())
                 .collect(Collectors.groupingBy(Accusation::member, TreeMap::new, Collectors.toList()));
         byMember.values().forEach(Bench::keepNewestProcess);
         return byMember;
@@ -102,9 +119,16 @@
     /** One accusation of each member by all that accuse it now, those with the most accusers first. */
     public List<Accusation> inSum(long now) {
         reports.values().removeIf(r -> now >= r.until);
-        return byMember().values().stream().map(l -> new Accusation(l.get(0).member(), l.get(0).started(), l.get(0).cause(),
-                l.get(0).strikes(), l.get(0).failShare(), count(l)))
-                .sorted(Comparator.comparingInt(Accusation::accusers).reversed()).toList();
+        return byMember().values().stream()
+                .map(l -> new Accusation(
+                        l.get(0).member(),
+                        l.get(0).started(),
+                        l.get(0).cause(),
+                        l.get(0).strikes(),
+                        l.get(0).failShare(),
+                        count(l)))
+                .sorted(Comparator.comparingInt(Accusation::accusers).reversed())
+                .toList();
     }
 
     private static void keepNewestProcess(List<Accusation> accusations) {
@@ -116,7 +140,9 @@
     private boolean room(long member, Map<Long, String> tiers) {
         String tier = tiers.get(member);
         long size = tiers.values().stream().filter(tier::equals).count();
-        long out = placesUntil.keySet().stream().filter(m -> tier.equals(tiers.get(m)) && m != member).count();
+        long out = placesUntil.keySet().stream()
+                .filter(m -> tier.equals(tiers.get(m)) && m != member)
+                .count();
         return out + 1 <= Math.floor(rules.mostOut() * size + 1e-9);
     }
 
@@ -126,20 +152,35 @@
         return v;
     }
 
-    private Verdict verdict(long member, long started, VerdictTable table, long term, boolean failing,
-            List<Accusation> evidence, String keeper) {
+    private Verdict verdict(
+            long member,
+            long started,
+            VerdictTable table,
+            long term,
+            boolean failing,
+            List<Accusation> evidence,
+            String keeper) {
         VerdictTable.Held held = table.on(member);
         Accusation worst = evidence.isEmpty() ? null : evidence.get(0);
-        return new Verdict(member, started, Verdict.next(held == null ? 0 : held.verdict().version(), term), failing,
-                rules.hold(), Math.min(count(evidence), Short.MAX_VALUE), worst == null ? Accusation.Cause.FAILING : worst.cause(),
-                worst == null ? 0 : worst.strikes(), worst == null ? 0 : worst.failShare(), keeper);
+        return new Verdict(
+                member,
+                started,
+                Verdict.next(held == null ? 0 : held.verdict().version(), term),
+                failing,
+                rules.hold(),
+                Math.min(count(evidence), Short.MAX_VALUE),
+                worst == null ? Accusation.Cause.FAILING : worst.cause(),
+                worst == null ? 0 : worst.strikes(),
+                worst == null ? 0 : worst.failShare(),
+                keeper);
     }
 
     /** How many accuse each member now. */
     public Map<Long, Long> accusers() {
-        return reports.values().stream().flatMap(r -> r.accusations().stream())
-                .collect(Collectors.groupingBy(Accusation::member, TreeMap::new,
-                        Collectors.summingLong(Accusation::accusers)));
+        return reports.values().stream()
+                .flatMap(r -> r.accusations().stream())
+                .collect(Collectors.groupingBy(
+                        Accusation::member, TreeMap::new, Collectors.summingLong(Accusation::accusers)));
     }
 
     /** The members whose places are taken. */
--- a/src/main/java/pumicemoor/fleet/verdicts/Verdict.java
+++ b/src/main/java/pumicemoor/fleet/verdicts/Verdict.java
@@ -7,8 +7,17 @@
  * term, then its count. It stands for the time that is left (microseconds), unless a newer one comes. The evidence
  * is that of the accuser with the most strikes; accusers tells how many there were.
  */
-public record Verdict(long member, long started, long version, boolean failing, long left, int accusers, Cause cause,
-        int strikes, double failShare, String keeper) {
+public record Verdict(
+        long member,
+        long started,
+        long version,
+        boolean failing,
+        long left,
+        int accusers,
+        Cause cause,
+        int strikes,
+        double failShare,
+        String keeper) {
 
     private static final int TERM_SHIFT = 24;
     private static final long MOST_TERM = 1L << 38;
--- a/src/main/java/pumicemoor/fleet/verdicts/VerdictTable.java
+++ b/src/main/java/pumicemoor/fleet/verdicts/VerdictTable.java
@@ -13,8 +13,7 @@
 public final class VerdictTable {
 
     /** A verdict and until when it stands here. */
-    public record Held(Verdict verdict, long until, long heardAt) {
-    }
+    public record Held(Verdict verdict, long until, long heardAt) {}
 
     private static final int MOST = 4_096;
 
@@ -23,7 +22,8 @@
     /** Takes a verdict; true where it was new. */
     public boolean take(long now, Verdict v, long longest) {
         Held held = byMember.get(v.member());
-        if (!Verdict.possible(v.version()) || v.left() > longest
+        if (!Verdict.possible(v.version())
+                || v.left() > longest
                 || held != null && held.verdict().version() >= v.version()
                 || held == null && byMember.size() >= MOST) {
             return false;
@@ -43,7 +43,9 @@
 
     /** Those that stand now. */
     public List<Held> standing(long now) {
-        return byMember.values().stream().filter(h -> h.verdict().failing() && now < h.until()).toList();
+        return byMember.values().stream()
+                .filter(h -> h.verdict().failing() && now < h.until())
+                .toList();
     }
 
     /** Those that have just ended without a newer one. */
--- a/src/main/java/pumicemoor/hierarchy/FillOrder.java
+++ b/src/main/java/pumicemoor/hierarchy/FillOrder.java
@@ -19,17 +19,17 @@
 
     private final Map<String, Integer> numbers = new HashMap<>();
     private String[] names = new String[16];
-    private int[] place = new int[16];  // of a unit in the order
-    private int[][] above = new int[16][];  // what it fills from
-    private int[][] below = new int[16][];  // what fills from it
+    private int[] place = new int[16]; // of a unit in the order
+    private int[][] above = new int[16][]; // what it fills from
+    private int[][] below = new int[16][]; // what fills from it
     private int[] aboveCount = new int[16];
     private int[] belowCount = new int[16];
     private boolean[] seen = new boolean[16];
-    private int size;  // numbers given out so far
-    private int[] free = new int[16];  // numbers of units that have left
+    private int size; // numbers given out so far
+    private int[] free = new int[16]; // numbers of units that have left
     private int freeCount;
-    private int nextPlace;  // places need no density, only their order counts
-    private int[] found = new int[16];  // of the search that is under way
+    private int nextPlace; // places need no density, only their order counts
+    private int[] found = new int[16]; // of the search that is under way
     private int foundCount;
     private int[] stack = new int[16];
     private long looked;
@@ -73,8 +73,12 @@
     /** The units that have a link to this one. */
     List<String> below(String parent) {
         Integer p = numbers.get(parent);
-        return p == null ? List.of()
-                : Arrays.stream(below[p], 0, belowCount[p]).mapToObj(n -> names[n]).sorted().toList();
+        return p == null
+                ? List.of()
+                : Arrays.stream(below[p], 0, belowCount[p])
+                        .mapToObj(n -> names[n])
+                        .sorted()
+                        .toList();
     }
 
     /** How many units the searches have looked at since the start; shows what an insertion costs. */
@@ -97,7 +101,7 @@
         int to = place[u];
         foundCount = 0;
         boolean loop = !search(p, above, aboveCount, from, to, u);
-        int ahead = foundCount;  // these must move behind
+        int ahead = foundCount; // these must move behind
         if (!loop) {
             search(u, below, belowCount, from, to, -1);
         }
@@ -137,7 +141,7 @@
             for (int i = 0; i < count[at]; i++) {
                 int reached = next[at][i];
                 if (reached == target) {
-                    while (depth > 0) {  // so that the caller clears their marks too
+                    while (depth > 0) { // so that the caller clears their marks too
                         found = push(found, foundCount++, stack[--depth]);
                     }
                     return false;
--- a/src/main/java/pumicemoor/hierarchy/Hierarchy.java
+++ b/src/main/java/pumicemoor/hierarchy/Hierarchy.java
@@ -34,22 +34,45 @@
     static final int MOST_TOGETHER = ShapeCheck.MOST_UNITS;
 
     /** Where news of the shape comes from: whole from the operator's file, or by pieces from the coordinator. */
-    public enum News { FILE, FEED }
+    public enum News {
+        FILE,
+        FEED
+    }
 
     /**
      * What a router is set to: the unit that stands for the caches of its location, where news comes from, and
      * how long a member that has started is cold.
      */
-    public record Setup(String depot, News news, Timing timing, long coldTime) {
-    }
+    public record Setup(String depot, News news, Timing timing, long coldTime) {}
 
     /** How a change goes on, from "nothing known for certain" to "all is as wanted". */
-    public enum Stage { AS_WANTED, MOVING, HELD, WAITING_FOR_NEWS, TOO_OLD }
+    public enum Stage {
+        AS_WANTED,
+        MOVING,
+        HELD,
+        WAITING_FOR_NEWS,
+        TOO_OLD
+    }
 
     /** All that can be seen of it; shares are of one, counts since the start. */
-    public record Snapshot(long version, Stage stage, double shareMoved, int unitsMoving, int linksHeld,
-            long pieces, long piecesTwice, long piecesLate, long piecesEarly, long piecesRefused, long loopsHeld,
-            long moves, long movesBack, long seeds, long shapesTaken, long shapesRefused, long timesTooOld,
+    public record Snapshot(
+            long version,
+            Stage stage,
+            double shareMoved,
+            int unitsMoving,
+            int linksHeld,
+            long pieces,
+            long piecesTwice,
+            long piecesLate,
+            long piecesEarly,
+            long piecesRefused,
+            long loopsHeld,
+            long moves,
+            long movesBack,
+            long seeds,
+            long shapesTaken,
+            long shapesRefused,
+            long timesTooOld,
             String lastRefusal) {
 
         /** By name, as status prints them. */
@@ -84,13 +107,13 @@
     private final Timeline timeline;
     private final TreeMap<String, Unit> wanted;
     private final TreeMap<Long, Piece> early = new TreeMap<>();
-    private final List<Piece> together = new ArrayList<>();  // of a whole shape that has not all come
+    private final List<Piece> together = new ArrayList<>(); // of a whole shape that has not all come
     private final Map<String, Long> started = new HashMap<>();
     private final boolean skipsAllowed;
     private long version;
-    private long number;  // of the last piece taken
-    private long certain;  // all pieces announced until then have come
-    private long silentUntil;  // a change that this router can't know may be under way
+    private long number; // of the last piece taken
+    private long certain; // all pieces announced until then have come
+    private long silentUntil; // a change that this router can't know may be under way
     private boolean tooOld;
     private boolean changed = true;
     private long twice, earlyCount, refused, shapesTaken, shapesRefused, timesTooOld;
@@ -115,8 +138,8 @@
      * Begins with a shape and, while some router may still follow it, the one before. Without that a change may
      * be under way that this router cannot know: it stays silent until any such change is over.
      */
-    public static Hierarchy start(Shape shape, Optional<Shape> before, long number, long now, Setup setup,
-            Consumer<Notice> log) {
+    public static Hierarchy start(
+            Shape shape, Optional<Shape> before, long number, long now, Setup setup, Consumer<Notice> log) {
         if (before.isPresent()) {
             Hierarchy h = new Hierarchy(before.get(), number, Math.min(now, shape.announced()), setup, log);
             pieces(before.get().units(), shape, h.number + 1).forEach(h::apply);
@@ -126,9 +149,12 @@
             return h;
         }
         Hierarchy h = new Hierarchy(shape, number, now, setup, log);
-        long hubs = shape.units().values().stream().filter(u -> u.kind() == Kind.HUB).count();
+        long hubs = shape.units().values().stream()
+                .filter(u -> u.kind() == Kind.HUB)
+                .count();
         Timing timing = setup.timing();
-        h.silentUntil = shape.announced() == 0 ? 0
+        h.silentUntil = shape.announced() == 0
+                ? 0
                 : shape.announced() + timing.lead() + (hubs + 1) * (timing.move() + timing.gap());
         return h;
     }
@@ -150,8 +176,10 @@
             problems.add(new Problem(ShapeCheck.Trouble.NO_WAY, "", "the shape comes from the coordinator here"));
         }
         if (shape.version() <= version && !shape.units().equals(wanted)) {
-            problems.add(new Problem(ShapeCheck.Trouble.NO_WAY, "", "version " + shape.version()
-                    + " is not above version " + version + ", which is in force"));
+            problems.add(new Problem(
+                    ShapeCheck.Trouble.NO_WAY,
+                    "",
+                    "version " + shape.version() + " is not above version " + version + ", which is in force"));
         }
         if (!problems.isEmpty()) {
             refuseShape(shape.version(), problems.get(0).text());
@@ -167,17 +195,35 @@
 
     /** The pieces that lead from some units to a whole shape, children of removed units first by name. */
     public static List<Piece> pieces(Map<String, Unit> from, Shape to, long firstNumber) {
-        List<Unit> changed = to.units().values().stream().filter(u -> !u.equals(from.get(u.name()))).toList();
-        List<Unit> gone = from.values().stream().filter(u -> !to.units().containsKey(u.name())).toList();
+        List<Unit> changed = to.units().values().stream()
+                .filter(u -> !u.equals(from.get(u.name())))
+                .toList();
+        List<Unit> gone = from.values().stream()
+                .filter(u -> !to.units().containsKey(u.name()))
+                .toList();
         int count = changed.size() + gone.size();
         List<Piece> pieces = new ArrayList<>(count);
         for (Unit u : changed) {
-            pieces.add(new Piece(firstNumber + pieces.size(), to.announced(), to.version(), count, u.name(), u.kind(),
-                    u.parents(), false));
+            pieces.add(new Piece(
+                    firstNumber + pieces.size(),
+                    to.announced(),
+                    to.version(),
+                    count,
+                    u.name(),
+                    u.kind(),
+                    u.parents(),
+                    false));
         }
         for (Unit u : gone) {
-            pieces.add(new Piece(firstNumber + pieces.size(), to.announced(), to.version(), count, u.name(), u.kind(),
-                    Map.of(), true));
+            pieces.add(new Piece(
+                    firstNumber + pieces.size(),
+                    to.announced(),
+                    to.version(),
+                    count,
+                    u.name(),
+                    u.kind(),
+                    Map.of(),
+                    true));
         }
         return pieces;
     }
@@ -191,7 +237,7 @@
             earlyCount++;
             early.put(piece.number(), piece);
             if (early.size() > MOST_EARLY) {
-                early.pollLastEntry();  // it will be told again, as what is missing must be
+                early.pollLastEntry(); // it will be told again, as what is missing must be
             }
         } else {
             inTurn(piece);
@@ -212,10 +258,13 @@
 
     private void inTurn(Piece piece) {
         number = piece.number();
-        if (!together.isEmpty() && (piece.version() != together.get(0).version()
-                || piece.pieces() != together.get(0).pieces())) {
-            refuseShape(together.get(0).version(), "piece " + piece.number() + " belongs to another shape, and "
-                    + together.size() + " of " + together.get(0).pieces() + " had come");
+        if (!together.isEmpty()
+                && (piece.version() != together.get(0).version()
+                        || piece.pieces() != together.get(0).pieces())) {
+            refuseShape(
+                    together.get(0).version(),
+                    "piece " + piece.number() + " belongs to another shape, and " + together.size() + " of "
+                            + together.get(0).pieces() + " had come");
             together.clear();
         }
         if (piece.pieces() <= 0) {
@@ -240,8 +289,9 @@
         } else {
             refused++;
             lastRefusal = "piece " + piece.number() + ": " + problem;
-            log.accept(new Notice("a piece of the hierarchy is refused: " + problem, Map.of("piece", piece.number(),
-                    "unit", piece.unit())));
+            log.accept(new Notice(
+                    "a piece of the hierarchy is refused: " + problem,
+                    Map.of("piece", piece.number(), "unit", piece.unit())));
         }
     }
 
@@ -262,8 +312,8 @@
         for (Map.Entry<String, Double> parent : piece.parents().entrySet()) {
             Unit above = wanted.get(parent.getKey());
             if (!(parent.getValue() > 0 && parent.getValue() <= ShapeCheck.MOST_WEIGHT)
-                    || parent.getKey().equals(piece.unit()) || above != null && (above.kind() == Kind.DEPOT
-                    || above.kind().level < piece.kind().level)) {
+                    || parent.getKey().equals(piece.unit())
+                    || above != null && (above.kind() == Kind.DEPOT || above.kind().level < piece.kind().level)) {
                 return "'" + piece.unit() + "' may not fill from '" + parent.getKey() + "' with the weight "
                         + parent.getValue();
             }
@@ -310,7 +360,8 @@
     private void refuseShape(long refusedVersion, String why) {
         shapesRefused++;
         lastRefusal = "version " + refusedVersion + ": " + why;
-        log.accept(new Notice("a hierarchy is refused, the old one stays in force: " + why,
+        log.accept(new Notice(
+                "a hierarchy is refused, the old one stays in force: " + why,
                 Map.of("version", refusedVersion, "in-force", version)));
     }
 
@@ -323,13 +374,16 @@
         }
         timeline.advance(Math.min(now, certain + setup.timing().lead()));
         boolean old = now < silentUntil
-                || now - certain > setup.timing().lead() + setup.timing().gap() / 2;  // half is for clocks
+                || now - certain > setup.timing().lead() + setup.timing().gap() / 2; // half is for clocks
         if (old != tooOld) {
             tooOld = old;
             changed = true;
             timesTooOld += old ? 1 : 0;
-            log.accept(new Notice(old ? "the hierarchy's news is too old: the ordinary path decides"
-                    : "the hierarchy's news is certain again", Map.of("version", version)));
+            log.accept(new Notice(
+                    old
+                            ? "the hierarchy's news is too old: the ordinary path decides"
+                            : "the hierarchy's news is certain again",
+                    Map.of("version", version)));
         }
     }
 
@@ -339,14 +393,17 @@
         if (setup.news() == News.FILE) {
             return next;
         }
-        long old = tooOld ? Long.MAX_VALUE : certain + setup.timing().lead() + setup.timing().gap() / 2 + 1;
+        long old = tooOld
+                ? Long.MAX_VALUE
+                : certain + setup.timing().lead() + setup.timing().gap() / 2 + 1;
         return next <= certain + setup.timing().lead() ? Math.min(next, old) : old;
     }
 
     private void told(Timeline.Change change) {
         changed = true;
         if (change.what() == Timeline.Change.What.HELD) {
-            log.accept(new Notice("a link of the hierarchy would close a loop and is held back",
+            log.accept(new Notice(
+                    "a link of the hierarchy would close a loop and is held back",
                     Map.of("unit", change.link().unit(), "parent", change.link().parent(), "version", version)));
         }
     }
@@ -369,9 +426,14 @@
             for (Branch b : timeline.all()) {
                 boolean own = b.kind != Kind.DEPOT;
                 if ((own || b.name.equals(setup.depot())) && !b.current.isEmpty()) {
-                    lists.put(own ? memberId.applyAsLong(b.name) : SourcesGiven.LOCATION,
-                            new SourceList(list(b, b.current, memberId), list(b, b.before, memberId), list(b, b.earlier, memberId),
-                                    b.flipped, seeds.getOrDefault(b.name, List.of())));
+                    lists.put(
+                            own ? memberId.applyAsLong(b.name) : SourcesGiven.LOCATION,
+                            new SourceList(
+                                    list(b, b.current, memberId),
+                                    list(b, b.before, memberId),
+                                    list(b, b.earlier, memberId),
+                                    b.flipped,
+                                    seeds.getOrDefault(b.name, List.of())));
                 }
             }
         }
@@ -385,10 +447,15 @@
             boolean fresh = start > 0 && branch.moving() && branch.until - start < setup.coldTime()
                     || start > branch.from && branch.moving();
             long opens = fresh ? Math.max(branch.from, start) : branch.from;
-            long full = fresh ? Math.max(branch.until, start + Math.max(setup.timing().move(), setup.coldTime()))
+            long full = fresh
+                    ? Math.max(branch.until, start + Math.max(setup.timing().move(), setup.coldTime()))
                     : branch.until;
-            sources.add(new Source(memberId.applyAsLong(e.getKey()), e.getValue(),
-                    start > branch.from ? 0 : branch.startShare, opens, full));
+            sources.add(new Source(
+                    memberId.applyAsLong(e.getKey()),
+                    e.getValue(),
+                    start > branch.from ? 0 : branch.startShare,
+                    opens,
+                    full));
         });
         return sources;
     }
@@ -400,12 +467,30 @@
         for (Branch b : timeline.all()) {
             moving += b.moving() ? 1 : 0;
         }
-        Stage stage = tooOld ? Stage.TOO_OLD : !early.isEmpty() || !together.isEmpty() ? Stage.WAITING_FOR_NEWS
-                : timeline.held() > 0 ? Stage.HELD : timeline.quiet() ? Stage.AS_WANTED : Stage.MOVING;
-        return new Snapshot(version, stage, mine == null ? 1 : timeline.share(mine), moving, timeline.held(),
-                timeline.count(Count.PIECES), twice, timeline.count(Count.LATE), earlyCount, refused,
-                timeline.count(Count.HELD), timeline.count(Count.MOVES), timeline.count(Count.BACK),
-                timeline.count(Count.SEEDS), shapesTaken, shapesRefused, timesTooOld, lastRefusal);
+        Stage stage = tooOld
+                ? Stage.TOO_OLD
+                : !early.isEmpty() || !together.isEmpty()
+                        ? Stage.WAITING_FOR_NEWS
+                        : timeline.held() > 0 ? Stage.HELD : timeline.quiet() ? Stage.AS_WANTED : Stage.MOVING;
+        return new Snapshot(
+                version,
+                stage,
+                mine == null ? 1 : timeline.share(mine),
+                moving,
+                timeline.held(),
+                timeline.count(Count.PIECES),
+                twice,
+                timeline.count(Count.LATE),
+                earlyCount,
+                refused,
+                timeline.count(Count.HELD),
+                timeline.count(Count.MOVES),
+                timeline.count(Count.BACK),
+                timeline.count(Count.SEEDS),
+                shapesTaken,
+                shapesRefused,
+                timesTooOld,
+                lastRefusal);
     }
 
     Timeline timeline() {
--- a/src/main/java/pumicemoor/hierarchy/MovePlan.java
+++ b/src/main/java/pumicemoor/hierarchy/MovePlan.java
@@ -14,9 +14,13 @@
 public record MovePlan(List<Step> steps, List<Problem> problems, boolean arrives) {
 
     /** A step: so long after the announcement (microseconds) these links begin, leave, and end. */
-    public record Step(long after, List<String> begin, List<String> leave, List<String> end, List<String> held,
-            List<String> seeds) {
-    }
+    public record Step(
+            long after,
+            List<String> begin,
+            List<String> leave,
+            List<String> end,
+            List<String> held,
+            List<String> seeds) {}
 
     /** A plan can be followed when nothing is wrong with the new shape and the change comes to its end. */
     public boolean usable() {
@@ -26,33 +30,48 @@
     /** Plays the change; the old shape must be one without problems. */
     public static MovePlan between(Shape old, Shape next, Timing timing) {
         List<Problem> problems = new ArrayList<>(ShapeCheck.problems(next, Set.of()));
-        next.units().values().stream().filter(u -> old.units().containsKey(u.name())
-                && old.units().get(u.name()).kind() != u.kind() && u.kind() != Kind.ORIGIN)
-                .forEach(u -> problems.add(new Problem(ShapeCheck.Trouble.DOWNWARD, u.name(), "'" + u.name()
-                        + "' is a " + old.units().get(u.name()).kind() + " and can't become a " + u.kind()
-                        + " while it runs")));
+        next.units().values().stream()
+                .filter(u -> old.units().containsKey(u.name())
+                        && old.units().get(u.name()).kind() != u.kind()
+                        && u.kind() != Kind.ORIGIN)
+                .forEach(u -> problems.add(new Problem(
+                        ShapeCheck.Trouble.DOWNWARD,
+                        u.name(),
+                        "'" + u.name()
+                                + "' is a " + old.units().get(u.name()).kind() + " and can't become a " + u.kind()
+                                + " while it runs")));
         if (!problems.isEmpty()) {
             return new MovePlan(List.of(), List.copyOf(problems), false);
         }
         List<Change> changes = new ArrayList<>();
         Timeline timeline = new Timeline(old, 0, timing, changes::add);
         for (Piece p : Hierarchy.pieces(old.units(), next, 1)) {
-            timeline.take(new Piece(p.number(), 0, p.version(), p.pieces(), p.unit(), p.kind(), p.parents(), p.removed()));
+            timeline.take(
+                    new Piece(p.number(), 0, p.version(), p.pieces(), p.unit(), p.kind(), p.parents(), p.removed()));
         }
         for (long at = timeline.nextChange(); at < Long.MAX_VALUE; at = timeline.nextChange()) {
             timeline.advance(at);
         }
         List<Step> steps = new ArrayList<>();
-        for (int i = 0; i < changes.size();) {
+        for (int i = 0; i < changes.size(); ) {
             long at = changes.get(i).at();
             int end = i;
             while (end < changes.size() && changes.get(end).at() == at) {
                 end++;
             }
             List<Change> now = changes.subList(i, end);
-            Step step = new Step(at, links(now, Change.What.IN_USE), links(now, Change.What.LEAVING),
-                    links(now, Change.What.OUT_OF_USE), links(now, Change.What.HELD), links(now, Change.What.SEED));
-            if (step.begin().size() + step.leave().size() + step.end().size() + step.held().size() > 0) {
+            Step step = new Step(
+                    at,
+                    links(now, Change.What.IN_USE),
+                    links(now, Change.What.LEAVING),
+                    links(now, Change.What.OUT_OF_USE),
+                    links(now, Change.What.HELD),
+                    links(now, Change.What.SEED));
+            if (step.begin().size()
+                            + step.leave().size()
+                            + step.end().size()
+                            + step.held().size()
+                    > 0) {
                 steps.add(step);
             }
             i = end;
@@ -61,6 +80,9 @@
     }
 
     private static List<String> links(List<Change> changes, Change.What what) {
-        return changes.stream().filter(c -> c.what() == what).map(c -> c.link().toString()).toList();
+        return changes.stream()
+                .filter(c -> c.what() == what)
+                .map(c -> c.link().toString())
+                .toList();
     }
 }
--- a/src/main/java/pumicemoor/hierarchy/Piece.java
+++ b/src/main/java/pumicemoor/hierarchy/Piece.java
@@ -9,8 +9,15 @@
  * a gap; of several pieces for one unit the highest number holds. The count of a whole shape is that of its
  * pieces when they are to be taken together or not at all, else 0. Announced is Unix microseconds.
  */
-public record Piece(long number, long announced, long version, int pieces, String unit, Kind kind,
-        Map<String, Double> parents, boolean removed) {
+public record Piece(
+        long number,
+        long announced,
+        long version,
+        int pieces,
+        String unit,
+        Kind kind,
+        Map<String, Double> parents,
+        boolean removed) {
 
     public Piece {
         parents = Map.copyOf(parents);
--- a/src/main/java/pumicemoor/hierarchy/Shape.java
+++ b/src/main/java/pumicemoor/hierarchy/Shape.java
@@ -11,7 +11,10 @@
 
     /** The levels, from the clients up. A depot stands for all its caches that are no units of their own. */
     public enum Kind {
-        DEPOT(0), CACHE(0), HUB(1), ORIGIN(2);
+        DEPOT(0),
+        CACHE(0),
+        HUB(1),
+        ORIGIN(2);
 
         /** A unit may fill from its own level or one above, never from below. */
         public final int level;
--- a/src/main/java/pumicemoor/hierarchy/ShapeCheck.java
+++ b/src/main/java/pumicemoor/hierarchy/ShapeCheck.java
@@ -25,8 +25,18 @@
     private static final int MOST_PROBLEMS = 20;
 
     /** The kinds of trouble. */
-    public enum Trouble { NO_ORIGIN, TOO_LARGE, UNKNOWN_UNIT, UNKNOWN_MEMBER, ORPHAN, DOWNWARD, LEVEL_SKIPPED, WEIGHT,
-        LOOP, NO_WAY }
+    public enum Trouble {
+        NO_ORIGIN,
+        TOO_LARGE,
+        UNKNOWN_UNIT,
+        UNKNOWN_MEMBER,
+        ORPHAN,
+        DOWNWARD,
+        LEVEL_SKIPPED,
+        WEIGHT,
+        LOOP,
+        NO_WAY
+    }
 
     /** One trouble at one unit, in words. */
     public record Problem(Trouble trouble, String unit, String text) {
@@ -36,8 +46,7 @@
         }
     }
 
-    private ShapeCheck() {
-    }
+    private ShapeCheck() {}
 
     /** All problems, the first twenty at most. Members empty: they are not known yet and not looked at. */
     public static List<Problem> problems(Shape shape, Set<String> members) {
@@ -54,18 +63,21 @@
             unitProblems(shape, unit, members, hubs, problems);
         }
         if (problems.isEmpty()) {
-            loop(units).ifPresent(path -> problems.add(new Problem(Trouble.LOOP, path.get(0),
-                    "a loop: " + String.join(" <- ", path))));
+            loop(units)
+                    .ifPresent(path -> problems.add(
+                            new Problem(Trouble.LOOP, path.get(0), "a loop: " + String.join(" <- ", path))));
             Set<String> reached = withWay(units);
-            units.keySet().stream().filter(u -> !reached.contains(u)).forEach(u -> problems.add(
-                    new Problem(Trouble.NO_WAY, u, "'" + u + "' has no way to the origin")));
+            units.keySet().stream()
+                    .filter(u -> !reached.contains(u))
+                    .forEach(u -> problems.add(new Problem(Trouble.NO_WAY, u, "'" + u + "' has no way to the origin")));
         }
-        return problems.size() > MOST_PROBLEMS ? List.copyOf(problems.subList(0, MOST_PROBLEMS))
+        return problems.size() > MOST_PROBLEMS
+                ? List.copyOf(problems.subList(0, MOST_PROBLEMS))
                 : List.copyOf(problems);
     }
 
-    private static void unitProblems(Shape shape, Unit unit, Set<String> members, boolean hubs,
-            List<Problem> problems) {
+    private static void unitProblems(
+            Shape shape, Unit unit, Set<String> members, boolean hubs, List<Problem> problems) {
         String name = "'" + unit.name() + "'";
         if (unit.kind() != Kind.DEPOT && !members.isEmpty() && !members.contains(unit.name())) {
             problems.add(new Problem(Trouble.UNKNOWN_MEMBER, unit.name(), name + " is no member that is listed"));
@@ -76,26 +88,38 @@
         unit.parents().forEach((parentName, weight) -> {
             Unit parent = shape.units().get(parentName);
             if (!(weight > 0 && weight <= MOST_WEIGHT)) {
-                problems.add(new Problem(Trouble.WEIGHT, unit.name(), name + " gives '" + parentName
-                        + "' the weight " + weight + ": over 0, at most " + (long) MOST_WEIGHT));
+                problems.add(new Problem(
+                        Trouble.WEIGHT,
+                        unit.name(),
+                        name + " gives '" + parentName + "' the weight " + weight + ": over 0, at most "
+                                + (long) MOST_WEIGHT));
             }
             if (parent == null) {
-                problems.add(new Problem(Trouble.UNKNOWN_UNIT, unit.name(), name + " fills from '" + parentName
-                        + "', which the shape does not have"));
-            } else if (parent.kind() == Kind.DEPOT || parent.kind().level < unit.kind().level
-                    || unit.kind() == Kind.ORIGIN || unit.kind() == Kind.DEPOT && parent.kind() == Kind.CACHE) {
-                problems.add(new Problem(Trouble.DOWNWARD, unit.name(), name + " may not fill from '" + parentName
-                        + "': a " + parent.kind().name().toLowerCase(java.util.Locale.ROOT) + " is not above it"));
+                problems.add(new Problem(
+                        Trouble.UNKNOWN_UNIT,
+                        unit.name(),
+                        name + " fills from '" + parentName + "', which the shape does not have"));
+            } else if (parent.kind() == Kind.DEPOT
+                    || parent.kind().level < unit.kind().level
+                    || unit.kind() == Kind.ORIGIN
+                    || unit.kind() == Kind.DEPOT && parent.kind() == Kind.CACHE) {
+                problems.add(new Problem(
+                        Trouble.DOWNWARD,
+                        unit.name(),
+                        name + " may not fill from '" + parentName + "': a "
+                                + parent.kind().name().toLowerCase(java.util.Locale.ROOT) + " is not above it"));
             } else if (hubs && !shape.skipsAllowed() && parent.kind().level > unit.kind().level + 1) {
-                problems.add(new Problem(Trouble.LEVEL_SKIPPED, unit.name(), name + " fills from '" + parentName
-                        + "' past the hubs; allow-skips permits that"));
+                problems.add(new Problem(
+                        Trouble.LEVEL_SKIPPED,
+                        unit.name(),
+                        name + " fills from '" + parentName + "' past the hubs; allow-skips permits that"));
             }
         });
     }
 
     /** A loop as its units in order, the first again at the end. */
     static java.util.Optional<List<String>> loop(Map<String, Unit> units) {
-        Map<String, Integer> state = new HashMap<>();  // 1 on the way, 2 done
+        Map<String, Integer> state = new HashMap<>(); // 1 on the way, 2 done
         for (String start : units.keySet()) {
             Deque<String> path = new ArrayDeque<>();
             Deque<java.util.Iterator<String>> open = new ArrayDeque<>();
@@ -134,8 +158,9 @@
 
     private static Set<String> withWay(Map<String, Unit> units) {
         Map<String, List<String>> children = new HashMap<>();
-        units.values().forEach(u -> u.parents().keySet().forEach(
-                p -> children.computeIfAbsent(p, k -> new ArrayList<>()).add(u.name())));
+        units.values()
+                .forEach(u -> u.parents().keySet().forEach(p -> children.computeIfAbsent(p, k -> new ArrayList<>())
+                        .add(u.name())));
         Set<String> reached = new HashSet<>();
         Deque<String> open = new ArrayDeque<>();
         units.values().stream().filter(u -> u.kind() == Kind.ORIGIN).forEach(u -> open.add(u.name()));
--- a/src/main/java/pumicemoor/hierarchy/Timeline.java
+++ b/src/main/java/pumicemoor/hierarchy/Timeline.java
@@ -30,11 +30,26 @@
 final class Timeline {
 
     /** What is counted. */
-    enum Count { PIECES, LATE, HELD, MOVES, BACK, SEEDS, SEEDS_LEFT_OUT }
+    enum Count {
+        PIECES,
+        LATE,
+        HELD,
+        MOVES,
+        BACK,
+        SEEDS,
+        SEEDS_LEFT_OUT
+    }
 
     /** Tells of one change of the links, for logs and plans. */
     record Change(long at, What what, Link link) {
-        enum What { IN_USE, LEAVING, OUT_OF_USE, FREE, HELD, SEED }
+        enum What {
+            IN_USE,
+            LEAVING,
+            OUT_OF_USE,
+            FREE,
+            HELD,
+            SEED
+        }
     }
 
     /** What a unit fills from now and until its move is over, and how far the move has come. */
@@ -44,15 +59,15 @@
         Map<String, Double> wanted = Map.of();
         Map<String, Double> current = Map.of();
         Map<String, Double> before = Map.of();
-        Map<String, Double> earlier = Map.of();  // the same, remembered when the move is over
-        Set<String> held = Set.of();  // wanted parents that would close a loop
-        Piece next;  // waits for the end of the move
-        long from = Long.MIN_VALUE;  // when the move began
-        long until = Long.MIN_VALUE;  // when it ends
-        double startShare;  // share of the objects at the new parents when the move began
-        boolean flipped;  // the move goes back: the objects that had moved last return first
+        Map<String, Double> earlier = Map.of(); // the same, remembered when the move is over
+        Set<String> held = Set.of(); // wanted parents that would close a loop
+        Piece next; // waits for the end of the move
+        long from = Long.MIN_VALUE; // when the move began
+        long until = Long.MIN_VALUE; // when it ends
+        double startShare; // share of the objects at the new parents when the move began
+        boolean flipped; // the move goes back: the objects that had moved last return first
         boolean removed;
-        boolean waits;  // for seeds that run the other way
+        boolean waits; // for seeds that run the other way
 
         Branch(String name) {
             this.name = name;
@@ -63,18 +78,16 @@
         }
     }
 
-    private record Timer(long at, Link link) {
-    }
+    private record Timer(long at, Link link) {}
 
-    private record Coming(long at, Piece piece) {
-    }
+    private record Coming(long at, Piece piece) {}
 
     private final Timing timing;
     private final Consumer<Change> changes;
     private final FillOrder order = new FillOrder();
     private final TreeMap<String, Branch> branches = new TreeMap<>();
-    private final Map<Link, Long> seeds = new TreeMap<>();  // a new parent fills from the one before, until
-    private final Map<Link, Long> lingering = new HashMap<>();  // out of use, still in the order, until
+    private final Map<Link, Long> seeds = new TreeMap<>(); // a new parent fills from the one before, until
+    private final Map<Link, Long> lingering = new HashMap<>(); // out of use, still in the order, until
     private final PriorityQueue<Timer> freeing = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : a.link().compareTo(b.link()));
     private final PriorityQueue<Timer> moveEnds = new PriorityQueue<>(
@@ -82,10 +95,10 @@
     private final PriorityQueue<Timer> seedEnds = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : a.link().compareTo(b.link()));
     private final Queue<Coming> coming = new ArrayDeque<>();
-    private final TreeSet<String> unmet = new TreeSet<>();  // units with held links or a piece that waits
+    private final TreeSet<String> unmet = new TreeSet<>(); // units with held links or a piece that waits
     private final long[] counts = new long[Count.values().length];
     private long now;
-    private long lastAt = Long.MIN_VALUE;  // when the last piece acts
+    private long lastAt = Long.MIN_VALUE; // when the last piece acts
 
     /** Begins with a shape wholly in use. */
     Timeline(Shape shape, long start, Timing timing, Consumer<Change> changes) {
@@ -129,8 +142,10 @@
     /** When something happens next; Long.MAX_VALUE for never. */
     long nextChange() {
         long at = Long.MAX_VALUE;
-        while (!freeing.isEmpty() && !Long.valueOf(freeing.peek().at()).equals(lingering.get(freeing.peek().link()))) {
-            freeing.poll();  // the link came back into use
+        while (!freeing.isEmpty()
+                && !Long.valueOf(freeing.peek().at())
+                        .equals(lingering.get(freeing.peek().link()))) {
+            freeing.poll(); // the link came back into use
         }
         if (!freeing.isEmpty()) {
             at = freeing.peek().at();
@@ -169,7 +184,7 @@
             branch.next = piece;
             touched.add(piece.unit());
             if (piece.removed()) {
-                touched.addAll(order.below(piece.unit()));  // they must leave it first
+                touched.addAll(order.below(piece.unit())); // they must leave it first
             }
         }
         settle(new LinkedHashSet<>(touched));
@@ -181,7 +196,7 @@
             adopt(branch(name));
         }
         boolean more = true;
-        while (more) {  // who was let in may be what another waits for
+        while (more) { // who was let in may be what another waits for
             more = false;
             for (String name : touched) {
                 Branch branch = branch(name);
@@ -200,7 +215,7 @@
             forgetIfGone(branch);
         }
         if (touched.stream().map(branches::get).anyMatch(b -> b != null && !b.held.isEmpty())) {
-            List.copyOf(seeds.keySet()).forEach(this::endSeed);  // a help only; it must hold nobody up
+            List.copyOf(seeds.keySet()).forEach(this::endSeed); // a help only; it must hold nobody up
         }
     }
 
@@ -212,8 +227,7 @@
         }
         Map<String, Double> wanted = piece.removed() ? Map.of() : piece.parents();
         boolean back = branch.moving() && wanted.equals(branch.before);
-        if (branch.moving() && !back && !wanted.equals(branch.wanted)
-                || piece.removed() && followed(branch.name)) {
+        if (branch.moving() && !back && !wanted.equals(branch.wanted) || piece.removed() && followed(branch.name)) {
             return;
         }
         if (back && waitsForSeeds(branch.before, branch.current)) {
@@ -236,7 +250,8 @@
 
     /** Whether others may still fill from a unit that is to go; what it only holds from before does not keep it. */
     private boolean followed(String unit) {
-        List<Link> links = order.below(unit).stream().map(b -> new Link(b, unit)).toList();
+        List<Link> links =
+                order.below(unit).stream().map(b -> new Link(b, unit)).toList();
         if (seeds.keySet().containsAll(links)) {
             links.forEach(this::endSeed);
         }
@@ -253,9 +268,11 @@
         Set<String> held = new TreeSet<>();
         for (String parent : new TreeSet<>(branch.wanted.keySet())) {
             Branch above = branches.get(parent);
-            if (above == null || above.removed || above.next != null && above.next.removed()
+            if (above == null
+                    || above.removed
+                    || above.next != null && above.next.removed()
                     || above.kind != Kind.ORIGIN && above.current.isEmpty()) {
-                held.add(parent);  // not there yet, without a way of its own yet, or about to go
+                held.add(parent); // not there yet, without a way of its own yet, or about to go
             } else if (order.add(branch.name, parent)) {
                 entering.put(parent, branch.wanted.get(parent));
             } else {
@@ -267,7 +284,7 @@
             }
         }
         branch.held = held;
-        if (!entering.isEmpty() && !entering.equals(branch.current)) {  // else what was is kept
+        if (!entering.isEmpty() && !entering.equals(branch.current)) { // else what was is kept
             if (!branch.current.isEmpty() && waitsForSeeds(entering, branch.current)) {
                 branch.waits = true;
                 entering.keySet().forEach(parent -> release(new Link(branch.name, parent)));
@@ -286,11 +303,13 @@
         branch.until = now + Math.round(timing.move() * (1 - branch.startShare));
         to.keySet().stream().sorted().forEach(p -> use(branch, p));
         if (from.isEmpty()) {
-            return;  // its first parents: there is nothing to move
+            return; // its first parents: there is nothing to move
         }
         counts[Count.MOVES.ordinal()]++;
         moveEnds.add(new Timer(branch.until, new Link(branch.name, "")));
-        from.keySet().stream().filter(p -> !to.containsKey(p)).sorted()
+        from.keySet().stream()
+                .filter(p -> !to.containsKey(p))
+                .sorted()
                 .forEach(p -> tell(Change.What.LEAVING, new Link(branch.name, p)));
         branch.earlier = branch.before;
         seedsFor(to, from).forEach(l -> seed(l, branch.until + timing.remember()));
@@ -299,7 +318,7 @@
     private void use(Branch branch, String parent) {
         Link link = new Link(branch.name, parent);
         lingering.remove(link);
-        seeds.remove(link);  // it is a link in its own right now
+        seeds.remove(link); // it is a link in its own right now
         if (!branch.before.containsKey(parent)) {
             tell(Change.What.IN_USE, link);
         }
@@ -312,8 +331,12 @@
             for (String old : new TreeSet<>(from.keySet())) {
                 Branch above = branches.get(fresh);
                 Branch below = branches.get(old);
-                if (!fresh.equals(old) && !(from.containsKey(fresh) && to.containsKey(old)) && above != null
-                        && below != null && above.kind == Kind.HUB && below.kind == Kind.HUB
+                if (!fresh.equals(old)
+                        && !(from.containsKey(fresh) && to.containsKey(old))
+                        && above != null
+                        && below != null
+                        && above.kind == Kind.HUB
+                        && below.kind == Kind.HUB
                         && !inUse(above, old)) {
                     links.add(new Link(fresh, old));
                 }
@@ -357,9 +380,11 @@
             Map<String, Double> left = branch.before;
             branch.before = Map.of();
             branch.flipped = false;
-            left.keySet().stream().filter(p -> !inUse(branch, p)).sorted()
+            left.keySet().stream()
+                    .filter(p -> !inUse(branch, p))
+                    .sorted()
                     .forEach(p -> linger(new Link(branch.name, p)));
-            unmet.add(branch.name);  // a piece may have waited for this
+            unmet.add(branch.name); // a piece may have waited for this
         }
     }
 
@@ -449,14 +474,21 @@
     /** Everything of a unit, for tests that fail. */
     String describe(String unit) {
         Branch b = branches.get(unit);
-        return b == null ? unit + " is not there" : unit + " wants " + b.wanted + " has " + b.current + " leaves "
-                + b.before + " until " + b.until + " held " + b.held + " next " + b.next + " removed " + b.removed
-                + " waits " + b.waits + "; below " + order.below(unit) + "; now " + now + ", seeds " + seeds
-                + ", lingering " + lingering + ", unmet " + unmet;
+        return b == null
+                ? unit + " is not there"
+                : unit + " wants " + b.wanted + " has " + b.current + " leaves "
+                        + b.before + " until " + b.until + " held " + b.held + " next " + b.next + " removed "
+                        + b.removed
+                        + " waits " + b.waits + "; below " + order.below(unit) + "; now " + now + ", seeds " + seeds
+                        + ", lingering " + lingering + ", unmet " + unmet;
     }
 
     int held() {
-        return (int) unmet.stream().map(branches::get).filter(b -> b != null).mapToInt(b -> b.held.size()).sum();
+        return (int) unmet.stream()
+                .map(branches::get)
+                .filter(b -> b != null)
+                .mapToInt(b -> b.held.size())
+                .sum();
     }
 
     long now() {
--- a/src/main/java/pumicemoor/hierarchy/Timing.java
+++ b/src/main/java/pumicemoor/hierarchy/Timing.java
@@ -11,8 +11,8 @@
 
     public Timing {
         if (lead < 0 || move < 0 || gap <= 0 || remember < 0) {
-            throw new IllegalArgumentException("times of a change: lead " + lead + ", move " + move + ", gap " + gap
-                    + ", remember " + remember);
+            throw new IllegalArgumentException(
+                    "times of a change: lead " + lead + ", move " + move + ", gap " + gap + ", remember " + remember);
         }
     }
 }
--- a/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
+++ b/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
@@ -19,10 +19,9 @@
  */
 final class CoordinatorStandIn implements AutoCloseable {
 
-    private static final long BEAT = 200;  // milliseconds between looks at what is due
+    private static final long BEAT = 200; // milliseconds between looks at what is due
 
-    private record Event(long at, String data) {
-    }
+    private record Event(long at, String data) {}
 
     private final ServerSocket listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
     private final ExecutorService work;
@@ -30,8 +29,8 @@
     private final Random random;
     private final List<Event> events = new ArrayList<>();
     private long lastPiece;
-    private volatile long answerDelay;  // milliseconds between a router's question and the first byte of the stream
-    private volatile int resets;  // connections still to be reset as soon as they ask
+    private volatile long answerDelay; // milliseconds between a router's question and the first byte of the stream
+    private volatile int resets; // connections still to be reset as soon as they ask
 
     CoordinatorStandIn(ExecutorService work, int jitterMillis, long seed) throws IOException {
         this.work = work;
@@ -89,12 +88,13 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             int last = 0;
             for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
                 if (line.toLowerCase(java.util.Locale.ROOT).startsWith("last-event-id:")) {
-                    last = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+                    last = Integer.parseInt(
+                            line.substring(line.indexOf(':') + 1).trim());
                 }
             }
             if (resetThis()) {
--- a/src/main/java/pumicemoor/lab/FaultNetwork.java
+++ b/src/main/java/pumicemoor/lab/FaultNetwork.java
@@ -32,11 +32,12 @@
         return t;
     });
     private final Random random;
-    private final AtomicLongArray counts;  // for each process: packets and bytes that it sent, packets and bytes that came
+    private final AtomicLongArray
+            counts; // for each process: packets and bytes that it sent, packets and bytes that came
     private volatile BiPredicate<Integer, Integer> cut = (from, to) -> false;
     private volatile double loss;
     private volatile double doubled;
-    private volatile int mostDelay;  // milliseconds
+    private volatile int mostDelay; // milliseconds
 
     /** A network for so many processes; its draws come from the seed. */
     FaultNetwork(int processes, long seed) throws IOException {
@@ -96,7 +97,8 @@
                 }
                 byte[] bytes = java.util.Arrays.copyOf(buffer, packet.getLength());
                 for (int copies = draw() < doubled ? 2 : 1; copies > 0; copies--) {
-                    flying.schedule(() -> arrive(to, bytes), (long) (draw() * mostDelay * 1_000), TimeUnit.MICROSECONDS);
+                    flying.schedule(
+                            () -> arrive(to, bytes), (long) (draw() * mostDelay * 1_000), TimeUnit.MICROSECONDS);
                 }
             } catch (IOException e) {
                 // a door that was closed, or a process that is not there
@@ -111,14 +113,19 @@
 
     /** What a process sent and what came to it so far: packets and bytes out, packets and bytes in. */
     long[] counted(int process) {
-        return IntStream.range(4 * process, 4 * process + 4).mapToLong(counts::get).toArray();
+        return IntStream.range(4 * process, 4 * process + 4)
+                .mapToLong(counts::get)
+                .toArray();
     }
 
     private void arrive(int to, byte[] bytes) {
         count(4 * to + 2, bytes.length);
         try {
-            doors.get(to).send(new DatagramPacket(bytes, bytes.length,
-                    new InetSocketAddress(InetAddress.getByName("127.0.0.1"), listens.get(to))));
+            doors.get(to)
+                    .send(new DatagramPacket(
+                            bytes,
+                            bytes.length,
+                            new InetSocketAddress(InetAddress.getByName("127.0.0.1"), listens.get(to))));
         } catch (IOException e) {
             // lost, as packets are
         }
--- a/src/main/java/pumicemoor/lab/FreePorts.java
+++ b/src/main/java/pumicemoor/lab/FreePorts.java
@@ -13,12 +13,11 @@
 final class FreePorts {
 
     private static final int FIRST = 15_000;
-    private static final int END = 32_000;  // under the usual range for outgoing connections
+    private static final int END = 32_000; // under the usual range for outgoing connections
 
     private static int next = FIRST + (int) (ProcessHandle.current().pid() * 37 % (END - FIRST));
 
-    private FreePorts() {
-    }
+    private FreePorts() {}
 
     static synchronized int take() throws IOException {
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
--- a/src/main/java/pumicemoor/lab/LabConfig.java
+++ b/src/main/java/pumicemoor/lab/LabConfig.java
@@ -5,14 +5,14 @@
 /** The platform's configuration for a router of the lab, as text; the events known are those told so far. */
 final class LabConfig {
 
-    private LabConfig() {
-    }
+    private LabConfig() {}
 
     static String json(int number, String listen, Scenario scenario, String coordinator, List<String> known) {
         return json("router-" + number, number, listen, scenario, coordinator, known);
     }
 
-    static String json(String name, int number, String listen, Scenario scenario, String coordinator, List<String> known) {
+    static String json(
+            String name, int number, String listen, Scenario scenario, String coordinator, List<String> known) {
         long cold = scenario.change().cold() * 1_000L;
         return """
                 {"name":"%s","listen":"%s","seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -32,8 +32,20 @@
                    "notice-time-us":500000,"purge-settles-us":2000000,"parent-starts-at":0.1,
                    "upper-cold-us":%d,"parent-fall-multiple":2},
                   "telemetry":{"how":"none","columns":[]},"weights":"rough"}}
-                """.formatted(name, listen, scenario.seed() + number, coordinator, known.size(),
-                String.join(",", known), number, scenario.routers(), scenario.deadlineMillis() * 1_000L,
-                scenario.deadlineMillis() * 1_000L, cold, scenario.routers(), cold);
+                """
+                .formatted(
+                        name,
+                        listen,
+                        scenario.seed() + number,
+                        coordinator,
+                        known.size(),
+                        String.join(",", known),
+                        number,
+                        scenario.routers(),
+                        scenario.deadlineMillis() * 1_000L,
+                        scenario.deadlineMillis() * 1_000L,
+                        cold,
+                        scenario.routers(),
+                        cold);
     }
 }
--- a/src/main/java/pumicemoor/lab/LabRun.java
+++ b/src/main/java/pumicemoor/lab/LabRun.java
@@ -23,8 +23,8 @@
  */
 public final class LabRun {
 
-    private static final long SETTLE = 1_500;  // milliseconds, for the last answers
-    private static final int WARM = 3;  // seconds of load before the scenario's own time begins
+    private static final long SETTLE = 1_500; // milliseconds, for the last answers
+    private static final int WARM = 3; // seconds of load before the scenario's own time begins
 
     private final Scenario scenario;
     private final Path folder;
@@ -37,7 +37,7 @@
     });
     private final Map<String, MemberStandIn> members = new LinkedHashMap<>();
     private final List<RouterProcess> routers = new ArrayList<>();
-    private final List<Long> changes = new ArrayList<>();  // when a new hierarchy was told, milliseconds
+    private final List<Long> changes = new ArrayList<>(); // when a new hierarchy was told, milliseconds
     private CoordinatorStandIn coordinator;
     private Map<String, Map<String, Double>> hubs;
     private Map<String, Double> depot;
@@ -58,7 +58,8 @@
     public static String table(Path scenario, String by, Path folder, PrintStream progress)
             throws IOException, InterruptedException {
         Scenario read = Scenario.read(scenario);
-        return read.proxies() == null ? play(scenario, by, folder, progress).markdown()
+        return read.proxies() == null
+                ? play(scenario, by, folder, progress).markdown()
                 : ProxyRun.play(read, folder, progress).markdown();
     }
 
@@ -86,8 +87,9 @@
         long seconds = System.nanoTime();
         add("origin", Kind.ORIGIN, 1);
         List<String> hubNames = new ArrayList<>(hubs.keySet());
-        scenario.happenings().stream().filter(h -> h.hubs() != null)
-                .forEach(h -> h.hubs().keySet().stream().filter(n -> !hubNames.contains(n)).forEach(hubNames::add));
+        scenario.happenings().stream().filter(h -> h.hubs() != null).forEach(h -> h.hubs().keySet().stream()
+                .filter(n -> !hubNames.contains(n))
+                .forEach(hubNames::add));
         for (String hub : hubNames) {
             add(hub, Kind.HUB, 1_000_000);
         }
@@ -95,7 +97,8 @@
             add("box-" + i, Kind.CACHE, scenario.cacheHolds());
         }
         coordinator = new CoordinatorStandIn(work, scenario.change().jitter(), scenario.seed());
-        coordinator.tell(list(true, members.values().stream().map(m -> line(m, "active")).toList()));
+        coordinator.tell(
+                list(true, members.values().stream().map(m -> line(m, "active")).toList()));
         announced = System.currentTimeMillis() - 3_600_000;
         for (int i = 0; i < scenario.routers(); i++) {
             RouterProcess router = new RouterProcess("router-" + i, folder, scenario.cpu());
@@ -105,10 +108,15 @@
         for (RouterProcess router : routers) {
             router.awaitReady();
         }
-        progress.printf("%s: %d routers, %d caches, %d hubs ready after %.1f s%n", scenario.name(),
-                routers.size(), scenario.caches(), hubNames.size(), (System.nanoTime() - seconds) / 1e9);
-        LoadClients clients = new LoadClients(scenario, record,
-                routers.stream().map(RouterProcess::address).toList());
+        progress.printf(
+                "%s: %d routers, %d caches, %d hubs ready after %.1f s%n",
+                scenario.name(),
+                routers.size(),
+                scenario.caches(),
+                hubNames.size(),
+                (System.nanoTime() - seconds) / 1e9);
+        LoadClients clients = new LoadClients(
+                scenario, record, routers.stream().map(RouterProcess::address).toList());
         long began = System.nanoTime();
         List<Happening> due = new ArrayList<>(scenario.happenings());
         due.sort(Comparator.comparingDouble(Happening::at));
@@ -139,7 +147,9 @@
                 coordinator.certain();
             }
             if ((int) at % 5 == 0 && at - (int) at < 0.002) {
-                progress.printf("  %2.0f s: %d asked, %d done%n", at, asked, clients.done().size());
+                progress.printf(
+                        "  %2.0f s: %d asked, %d done%n",
+                        at, asked, clients.done().size());
                 Thread.sleep(2);
             }
             Thread.sleep(1);
@@ -177,7 +187,8 @@
         }
         if (h.purge() != null) {
             members.values().forEach(m -> m.purge(h.purge()));
-            coordinator.tell("\"evict\":{\"ref\":\"" + h.purge() + "\",\"unix_ms\":" + System.currentTimeMillis() + "}");
+            coordinator.tell(
+                    "\"evict\":{\"ref\":\"" + h.purge() + "\",\"unix_ms\":" + System.currentTimeMillis() + "}");
         }
         if (h.fault() != null) {
             MemberStandIn member = members.get(h.fault().member());
@@ -246,17 +257,21 @@
         if (!depot.equals(oldDepot)) {
             told.add("\"unit\":\"home\",\"kind\":\"depot\",\"parents\":" + json(depot));
         }
-        old.keySet().stream().filter(hub -> !hubs.containsKey(hub)).forEach(hub ->
-                told.add("\"unit\":\"" + hub + "\",\"kind\":\"hub\",\"removed\":true"));
+        old.keySet().stream()
+                .filter(hub -> !hubs.containsKey(hub))
+                .forEach(hub -> told.add("\"unit\":\"" + hub + "\",\"kind\":\"hub\",\"removed\":true"));
         for (String piece : told) {
             pieces++;
-            coordinator.piece(pieces, "\"piece\":" + pieces + ",\"version\":" + version + ",\"pieces\":" + told.size()
-                    + ",\"announced_ms\":" + announced + "," + piece);
+            coordinator.piece(
+                    pieces,
+                    "\"piece\":" + pieces + ",\"version\":" + version + ",\"pieces\":" + told.size()
+                            + ",\"announced_ms\":" + announced + "," + piece);
         }
     }
 
     private static String json(Map<String, Double> parents) {
-        return parents.entrySet().stream().map(e -> "\"" + e.getKey() + "\":" + e.getValue())
+        return parents.entrySet().stream()
+                .map(e -> "\"" + e.getKey() + "\":" + e.getValue())
                 .collect(Collectors.joining(",", "{", "}"));
     }
 
@@ -267,8 +282,9 @@
 
     private static String line(MemberStandIn m, String lifecycle) {
         return "{\"instanceId\":\"" + m.name + "\",\"hostPort\":\"" + m.address() + "\",\"zone\":\""
-                + (m.kind == Kind.CACHE ? "home" : "hub") + "\",\"machineType\":\"" + m.kind.name().toLowerCase(
-                java.util.Locale.ROOT) + "\",\"lifecycle\":\"" + lifecycle + "\",\"weight\":8,\"startedAtMs\":"
+                + (m.kind == Kind.CACHE ? "home" : "hub") + "\",\"machineType\":\""
+                + m.kind.name().toLowerCase(java.util.Locale.ROOT) + "\",\"lifecycle\":\"" + lifecycle
+                + "\",\"weight\":8,\"startedAtMs\":"
                 + m.startedAt + "}";
     }
 
@@ -287,14 +303,25 @@
         String in = " ".repeat(indent);
         StringBuilder text = new StringBuilder(in + key + ":\n" + in + "  version: " + version + "\n");
         if (announced > 0) {
-            text.append(in).append("  announced: ").append(java.time.Instant.ofEpochMilli(announced)).append('\n');
+            text.append(in)
+                    .append("  announced: ")
+                    .append(java.time.Instant.ofEpochMilli(announced))
+                    .append('\n');
         }
         text.append(in).append("  allow-skips: true\n").append(in).append("  origin: origin\n");
         text.append(in).append("  hubs:\n");
-        hubs.forEach((hub, parents) -> text.append(in).append("    ").append(hub).append(": {fill-from: ")
-                .append(json(parents).replace(":", ": ")).append("}\n"));
-        text.append(in).append("  depots:\n").append(in).append("    home: {fill-from: ")
-                .append(json(depot).replace(":", ": ")).append("}\n");
+        hubs.forEach((hub, parents) -> text.append(in)
+                .append("    ")
+                .append(hub)
+                .append(": {fill-from: ")
+                .append(json(parents).replace(":", ": "))
+                .append("}\n"));
+        text.append(in)
+                .append("  depots:\n")
+                .append(in)
+                .append("    home: {fill-from: ")
+                .append(json(depot).replace(":", ": "))
+                .append("}\n");
         return text.toString();
     }
 
--- a/src/main/java/pumicemoor/lab/LoadClients.java
+++ b/src/main/java/pumicemoor/lab/LoadClients.java
@@ -24,16 +24,22 @@
 final class LoadClients implements AutoCloseable {
 
     /** How a request ended for its client. */
-    enum End { SERVED, REFUSED, FAILED, LOST, TWICE, LATE }
+    enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        LOST,
+        TWICE,
+        LATE
+    }
 
     /** One request: when it was asked (milliseconds since the clients began), how it ended, how long that took. */
-    record Done(long at, End end, long micros) {
-    }
+    record Done(long at, End end, long micros) {}
 
     private static final int REQUEST = 7;
     private static final int ANSWER = 8;
     private static final int CLOSE = 3;
-    private static final long GRACE = 300;  // milliseconds past the deadline before an answer is late
+    private static final long GRACE = 300; // milliseconds past the deadline before an answer is late
 
     private final Record record;
     private final Scenario scenario;
@@ -86,13 +92,12 @@
         finish();
     }
 
-    private record Open(long at, long nanos) {
-    }
+    private record Open(long at, long nanos) {}
 
     /** One connection, opened again when it has ended. */
     private final class Line {
         private final InetSocketAddress address;
-        private volatile Map<Integer, Open> open = new ConcurrentHashMap<>();  // of this connection
+        private volatile Map<Integer, Open> open = new ConcurrentHashMap<>(); // of this connection
         private Socket socket;
         private DataOutputStream out;
         private int streams;
@@ -101,8 +106,8 @@
 
         Line(String address) {
             int colon = address.lastIndexOf(':');
-            this.address = new InetSocketAddress(address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1)));
+            this.address =
+                    new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
         }
 
         private synchronized boolean usable() {
@@ -189,8 +194,10 @@
             }
             long micros = (System.nanoTime() - request.nanos()) / 1_000;
             boolean late = micros / 1_000 > scenario.deadlineMillis() + GRACE;
-            done(new Done(request.at(), late ? End.LATE : code == 1 ? End.SERVED : code == 0 ? End.REFUSED
-                    : End.FAILED, micros));
+            done(new Done(
+                    request.at(),
+                    late ? End.LATE : code == 1 ? End.SERVED : code == 0 ? End.REFUSED : End.FAILED,
+                    micros));
         }
 
         private synchronized void end() {
--- a/src/main/java/pumicemoor/lab/MemberStandIn.java
+++ b/src/main/java/pumicemoor/lab/MemberStandIn.java
@@ -31,12 +31,24 @@
  */
 final class MemberStandIn implements AutoCloseable {
 
-    enum Kind { CACHE, HUB, ORIGIN }
+    enum Kind {
+        CACHE,
+        HUB,
+        ORIGIN
+    }
 
     /** How a request ended here. */
-    enum End { HIT, FILLED, BY_ORIGIN, JOINED, ABSENT, LOOPED, FAILED }
+    enum End {
+        HIT,
+        FILLED,
+        BY_ORIGIN,
+        JOINED,
+        ABSENT,
+        LOOPED,
+        FAILED
+    }
 
-    private static final long FILL_PATIENCE = 5_000;  // milliseconds
+    private static final long FILL_PATIENCE = 5_000; // milliseconds
     private static final byte[] BODY = "0123456789abcdef".repeat(64).getBytes(StandardCharsets.US_ASCII);
 
     final String name;
@@ -50,14 +62,21 @@
     private final Map<String, CompletableFuture<End>> filling = new HashMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
-    private CompletableFuture<Void> accepting;  // done once nobody waits in the listener any more
+    private CompletableFuture<Void> accepting; // done once nobody waits in the listener any more
     private volatile int port;
     volatile String fault = "";
     volatile int faultMillis;
-    volatile long startedAt;  // Unix milliseconds; 0 for long ago
+    volatile long startedAt; // Unix milliseconds; 0 for long ago
 
-    MemberStandIn(String name, Kind kind, int holds, int fillMillis, Record record,
-            Function<String, MemberStandIn> members, ExecutorService work) throws IOException {
+    MemberStandIn(
+            String name,
+            Kind kind,
+            int holds,
+            int fillMillis,
+            Record record,
+            Function<String, MemberStandIn> members,
+            ExecutorService work)
+            throws IOException {
         this.name = name;
         this.kind = kind;
         this.holds = holds;
@@ -127,7 +146,7 @@
         accepting.join();
         for (Socket s : connections) {
             try {
-                s.setSoLinger(true, 0);  // a reset, as when a process dies
+                s.setSoLinger(true, 0); // a reset, as when a process dies
                 s.close();
             } catch (SocketException e) {
                 // closed already
@@ -149,7 +168,7 @@
                 connections.add(socket);
                 work.execute(() -> serve(socket));
             } catch (IOException e) {
-                return;  // closed
+                return; // closed
             }
         }
     }
@@ -225,16 +244,20 @@
             }
             boolean onlyHeld = Set.of(fields.getOrDefault("f", "").split("\\+")).contains("only-if-cached");
             End end = get(object, way, onlyHeld, List.of());
-            String tell = switch (end) {
-                case HIT -> "mem";
-                case FILLED -> "parent";
-                case BY_ORIGIN -> "origin";
-                case JOINED -> "shared";
-                default -> null;
-            };
+            String tell =
+                    switch (end) {
+                        case HIT -> "mem";
+                        case FILLED -> "parent";
+                        case BY_ORIGIN -> "origin";
+                        case JOINED -> "shared";
+                        default -> null;
+                    };
             if (tell != null) {
-                write(out, id + " data entity=" + object + ",issued=" + System.currentTimeMillis() + ",tell=" + tell
-                        + " " + BODY.length + "\r\n", BODY);
+                write(
+                        out,
+                        id + " data entity=" + object + ",issued=" + System.currentTimeMillis() + ",tell=" + tell + " "
+                                + BODY.length + "\r\n",
+                        BODY);
             } else if (end == End.ABSENT) {
                 write(out, id + " absent - 0\r\n\r\n", null);
             } else {
@@ -304,8 +327,9 @@
             sleep(fillMillis);
             // a sibling cache gives what it holds or is filling; a hub goes on along the rest of the way
             End end = source.get(object, way.isEmpty() ? way : way.subList(1, way.size()), false, marker);
-            return end == End.BY_ORIGIN ? End.BY_ORIGIN : end == End.HIT || end == End.JOINED || end == End.FILLED
-                    ? End.FILLED : end;
+            return end == End.BY_ORIGIN
+                    ? End.BY_ORIGIN
+                    : end == End.HIT || end == End.JOINED || end == End.FILLED ? End.FILLED : end;
         } finally {
             record.waitsNoMore(name, source.name, object);
         }
--- a/src/main/java/pumicemoor/lab/ProcessRun.java
+++ b/src/main/java/pumicemoor/lab/ProcessRun.java
@@ -27,19 +27,18 @@
  */
 public final class ProcessRun {
 
-    private static final int MOST = 200;  // processes
-    private static final long MOST_MEMORY = 12 << 20;  // KiB that all may hold together
-    private static final int AT_ONCE = 16;  // that start together
-    private static final int LOOKED_INTO = 6;  // of each role, whose heap is counted
+    private static final int MOST = 200; // processes
+    private static final long MOST_MEMORY = 12 << 20; // KiB that all may hold together
+    private static final int AT_ONCE = 16; // that start together
+    private static final int LOOKED_INTO = 6; // of each role, whose heap is counted
     private static final int SEEDS = 3;
 
     /** What one size showed: the roles' costs with the fleet's own alone, the plain process without a fleet, and how it ran. */
-    public record Result(int routers, List<Sample> samples, Map<String, Double> without, Map<String, Object> parameters) {
-    }
+    public record Result(
+            int routers, List<Sample> samples, Map<String, Double> without, Map<String, Object> parameters) {}
 
     /** One process over the calm time: its role, and its figures in the units of their names. */
-    private record Reading(String role, Map<String, Double> figures) {
-    }
+    private record Reading(String role, Map<String, Double> figures) {}
 
     private final ScaleConfig config;
     private final Path folder;
@@ -66,8 +65,11 @@
         for (int size : config.routers()) {
             Result result = new ProcessRun(config, size, folder, progress).measure();
             String name = config.name() + "-" + size;
-            Files.writeString(folder.resolve(name + ".json"), new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
-                    .writeValueAsString(result) + "\n");
+            Files.writeString(
+                    folder.resolve(name + ".json"),
+                    new ObjectMapper()
+                                    .enable(SerializationFeature.INDENT_OUTPUT)
+                                    .writeValueAsString(result) + "\n");
             Files.writeString(folder.resolve(name + ".md"), markdown(result));
             tables.append(markdown(result)).append('\n');
         }
@@ -92,8 +94,12 @@
                     figures.put(name + ", whole process", value);
                 }
             });
-            figures.put("worst router cpu ms/s, whole process",
-                    readings.stream().mapToDouble(r -> r.figures().get("cpu ms/s")).max().orElse(0));
+            figures.put(
+                    "worst router cpu ms/s, whole process",
+                    readings.stream()
+                            .mapToDouble(r -> r.figures().get("cpu ms/s"))
+                            .max()
+                            .orElse(0));
             samples.add(new Sample(role + ", calm, processes", size, figures));
         });
         return new Result(size, samples, plain, parameters());
@@ -125,8 +131,13 @@
 
     private static Map<String, Double> mean(List<Reading> readings) {
         Map<String, Double> mean = new LinkedHashMap<>();
-        readings.forEach(r -> r.figures().keySet().forEach(name -> mean.computeIfAbsent(name, n -> readings.stream()
-                .filter(x -> x.figures().containsKey(n)).mapToDouble(x -> x.figures().get(n)).average().orElse(0))));
+        readings.forEach(r -> r.figures()
+                .keySet()
+                .forEach(name -> mean.computeIfAbsent(name, n -> readings.stream()
+                        .filter(x -> x.figures().containsKey(n))
+                        .mapToDouble(x -> x.figures().get(n))
+                        .average()
+                        .orElse(0))));
         return mean;
     }
 
@@ -141,8 +152,23 @@
         List<MemberStandIn> members = new ArrayList<>();
         List<RouterProcess> routers = new ArrayList<>();
         Record record = new Record();
-        Scenario scenario = new Scenario(config.name(), config.seed(), 1, 1, 1, size, config.caches(), 1, 1, 2_000, null,
-                null, null, null, null, null);
+        Scenario scenario = new Scenario(
+                config.name(),
+                config.seed(),
+                1,
+                1,
+                1,
+                size,
+                config.caches(),
+                1,
+                1,
+                2_000,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null);
         CoordinatorStandIn coordinator = new CoordinatorStandIn(work, 0, config.seed());
         try (FaultNetwork network = new FaultNetwork(size, config.seed())) {
             network.weather(config.loss(), 0, 0);
@@ -156,7 +182,8 @@
             for (int i = 0; i < size; i++) {
                 RouterProcess r = new RouterProcess(name(i), logs, null, RouterProcess.TIGHT);
                 routers.add(r);
-                r.start(LabConfig.json(name(i), i, r.address(), scenario, coordinator.address(), coordinator.known()),
+                r.start(
+                        LabConfig.json(name(i), i, r.address(), scenario, coordinator.address(), coordinator.known()),
                         "log: {format: json}\n" + (fleet ? section(i, network) : ""));
                 if (i % AT_ONCE == AT_ONCE - 1 || i == size - 1) {
                     for (RouterProcess started : routers.subList(i / AT_ONCE * AT_ONCE, i + 1)) {
@@ -165,7 +192,11 @@
                 }
             }
             checkMemory(routers);
-            progress.printf(Locale.ROOT, "%d processes %s a fleet ready after %.1f s%n", size, fleet ? "with" : "without",
+            progress.printf(
+                    Locale.ROOT,
+                    "%d processes %s a fleet ready after %.1f s%n",
+                    size,
+                    fleet ? "with" : "without",
                     (System.nanoTime() - began) / 1e9);
             Thread.sleep((long) (config.settle() * 1_000));
             checkMemory(routers);
@@ -188,17 +219,24 @@
         long all = routers.stream().mapToLong(RouterProcess::residentKiB).sum();
         progress.printf(Locale.ROOT, "they hold %.2f GB%n", all / 1e6 * 1.024);
         if (all > MOST_MEMORY) {
-            throw new IOException("routers: " + size + " processes hold " + all / 1_024 + " MiB, over " + MOST_MEMORY / 1_024);
+            throw new IOException(
+                    "routers: " + size + " processes hold " + all / 1_024 + " MiB, over " + MOST_MEMORY / 1_024);
         }
     }
 
     private String section(int i, FaultNetwork network) {
-        String cells = config.cells() == null ? "" : "  cells: {root: zone-" + i * zones() / size + ", most: "
-                + config.cells().most() + ", delegates: " + config.cells().delegates() + "}\n";
+        String cells = config.cells() == null
+                ? ""
+                : "  cells: {root: zone-" + i * zones() / size + ", most: "
+                        + config.cells().most() + ", delegates: "
+                        + config.cells().delegates() + "}\n";
         return "fleet:\n  cluster: scale\n  listen: " + network.listen(i) + "\n  advertise: " + network.advertise(i)
-                + "\n  seeds: [" + IntStream.range(0, Math.min(SEEDS, size)).mapToObj(network::advertise)
+                + "\n  seeds: ["
+                + IntStream.range(0, Math.min(SEEDS, size))
+                        .mapToObj(network::advertise)
                         .collect(Collectors.joining(", "))
-                + "]\n  size: " + size + "\n  period-ms: " + config.periodMillis() + "\n  lease-ms: " + config.leaseMillis()
+                + "]\n  size: " + size + "\n  period-ms: " + config.periodMillis() + "\n  lease-ms: "
+                + config.leaseMillis()
                 + "\n  guard-ms: " + config.guardMillis()
                 + "\n  limits:\n    - {name: origin, members: origin, per-second: 10000}\n"
                 + (config.verdicts() ? "  verdicts: {most-out: 0.2, witnesses: 2}\n" : "") + cells;
@@ -207,7 +245,8 @@
     /** Two readings of all, the calm time between them. */
     private List<Reading> calm(List<RouterProcess> routers, FaultNetwork network, boolean fleet)
             throws IOException, InterruptedException {
-        List<Map<String, String>> statusBefore = routers.stream().map(RouterProcess::status).toList();
+        List<Map<String, String>> statusBefore =
+                routers.stream().map(RouterProcess::status).toList();
         List<long[]> countedBefore = new ArrayList<>();
         List<Map<String, Long>> timesBefore = new ArrayList<>();
         List<Long> ticksBefore = new ArrayList<>();
@@ -226,7 +265,9 @@
             Map<String, Long> before = timesBefore.get(i);
             Map<String, Long> after = r.processorTimes();
             double seconds = (System.nanoTime() - at.get(i)) / 1e9;
-            double nanos = after.entrySet().stream().mapToLong(e -> e.getValue() - before.getOrDefault(e.getKey(), 0L)).sum();
+            double nanos = after.entrySet().stream()
+                    .mapToLong(e -> e.getValue() - before.getOrDefault(e.getKey(), 0L))
+                    .sum();
             Map<String, Double> f = new LinkedHashMap<>();
             f.put("cpu ms/s", nanos / 1e6 / seconds);
             f.put("cpu ms/s by ticks", (r.processorMillis() - ticksBefore.get(i)) / seconds);
@@ -240,15 +281,17 @@
                 f.put("bytes in/s", (out[3] - countedBefore.get(i)[3]) / seconds);
                 f.put("packets out/s", (out[0] - countedBefore.get(i)[0]) / seconds);
                 f.put("packets in/s", (out[2] - countedBefore.get(i)[2]) / seconds);
-                f.put("bytes out/s by the router's count", (count(status, "fleet-bytes-out")
-                        - count(statusBefore.get(i), "fleet-bytes-out")) / seconds);
+                f.put(
+                        "bytes out/s by the router's count",
+                        (count(status, "fleet-bytes-out") - count(statusBefore.get(i), "fleet-bytes-out")) / seconds);
                 f.put("living known", count(status, "fleet-living"));
             }
             readings.add(new Reading(role, f));
         }
-        for (int i = 0; i < size; i++) {  // last, since it takes processor time: only what is held after a collection
+        for (int i = 0; i < size; i++) { // last, since it takes processor time: only what is held after a collection
             if (looked.merge(readings.get(i).role(), 1, Integer::sum) <= LOOKED_INTO) {
-                readings.get(i).figures().put("heap bytes", (double) routers.get(i).liveHeap());
+                readings.get(i).figures().put("heap bytes", (double)
+                        routers.get(i).liveHeap());
             }
         }
         return readings;
@@ -264,25 +307,40 @@
         if (!status.containsKey("fleet-cell")) {
             return grantor ? "grantor" : "member";
         }
-        return "yes".equals(status.get("fleet-keeper")) ? "upper grantor" : grantor ? "cell grantor"
-                : "yes".equals(status.get("fleet-delegate")) ? "delegate" : "member";
+        return "yes".equals(status.get("fleet-keeper"))
+                ? "upper grantor"
+                : grantor ? "cell grantor" : "yes".equals(status.get("fleet-delegate")) ? "delegate" : "member";
     }
 
     private static String markdown(Result r) {
         StringBuilder text = new StringBuilder("# " + r.routers() + " router processes, calm\n\n"
-                + r.parameters().entrySet().stream().map(e -> e.getKey() + ": " + e.getValue())
-                        .collect(Collectors.joining("; ")) + "\n\n");
-        List<String> columns = r.samples().stream().flatMap(s -> s.figures().keySet().stream()).distinct().toList();
+                + r.parameters().entrySet().stream()
+                        .map(e -> e.getKey() + ": " + e.getValue())
+                        .collect(Collectors.joining("; "))
+                + "\n\n");
+        List<String> columns = r.samples().stream()
+                .flatMap(s -> s.figures().keySet().stream())
+                .distinct()
+                .toList();
         text.append("| figure, mean of the role | without a fleet |");
         r.samples().forEach(s -> text.append(' ').append(s.role()).append(" |"));
-        text.append("\n| --- | --- |").append(" --- |".repeat(r.samples().size())).append('\n');
+        text.append("\n| --- | --- |")
+                .append(" --- |".repeat(r.samples().size()))
+                .append('\n');
         for (String c : columns) {
-            text.append("| ").append(c).append(" | ").append(number(r.without().get(c.replace(", whole process", "")))).append(" |");
-            r.samples().forEach(s -> text.append(' ').append(number(s.figures().get(c))).append(" |"));
+            text.append("| ")
+                    .append(c)
+                    .append(" | ")
+                    .append(number(r.without().get(c.replace(", whole process", ""))))
+                    .append(" |");
+            r.samples()
+                    .forEach(s ->
+                            text.append(' ').append(number(s.figures().get(c))).append(" |"));
             text.append('\n');
         }
-        return text.append("\nCost of the fleet alone: the process less the same without a section 'fleet', but for rows that say"
-                + " otherwise. Bytes and packets are counted by the network between them, without headers of UDP and IP.\n")
+        return text.append(
+                        "\nCost of the fleet alone: the process less the same without a section 'fleet', but for rows that say"
+                                + " otherwise. Bytes and packets are counted by the network between them, without headers of UDP and IP.\n")
                 .toString();
     }
 
--- a/src/main/java/pumicemoor/lab/ProxyRun.java
+++ b/src/main/java/pumicemoor/lab/ProxyRun.java
@@ -32,35 +32,67 @@
  */
 final class ProxyRun {
 
-    private static final int ASK_AGAIN_AFTER = 150;  // milliseconds
-    private static final long WARM = 4_000_000_000L;  // nanoseconds, for the proxies' own code to be compiled
+    private static final int ASK_AGAIN_AFTER = 150; // milliseconds
+    private static final long WARM = 4_000_000_000L; // nanoseconds, for the proxies' own code to be compiled
 
     /** What was measured. */
-    record Result(String name, Map<End, Long> ends, int callsPerMinute, int mostAnswers, int mostRunsOfAnEffect, int runs,
-            long longestMillis, int stillOpen, int lateWhenWarm, int mostOpen, long idleMiB, long peakMiB, double medianMillis, double p99Millis, double p999Millis) {
+    record Result(
+            String name,
+            Map<End, Long> ends,
+            int callsPerMinute,
+            int mostAnswers,
+            int mostRunsOfAnEffect,
+            int runs,
+            long longestMillis,
+            int stillOpen,
+            int lateWhenWarm,
+            int mostOpen,
+            long idleMiB,
+            long peakMiB,
+            double medianMillis,
+            double p99Millis,
+            double p999Millis) {
 
         long ended(End end) {
             return ends.getOrDefault(end, 0L);
         }
 
         String markdown() {
-            return String.format(Locale.ROOT, "# %s%n%n| from the records of proxies and caches | |%n| --- | --- |%n"
-                    + "| calls a minute | %d |%n| served, refused, failed | %d, %d, %d |%n"
-                    + "| not answered within the message time-out (of these after the first 4 s), broken | %d (%d), %d |%n"
-                    + "| still open at the end | %d |%n| most answers to one call's request | %d |%n"
-                    + "| most runs of one request with an effect | %d of %d runs in all |%n"
-                    + "| most calls open; memory of the program before, and at most | %d; %d, %d MiB |%n"
-                    + "| longest call | %d ms |%n| served calls after the first 4 s, median, 99th, 99.9th percentile | %.2f, %.2f, %.2f ms |%n",
-                    name, callsPerMinute, ended(End.SERVED), ended(End.REFUSED), ended(End.FAILED),
-                    ended(End.NOT_ANSWERED), lateWhenWarm, ended(End.BROKEN), stillOpen, mostAnswers, mostRunsOfAnEffect, runs,
-                    mostOpen, idleMiB, peakMiB, longestMillis, medianMillis, p99Millis, p999Millis);
+            return String.format(
+                    Locale.ROOT,
+                    "# %s%n%n| from the records of proxies and caches | |%n| --- | --- |%n"
+                            + "| calls a minute | %d |%n| served, refused, failed | %d, %d, %d |%n"
+                            + "| not answered within the message time-out (of these after the first 4 s), broken | %d (%d), %d |%n"
+                            + "| still open at the end | %d |%n| most answers to one call's request | %d |%n"
+                            + "| most runs of one request with an effect | %d of %d runs in all |%n"
+                            + "| most calls open; memory of the program before, and at most | %d; %d, %d MiB |%n"
+                            + "| longest call | %d ms |%n| served calls after the first 4 s, median, 99th, 99.9th percentile | %.2f, %.2f, %.2f ms |%n",
+                    name,
+                    callsPerMinute,
+                    ended(End.SERVED),
+                    ended(End.REFUSED),
+                    ended(End.FAILED),
+                    ended(End.NOT_ANSWERED),
+                    lateWhenWarm,
+                    ended(End.BROKEN),
+                    stillOpen,
+                    mostAnswers,
+                    mostRunsOfAnEffect,
+                    runs,
+                    mostOpen,
+                    idleMiB,
+                    peakMiB,
+                    longestMillis,
+                    medianMillis,
+                    p99Millis,
+                    p999Millis);
         }
     }
 
     private final Scenario scenario;
     private final Path folder;
     private final PrintStream progress;
-    private final Map<String, Integer> effects = new HashMap<>();  // runs of requests with an effect, by id
+    private final Map<String, Integer> effects = new HashMap<>(); // runs of requests with an effect, by id
     private final Set<String> askedAgain = new HashSet<>();
     private int runs;
     private int turns;
@@ -93,7 +125,8 @@
         }
         RouterProcess router = new RouterProcess("processor", folder, scenario.cpu());
         String config = LabConfig.json(0, router.address(), scenario, "", known());
-        String operator = """
+        String operator =
+                """
                 processor:
                   listen: 127.0.0.1:%d
                   message-timeout-ms: %d
@@ -103,13 +136,15 @@
                   rules:
                     - {method: GET, path: "/file/(?P<object>.+)", class: file}
                     - {method: POST, path: "/booking/(?P<object>.+)", class: booking}
-                """.formatted(port, p.messageTimeout());
+                """
+                        .formatted(port, p.messageTimeout());
         router.start("processor", config, operator);
         awaitListening(port);
         idleMiB = router.residentMiB();
         List<ProxyStandIn> proxies = new ArrayList<>();
         for (int i = 0; i < p.count(); i++) {
-            proxies.add(new ProxyStandIn("proxy-" + i, "127.0.0.1", port, p.messageTimeout(), this::ran, p.cacheMillis(), work));
+            proxies.add(new ProxyStandIn(
+                    "proxy-" + i, "127.0.0.1", port, p.messageTimeout(), this::ran, p.cacheMillis(), work));
         }
         Random random = new Random(scenario.seed());
         TreeMap<Double, String> due = new TreeMap<>();
@@ -123,18 +158,24 @@
                 ProxyStandIn proxy = proxies.get(asked % proxies.size());
                 boolean effect = random.nextDouble() < p.effectShare();
                 String object = effect ? "b" + asked : "o" + random.nextInt(scenario.objects());
-                proxy.call((effect ? "b" : "r") + asked, effect ? "POST" : "GET",
-                        (effect ? "/booking/" : "/file/") + object, object, 1);
+                proxy.call(
+                        (effect ? "b" : "r") + asked,
+                        effect ? "POST" : "GET",
+                        (effect ? "/booking/" : "/file/") + object,
+                        object,
+                        1);
                 asked++;
             }
             if (!due.isEmpty() && at >= due.firstKey()) {
                 String what = due.pollFirstEntry().getValue();
-                progress.printf("  %4.1f s: %s with %d calls open%n", at, what,
-                        proxies.stream().mapToInt(ProxyStandIn::open).sum());
+                progress.printf(
+                        "  %4.1f s: %s with %d calls open%n",
+                        at, what, proxies.stream().mapToInt(ProxyStandIn::open).sum());
                 happen(what, router, config, operator);
             }
             askAgain(proxies, work);
-            mostOpen = Math.max(mostOpen, proxies.stream().mapToInt(ProxyStandIn::open).sum());
+            mostOpen = Math.max(
+                    mostOpen, proxies.stream().mapToInt(ProxyStandIn::open).sum());
             if (++turns % 200 == 0) {
                 peakMiB = Math.max(peakMiB, router.residentMiB());
             }
@@ -158,8 +199,15 @@
             for (Done d : proxy.takeUnanswered()) {
                 if (askedAgain.add(d.id())) {
                     boolean effect = d.id().startsWith("b");
-                    work.schedule(() -> proxy.call(d.id(), effect ? "POST" : "GET",
-                            (effect ? "/booking/" : "/file/") + d.id(), d.id(), 2), ASK_AGAIN_AFTER, TimeUnit.MILLISECONDS);
+                    work.schedule(
+                            () -> proxy.call(
+                                    d.id(),
+                                    effect ? "POST" : "GET",
+                                    (effect ? "/booking/" : "/file/") + d.id(),
+                                    d.id(),
+                                    2),
+                            ASK_AGAIN_AFTER,
+                            TimeUnit.MILLISECONDS);
                 }
             }
         }
@@ -195,7 +243,8 @@
                 ending.start();
             }
             default -> {
-                Files.writeString(router.operatorFile(), operator + "    - {path: \"/new/(?P<object>.+)\", class: file}\n");
+                Files.writeString(
+                        router.operatorFile(), operator + "    - {path: \"/new/(?P<object>.+)\", class: file}\n");
                 router.hangUp();
             }
         }
@@ -247,11 +296,21 @@
             }
         }
         synchronized (this) {
-            return new Result(scenario.name(), ends, (int) (asked / scenario.seconds() * 60),
+            return new Result(
+                    scenario.name(),
+                    ends,
+                    (int) (asked / scenario.seconds() * 60),
                     proxies.stream().mapToInt(ProxyStandIn::mostAnswers).max().orElse(0),
-                    effects.values().stream().mapToInt(i -> i).max().orElse(0), runs, longest / 1_000, open, late, mostOpen,
-                    idleMiB, peakMiB,
-                    served.getValueAtPercentile(50) / 1e3, served.getValueAtPercentile(99) / 1e3,
+                    effects.values().stream().mapToInt(i -> i).max().orElse(0),
+                    runs,
+                    longest / 1_000,
+                    open,
+                    late,
+                    mostOpen,
+                    idleMiB,
+                    peakMiB,
+                    served.getValueAtPercentile(50) / 1e3,
+                    served.getValueAtPercentile(99) / 1e3,
                     served.getValueAtPercentile(99.9) / 1e3);
         }
     }
--- a/src/main/java/pumicemoor/lab/ProxyStandIn.java
+++ b/src/main/java/pumicemoor/lab/ProxyStandIn.java
@@ -26,14 +26,19 @@
  */
 public final class ProxyStandIn implements AutoCloseable {
 
-    private static final long RECONNECT = 100;  // milliseconds between tries at a program that is away
+    private static final long RECONNECT = 100; // milliseconds between tries at a program that is away
 
     /** How a call ended for the proxy's own client. */
-    public enum End { SERVED, REFUSED, FAILED, NOT_ANSWERED, BROKEN }
+    public enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        NOT_ANSWERED,
+        BROKEN
+    }
 
     /** One call: its id, when it began (System.nanoTime), how it ended and after how long (microseconds). */
-    public record Done(String id, long began, End end, long micros) {
-    }
+    public record Done(String id, long began, End end, long micros) {}
 
     /** What a cache is asked for: by name, object and id; true where it served. */
     public interface Caches {
@@ -46,20 +51,26 @@
     private final Caches caches;
     private final long cacheMillis;
     private final ScheduledExecutorService work;
-    private final Map<String, Integer> answers = new HashMap<>();  // answers to request headers, by id
+    private final Map<String, Integer> answers = new HashMap<>(); // answers to request headers, by id
     private final List<Done> done = new ArrayList<>();
     private final List<Done> unanswered = new ArrayList<>();
     private int open;
 
     /** A proxy with one connection; the message time-out and what a cache takes are in milliseconds. */
-    public ProxyStandIn(String name, String host, int port, long messageTimeoutMillis, Caches caches, long cacheMillis,
+    public ProxyStandIn(
+            String name,
+            String host,
+            int port,
+            long messageTimeoutMillis,
+            Caches caches,
+            long cacheMillis,
             ScheduledExecutorService work) {
         this.cacheMillis = cacheMillis;
         this.channel = NettyChannelBuilder.forAddress(host, port).usePlaintext().build();
         Metadata who = new Metadata();
         who.put(Metadata.Key.of("x-pumicemoor-caller", Metadata.ASCII_STRING_MARSHALLER), name);
-        this.stub = ExternalProcessorGrpc.newStub(channel).withInterceptors(
-                MetadataUtils.newAttachHeadersInterceptor(who));
+        this.stub =
+                ExternalProcessorGrpc.newStub(channel).withInterceptors(MetadataUtils.newAttachHeadersInterceptor(who));
         this.messageTimeout = messageTimeoutMillis;
         this.caches = caches;
         this.work = work;
@@ -112,7 +123,8 @@
 
     static HeaderMap headers(Map<String, String> values) {
         HeaderMap.Builder map = HeaderMap.newBuilder();
-        values.forEach((k, v) -> map.addHeaders(HeaderValue.newBuilder().setKey(k).setRawValue(ByteString.copyFromUtf8(v))));
+        values.forEach(
+                (k, v) -> map.addHeaders(HeaderValue.newBuilder().setKey(k).setRawValue(ByteString.copyFromUtf8(v))));
         return map.build();
     }
 
@@ -134,9 +146,19 @@
         synchronized void begin(String method, String path, int attempt) {
             key = id + "#" + attempt;
             out = stub.process(this);
-            out.onNext(ProcessingRequest.newBuilder().setRequestHeaders(HttpHeaders.newBuilder().setEndOfStream(true)
-                    .setHeaders(headers(Map.of(":method", method, ":path", path, "x-request-id", id,
-                            "x-envoy-attempt-count", Integer.toString(attempt))))).build());
+            out.onNext(ProcessingRequest.newBuilder()
+                    .setRequestHeaders(HttpHeaders.newBuilder()
+                            .setEndOfStream(true)
+                            .setHeaders(headers(Map.of(
+                                    ":method",
+                                    method,
+                                    ":path",
+                                    path,
+                                    "x-request-id",
+                                    id,
+                                    "x-envoy-attempt-count",
+                                    Integer.toString(attempt)))))
+                    .build());
             work.schedule(this::messageTimeUp, messageTimeout, TimeUnit.MILLISECONDS);
         }
 
@@ -154,8 +176,13 @@
                 case REQUEST_HEADERS -> {
                     if (counted()) {
                         Map<String, String> told = new HashMap<>();
-                        response.getRequestHeaders().getResponse().getHeaderMutation().getSetHeadersList()
-                                .forEach(h -> told.put(h.getHeader().getKey(), h.getHeader().getRawValue().toStringUtf8()));
+                        response.getRequestHeaders()
+                                .getResponse()
+                                .getHeaderMutation()
+                                .getSetHeadersList()
+                                .forEach(h -> told.put(
+                                        h.getHeader().getKey(),
+                                        h.getHeader().getRawValue().toStringUtf8()));
                         work.schedule(() -> forward(told), cacheMillis, TimeUnit.MILLISECONDS);
                     }
                 }
@@ -194,11 +221,13 @@
                     end(End.FAILED);
                 }
                 try {
-                    out.onNext(ProcessingRequest.newBuilder().setResponseHeaders(HttpHeaders.newBuilder()
-                            .setHeaders(headers(Map.of(":status", served ? "200" : "503", "x-pumicemoor-note", "mem"))))
+                    out.onNext(ProcessingRequest.newBuilder()
+                            .setResponseHeaders(HttpHeaders.newBuilder()
+                                    .setHeaders(headers(
+                                            Map.of(":status", served ? "200" : "503", "x-pumicemoor-note", "mem"))))
                             .build());
                 } catch (IllegalStateException e) {
-                    end(served ? End.SERVED : End.FAILED);  // the processor has gone, the response is there
+                    end(served ? End.SERVED : End.FAILED); // the processor has gone, the response is there
                 }
             }
         }
--- a/src/main/java/pumicemoor/lab/Record.java
+++ b/src/main/java/pumicemoor/lab/Record.java
@@ -14,19 +14,17 @@
 final class Record {
 
     /** What was asked for and from whom: by a router, or by another member as a fill. */
-    record Asked(long at, String member, String from, String object) {
-    }
+    record Asked(long at, String member, String from, String object) {}
 
     /** A fill that came round to where it had been, or that would have waited for itself. */
-    record Circle(long at, String member, String object, String how) {
-    }
+    record Circle(long at, String member, String object, String how) {}
 
     private final long start = System.nanoTime();
     private final List<Asked> asked = new ArrayList<>();
     private final List<Circle> circles = new ArrayList<>();
     private final Map<String, Long> drainedAt = new HashMap<>();
-    private final Map<String, List<long[]>> starts = new HashMap<>();  // of members that started late
-    private final Map<String, Map<String, Set<String>>> waiting = new HashMap<>();  // object, who, for whom
+    private final Map<String, List<long[]>> starts = new HashMap<>(); // of members that started late
+    private final Map<String, Map<String, Set<String>>> waiting = new HashMap<>(); // object, who, for whom
 
     long now() {
         return (System.nanoTime() - start) / 1_000_000;
@@ -52,7 +50,7 @@
     synchronized void waits(String who, String forWhom, String object) {
         Map<String, Set<String>> waits = waiting.computeIfAbsent(object, k -> new HashMap<>());
         Set<String> seen = new HashSet<>(Set.of(forWhom));
-        for (int before = 0; before < seen.size();) {
+        for (int before = 0; before < seen.size(); ) {
             before = seen.size();
             List.copyOf(seen).forEach(s -> seen.addAll(waits.getOrDefault(s, Set.of())));
         }
@@ -64,7 +62,9 @@
 
     synchronized void waitsNoMore(String who, String forWhom, String object) {
         Map<String, Set<String>> waits = waiting.get(object);
-        if (waits != null && waits.getOrDefault(who, Set.of()).remove(forWhom) && waits.get(who).isEmpty()) {
+        if (waits != null
+                && waits.getOrDefault(who, Set.of()).remove(forWhom)
+                && waits.get(who).isEmpty()) {
             waits.remove(who);
             if (waits.isEmpty()) {
                 waiting.remove(object);
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -16,16 +16,25 @@
 /** The real program as a process of its own, with a configuration and an operator's file that it is handed. */
 final class RouterProcess implements AutoCloseable {
 
-    private static final long READY_WITHIN = 30_000;  // milliseconds
+    private static final long READY_WITHIN = 30_000; // milliseconds
 
     /** A few processes at a time. */
     static final List<String> ROOMY = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m");
 
     /** Dozens of processes: what deploy/balancer.toml starts a router with, without the archive of classes. */
-    static final List<String> TIGHT = List.of("-XX:+UseSerialGC", "-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-Xms48m",
-            "-Xmx48m", "-Xss256k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=20m",
-            "-XX:MaxDirectMemorySize=48m", "-Dio.netty.allocator.numDirectArenas=1",
-            "-Dio.netty.allocator.numHeapArenas=1", "-Dio.netty.allocator.maxOrder=6");
+    static final List<String> TIGHT = List.of(
+            "-XX:+UseSerialGC",
+            "-XX:-UsePerfData",
+            "-XX:TieredStopAtLevel=1",
+            "-Xms48m",
+            "-Xmx48m",
+            "-Xss256k",
+            "-XX:MaxMetaspaceSize=40m",
+            "-XX:ReservedCodeCacheSize=20m",
+            "-XX:MaxDirectMemorySize=48m",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=1",
+            "-Dio.netty.allocator.maxOrder=6");
 
     private static final int READY_ASKED = 1;
     private static final int READY = 2;
@@ -76,11 +85,18 @@
         List<String> command = new ArrayList<>(cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString()));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(machine);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "pumicemoor.cli.Main", verb, "--operator",
+        command.addAll(List.of(
+                "-cp",
+                System.getProperty("java.class.path"),
+                "pumicemoor.cli.Main",
+                verb,
+                "--operator",
                 operatorFile().toString()));
         ProcessBuilder builder = new ProcessBuilder(command)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
-                .redirectError(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()))
+                .redirectError(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()));
         builder.environment().put("RELAY_CONFIG", file.toString());
         builder.environment().putAll(environment);
         process = builder.start();
@@ -117,7 +133,9 @@
 
     /** Sends it a signal by name: STOP and CONT pause it and have it go on. */
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid())
+                .start()
+                .waitFor();
     }
 
     /** What it holds of the machine's memory, as the system counts it; 0 where that is not told. */
@@ -129,7 +147,9 @@
     long residentKiB() {
         try {
             return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                    .filter(l -> l.startsWith("VmRSS:")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+                    .filter(l -> l.startsWith("VmRSS:"))
+                    .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                    .sum();
         } catch (IOException e) {
             return 0;
         }
@@ -153,9 +173,10 @@
 
     private static Optional<Long> threadTime(Path thread) {
         try {
-            return Optional.of(Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]));
+            return Optional.of(
+                    Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]));
         } catch (IOException e) {
-            return Optional.empty();  // this thread has ended
+            return Optional.empty(); // this thread has ended
         }
     }
 
@@ -172,12 +193,21 @@
 
     /** Bytes of its heap that are in use after a collection, which this has it make; -1 where it does not say. */
     long liveHeap() throws IOException, InterruptedException {
-        Process asked = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(), "-J-Xmx32m",
-                "-J-XX:+UseSerialGC", Long.toString(process.pid()), "GC.class_histogram").redirectErrorStream(true).start();
+        Process asked = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        "-J-Xmx32m",
+                        "-J-XX:+UseSerialGC",
+                        Long.toString(process.pid()),
+                        "GC.class_histogram")
+                .redirectErrorStream(true)
+                .start();
         String said = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         asked.waitFor();
-        return said.lines().filter(l -> l.startsWith("Total")).mapToLong(l -> Long.parseLong(l.trim().split("\\s+")[2]))
-                .findFirst().orElse(-1);
+        return said.lines()
+                .filter(l -> l.startsWith("Total"))
+                .mapToLong(l -> Long.parseLong(l.trim().split("\\s+")[2]))
+                .findFirst()
+                .orElse(-1);
     }
 
     void terminate() throws InterruptedException {
--- a/src/main/java/pumicemoor/lab/Scenario.java
+++ b/src/main/java/pumicemoor/lab/Scenario.java
@@ -16,29 +16,54 @@
  * What is to be played, as a YAML file tells it. Times are seconds from when clients begin, rates a second. An
  * absent key takes the default that docs/lab.md names.
  */
-record Scenario(String name, long seed, double seconds, double rate, int objects, int routers, int caches,
-        @JsonProperty("cache-holds") int cacheHolds, @JsonProperty("fill-ms") int fillMillis,
-        @JsonProperty("deadline-ms") int deadlineMillis, Change change, Map<String, Map<String, Double>> hubs,
-        Map<String, Double> depot, List<Happening> happenings, Proxies proxies, Integer cpu) {
+record Scenario(
+        String name,
+        long seed,
+        double seconds,
+        double rate,
+        int objects,
+        int routers,
+        int caches,
+        @JsonProperty("cache-holds") int cacheHolds,
+        @JsonProperty("fill-ms") int fillMillis,
+        @JsonProperty("deadline-ms") int deadlineMillis,
+        Change change,
+        Map<String, Map<String, Double>> hubs,
+        Map<String, Double> depot,
+        List<Happening> happenings,
+        Proxies proxies,
+        Integer cpu) {
 
     /** How changes of the hierarchy reach the routers. */
     enum Way {
-        @JsonProperty("feed") FEED, @JsonProperty("file") FILE, @JsonProperty("restart") RESTART
+        @JsonProperty("feed")
+        FEED,
+        @JsonProperty("file")
+        FILE,
+        @JsonProperty("restart")
+        RESTART
     }
 
     /** The times of a change in milliseconds, and how it is told; jitter delays each piece at random, to each router. */
-    record Change(Way by, @JsonProperty("lead-ms") int lead, @JsonProperty("move-ms") int move,
-            @JsonProperty("gap-ms") int gap, @JsonProperty("cold-ms") int cold,
-            @JsonProperty("jitter-ms") int jitter) {
-    }
+    record Change(
+            Way by,
+            @JsonProperty("lead-ms") int lead,
+            @JsonProperty("move-ms") int move,
+            @JsonProperty("gap-ms") int gap,
+            @JsonProperty("cold-ms") int cold,
+            @JsonProperty("jitter-ms") int jitter) {}
 
     /**
      * Proxies that call the program, in place of clients: how many, which share of the requests has an effect, their
      * message time-out, the seconds at which the program is killed, asked to end, or has its file read again.
      */
-    record Proxies(int count, @JsonProperty("effect-share") double effectShare,
-            @JsonProperty("message-timeout-ms") int messageTimeout, @JsonProperty("cache-ms") int cacheMillis,
-            @JsonProperty("kill-at") List<Double> killAt, @JsonProperty("end-at") List<Double> endAt,
+    record Proxies(
+            int count,
+            @JsonProperty("effect-share") double effectShare,
+            @JsonProperty("message-timeout-ms") int messageTimeout,
+            @JsonProperty("cache-ms") int cacheMillis,
+            @JsonProperty("kill-at") List<Double> killAt,
+            @JsonProperty("end-at") List<Double> endAt,
             @JsonProperty("reload-at") List<Double> reloadAt) {
         Proxies {
             count = Math.max(1, count);
@@ -50,13 +75,18 @@
     }
 
     /** One thing that happens: a new hierarchy, a hub that restarts cold, or a fault of a member for a while. */
-    record Happening(double at, Map<String, Map<String, Double>> hubs, Map<String, Double> depot, String restart,
-            String drain, String purge, Fault fault, @JsonProperty("kill-router") Integer killRouter) {
-    }
+    record Happening(
+            double at,
+            Map<String, Map<String, Double>> hubs,
+            Map<String, Double> depot,
+            String restart,
+            String drain,
+            String purge,
+            Fault fault,
+            @JsonProperty("kill-router") Integer killRouter) {}
 
     /** A member's fault: silent, slow (by so many milliseconds), refusing or breaking off. */
-    record Fault(String member, String kind, double seconds, int millis) {
-    }
+    record Fault(String member, String kind, double seconds, int millis) {}
 
     Scenario {
         name = name == null ? "scenario" : name;
@@ -77,23 +107,47 @@
     /** The same, with changes told in another way: feed, file or restart. */
     Scenario told(String by) throws IOException {
         try {
-            Change c = new Change(Way.valueOf(by.toUpperCase(Locale.ROOT)), change.lead(), change.move(), change.gap(),
-                    change.cold(), change.jitter());
-            return new Scenario(name + ", by " + by, seed, seconds, rate, objects, routers, caches, cacheHolds, fillMillis,
-                    deadlineMillis, c, hubs, depot, happenings, proxies, cpu);
+            Change c = new Change(
+                    Way.valueOf(by.toUpperCase(Locale.ROOT)),
+                    change.lead(),
+                    change.move(),
+                    change.gap(),
+                    change.cold(),
+                    change.jitter());
+            return new Scenario(
+                    name + ", by " + by,
+                    seed,
+                    seconds,
+                    rate,
+                    objects,
+                    routers,
+                    caches,
+                    cacheHolds,
+                    fillMillis,
+                    deadlineMillis,
+                    c,
+                    hubs,
+                    depot,
+                    happenings,
+                    proxies,
+                    cpu);
         } catch (IllegalArgumentException e) {
             throw new IOException("'" + by + "' is none of feed, file and restart", e);
         }
     }
 
     static Scenario read(Path file) throws IOException {
-        YAMLMapper yaml = YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).build();
+        YAMLMapper yaml = YAMLMapper.builder()
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                .build();
         try {
             return yaml.readValue(Files.readString(file), Scenario.class);
         } catch (JsonProcessingException e) {
-            throw new IOException(file + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
-                    + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+            throw new IOException(
+                    file + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
+                            + e.getOriginalMessage().lines().findFirst().orElse(""),
+                    e);
         }
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/CoordinatorEvents.java
+++ b/src/main/java/pumicemoor/lab/scale/CoordinatorEvents.java
@@ -16,7 +16,10 @@
 final class CoordinatorEvents {
 
     /** Where members stand: by sites as at the target, or all of the caches at the router's own site. */
-    enum Layout { SITES, ONE_SITE }
+    enum Layout {
+        SITES,
+        ONE_SITE
+    }
 
     /** The number of the last event before the measurement: as many digits as a coordinator has after two days. */
     static final long FIRST = 36_000_000;
@@ -26,7 +29,7 @@
     static final String COMMENT = ": \n\n";
 
     private static final double MEMBERS_A_SITE = 5.8;
-    private static final double PARENTS = 258.0 / 8_700;  // two in each of 129 zones
+    private static final double PARENTS = 258.0 / 8_700; // two in each of 129 zones
     private static final int ROUTERS_A_SITE = 12;
 
     private final Layout layout;
@@ -78,8 +81,12 @@
     }
 
     private static String list(long index, boolean whole, List<String> lines) {
-        return lines.stream().collect(Collectors.joining(",", "{\"index\":" + index + ",\"endpoints\":{\"generation\":" + index
-                + ",\"reset\":" + whole + ",\"instances\":[", "]}}"));
+        return lines.stream()
+                .collect(Collectors.joining(
+                        ",",
+                        "{\"index\":" + index + ",\"endpoints\":{\"generation\":" + index + ",\"reset\":" + whole
+                                + ",\"instances\":[",
+                        "]}}"));
     }
 
     /** The first is the origin, then come the parents, then the caches. */
@@ -87,7 +94,8 @@
         int parents = Math.max(1, (int) Math.round(members * PARENTS));
         String kind = number == 0 ? "origin" : number <= parents ? "parent" : "cache";
         int site = layout == Layout.ONE_SITE && number > parents ? 0 : number % sites;
-        return "{\"instanceId\":\"" + kind.charAt(0) + String.format("-%08x", number * 0x9E3779B1) + "\",\"hostPort\":\"10."
+        return "{\"instanceId\":\"" + kind.charAt(0) + String.format("-%08x", number * 0x9E3779B1)
+                + "\",\"hostPort\":\"10."
                 + number / 65_536 + "." + number / 256 % 256 + "." + number % 256 + ":9090\",\"zone\":\"" + site(site)
                 + "\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"" + lifecycle
                 + "\",\"weight\":400,\"startedAtMs\":" + started + "}";
@@ -103,8 +111,8 @@
     }
 
     String config(String router, long lastKnown, String... known) {
-        String zones = IntStream.range(0, sites).mapToObj(i -> "\"" + site(i) + "\"")
-                .collect(Collectors.joining(","));
+        String zones =
+                IntStream.range(0, sites).mapToObj(i -> "\"" + site(i) + "\"").collect(Collectors.joining(","));
         String crews = Collections.nCopies(sites, Integer.toString(ROUTERS_A_SITE)).stream()
                 .collect(Collectors.joining(","));
         return """
@@ -124,6 +132,7 @@
                    "notice-time-us":500000,"purge-settles-us":4900000,"parent-starts-at":0.1,
                    "upper-cold-us":10000000,"parent-fall-multiple":2},
                   "telemetry":{"how":"none","columns":[]},"weights":"rough"}}
-                """.formatted(router, lastKnown, String.join(",", known), zones, sites * ROUTERS_A_SITE, crews);
+                """
+                .formatted(router, lastKnown, String.join(",", known), zones, sites * ROUTERS_A_SITE, crews);
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/FleetRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/FleetRoles.java
@@ -19,13 +19,13 @@
  */
 final class FleetRoles implements RoleMeasurement {
 
-    private static final int START = 10;  // seconds measured after a common start
-    private static final int RESTART = 10;  // seconds measured after a share was started anew
-    private static final int HOLDERS = 30;  // routers of the fleet in which limits are counted
-    private static final int ACCUSED = 10;  // seconds for which every router accuses one member
-    private static final int HEAP_FROM = 100;  // routers; below, what else is in the heap moves by more than they hold
-    private static final int WARM = 60;  // routers of the fleet that is not measured
-    private static final long TALK = 10_000_000_000L;  // nanoseconds between two lines of progress
+    private static final int START = 10; // seconds measured after a common start
+    private static final int RESTART = 10; // seconds measured after a share was started anew
+    private static final int HOLDERS = 30; // routers of the fleet in which limits are counted
+    private static final int ACCUSED = 10; // seconds for which every router accuses one member
+    private static final int HEAP_FROM = 100; // routers; below, what else is in the heap moves by more than they hold
+    private static final int WARM = 60; // routers of the fleet that is not measured
+    private static final long TALK = 10_000_000_000L; // nanoseconds between two lines of progress
 
     private final Consumer<List<Sample>> soFar;
     private ScaleConfig config;
@@ -108,7 +108,8 @@
         if (f.restartShare() > 0) {
             fleet.window(RESTART);
             int count = fleet.restart(r -> draw.nextDouble() < f.restartShare(), HollowFleet.SECOND);
-            if (!finish(fleet, RESTART, percent(f.restartShare()) + " restarted") || !live(fleet, seconds, "settling")) {
+            if (!finish(fleet, RESTART, percent(f.restartShare()) + " restarted")
+                    || !live(fleet, seconds, "settling")) {
                 return;
             }
             say("routers " + size + ": " + count + " were started anew at once");
@@ -148,8 +149,12 @@
         if (!live(fleet, Math.ceil(config.seconds()), "calm")) {
             return;
         }
-        fleet.samples("calm", false).forEach(s -> samples.add(new Sample((s.role().startsWith("member") ? "holder" : s.role()
-                .replace(", calm", "")) + " at " + HOLDERS + " routers, by limits", limits, s.figures())));
+        fleet.samples("calm", false)
+                .forEach(s -> samples.add(new Sample(
+                        (s.role().startsWith("member") ? "holder" : s.role().replace(", calm", "")) + " at " + HOLDERS
+                                + " routers, by limits",
+                        limits,
+                        s.figures())));
     }
 
     private void drains(int size) {
@@ -187,8 +192,14 @@
             long took = System.nanoTime() - sizeBegan;
             if (System.nanoTime() - talked > TALK) {
                 talked = System.nanoTime();
-                say(String.format(Locale.ROOT, "%s: %s, %d virtual seconds to go, %d packets so far, %d s", unit, what,
-                        (end - f.now) / HollowFleet.SECOND, f.packets(), took / 1_000_000_000L));
+                say(String.format(
+                        Locale.ROOT,
+                        "%s: %s, %d virtual seconds to go, %d packets so far, %d s",
+                        unit,
+                        what,
+                        (end - f.now) / HollowFleet.SECOND,
+                        f.packets(),
+                        took / 1_000_000_000L));
             }
             if (took > config.minutes() * 60e9) {
                 brokenOff = true;
@@ -216,7 +227,9 @@
     private static long base() {
         System.gc();
         System.gc();
-        return java.lang.management.ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+        return java.lang.management.ManagementFactory.getMemoryMXBean()
+                .getHeapMemoryUsage()
+                .getUsed();
     }
 
     /** The heap of all routers by their number, into the calm samples: what each kind holds can't be told apart. */
@@ -240,8 +253,14 @@
 
     /** Lines for a quick look: of each kind its bytes a second. */
     static String line(Sample s) {
-        return String.format(Locale.ROOT, "%s, %d: in %.0f, out %.0f bytes/s, %.3f cpu ms/s, all have %.3f of the limit", s.role(),
-                s.size(), s.figures().getOrDefault("bytes in/s", 0.0), s.figures().getOrDefault("bytes out/s", 0.0),
-                s.figures().getOrDefault("cpu ms/s", 0.0), s.figures().getOrDefault(HollowFleet.OF_THE_LIMIT, 0.0));
+        return String.format(
+                Locale.ROOT,
+                "%s, %d: in %.0f, out %.0f bytes/s, %.3f cpu ms/s, all have %.3f of the limit",
+                s.role(),
+                s.size(),
+                s.figures().getOrDefault("bytes in/s", 0.0),
+                s.figures().getOrDefault("bytes out/s", 0.0),
+                s.figures().getOrDefault("cpu ms/s", 0.0),
+                s.figures().getOrDefault(HollowFleet.OF_THE_LIMIT, 0.0));
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/Geography.java
+++ b/src/main/java/pumicemoor/lab/scale/Geography.java
@@ -12,15 +12,15 @@
 
     /** The shortest way of a packet, microseconds. */
     static final long SHORTEST = 500;
+
     private static final long MILLI = 1_000;
-    private static final double UNEVEN = 0.7;  // deviation of the logarithm of a site's, zone's or region's weight
+    private static final double UNEVEN = 0.7; // deviation of the logarithm of a site's, zone's or region's weight
 
     /** Where one router stands, by numbers that hold for the whole fleet. */
-    record Place(int site, int zone, int region) {
-    }
+    record Place(int site, int zone, int region) {}
 
     private final List<Place> places = new ArrayList<>();
-    private final long[][] between;  // the least delay of a pair of regions, microseconds
+    private final long[][] between; // the least delay of a pair of regions, microseconds
     private final long jitter;
 
     /** Draws places for so many routers; the delay between two regions is drawn once, from far's least to its most. */
@@ -37,7 +37,7 @@
         between = new long[regions][regions];
         for (int a = 0; a < regions; a++) {
             for (int b = 0; b < a; b++) {
-                double draw = new Random(seed * 1_000_003 + a * 1_009L + b).nextDouble();  // the same at each size
+                double draw = new Random(seed * 1_000_003 + a * 1_009L + b).nextDouble(); // the same at each size
                 between[a][b] = leastFar + (long) (draw * (mostFar - leastFar - jitter));
                 between[b][a] = between[a][b];
             }
