--- a/src/main/java/pumicemoor/lab/scale/HollowFleet.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowFleet.java
@@ -49,7 +49,8 @@
     static final long SECOND = 1_000_000;
     /** What all routers may spend of the limit in sum, the most at any full second of the window; 1 is all of it. */
     static final String OF_THE_LIMIT = "of the limit, all routers";
-    static final int TABLE = 2_000;  // routers that a real flat fleet keeps in its table at most
+
+    static final int TABLE = 2_000; // routers that a real flat fleet keeps in its table at most
     private static final long EPOCH = 1_790_000_000L * SECOND;
     private static final long ORIGIN = 99;
     private static final double LIMIT = 10_000;
@@ -58,7 +59,10 @@
 
     /** What a router does in its fleet beside being a member; one that does several is the last of them. */
     enum Kind {
-        MEMBER("member"), DELEGATE("delegate"), CELL_GRANTOR("cell grantor"), GRANTOR("grantor"),
+        MEMBER("member"),
+        DELEGATE("delegate"),
+        CELL_GRANTOR("cell grantor"),
+        GRANTOR("grantor"),
         UPPER("upper grantor");
 
         final String role;
@@ -69,8 +73,7 @@
     }
 
     /** One fleet's setup beside the configuration: routers, the limits as so many caches with one each, drains. */
-    record Shape(int routers, int limits, boolean drains) {
-    }
+    record Shape(int routers, int limits, boolean drains) {}
 
     /** One hollow router and what it was counted to cost in the window. */
     final class Router {
@@ -82,16 +85,16 @@
         FleetPart part;
         boolean running;
         private final Shard shard;
-        private final Random network;  // what becomes of its packets
+        private final Random network; // what becomes of its packets
         private long sends;
         private long startedAt;
-        private long timerAt = Long.MAX_VALUE;  // of the one timer in the queue that counts
+        private long timerAt = Long.MAX_VALUE; // of the one timer in the queue that counts
         private long cpu;
         private long packetsIn;
         private long packetsOut;
-        private int[] bytesIn = new int[0];  // by second of the window
+        private int[] bytesIn = new int[0]; // by second of the window
         private int[] bytesOut = new int[0];
-        private Allowance allowance;  // of the limit, where there is one; null before it was told
+        private Allowance allowance; // of the limit, where there is one; null before it was told
 
         Router(int number, Geography.Place place) {
             this.number = number;
@@ -108,9 +111,13 @@
     private record Due(long at, Router router, int from, long number, byte[] bytes) implements Comparable<Due> {
         @Override
         public int compareTo(Due o) {
-            return at != o.at ? Long.compare(at, o.at) : from != o.from ? Integer.compare(from, o.from)
-                    : number != o.number ? Long.compare(number, o.number)
-                    : Integer.compare(router.number, o.router.number);
+            return at != o.at
+                    ? Long.compare(at, o.at)
+                    : from != o.from
+                            ? Integer.compare(from, o.from)
+                            : number != o.number
+                                    ? Long.compare(number, o.number)
+                                    : Integer.compare(router.number, o.router.number);
         }
     }
 
@@ -128,7 +135,7 @@
      */
     private final class Shard implements Callable<Void> {
         private final PriorityQueue<Due> queue = new PriorityQueue<>();
-        private final List<List<Due>> forOthers = new ArrayList<>();  // by shard, handed over between windows
+        private final List<List<Due>> forOthers = new ArrayList<>(); // by shard, handed over between windows
         private long until;
         private long packets;
         private long bytes;
@@ -153,9 +160,9 @@
     private final Shape shape;
     private final Random random;
     private final Map<String, Router> byAddress = new HashMap<>();
-    private final Map<Long, Fleet.Listed> listed;  // one for all routers
+    private final Map<Long, Fleet.Listed> listed; // one for all routers
     private final List<String> seeds = new ArrayList<>();
-    private final Map<Integer, List<String>> zoneSeeds = new HashMap<>();  // of cells: a router's own zone's come first
+    private final Map<Integer, List<String>> zoneSeeds = new HashMap<>(); // of cells: a router's own zone's come first
     private final List<LimitRule> limits;
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private final List<Shard> shards = new ArrayList<>();
@@ -165,8 +172,8 @@
     private long order;
     private long began = EPOCH;
     private int windowSeconds;
-    private double mostSpent;  // of the limit, at any full second of the window
-    private double share = 1;  // of its churn that this size has
+    private double mostSpent; // of the limit, at any full second of the window
+    private double share = 1; // of its churn that this size has
     private BiPredicate<Geography.Place, Geography.Place> cut = (a, b) -> false;
     long now = EPOCH;
 
@@ -175,13 +182,20 @@
         this.shape = shape;
         this.random = new Random(config.seed() * 31 + shape.routers);
         int n = shape.routers;
-        int largest = Math.max(n, config.routers().stream().mapToInt(Integer::intValue).max().orElse(n));
+        int largest = Math.max(
+                n, config.routers().stream().mapToInt(Integer::intValue).max().orElse(n));
         this.share = (double) n / largest;
         int regions = part(config.regions(), 1);
         int zones = part(config.zones(), regions);
         int sites = part(config.sites(), zones);
-        this.geography = new Geography(n, sites, zones, regions, config.farMillis().get(0) * MILLI,
-                config.farMillis().get(1) * MILLI, config.seed());
+        this.geography = new Geography(
+                n,
+                sites,
+                zones,
+                regions,
+                config.farMillis().get(0) * MILLI,
+                config.farMillis().get(1) * MILLI,
+                config.seed());
         for (int i = 0; i < config.threads(); i++) {
             shards.add(new Shard());
         }
@@ -206,8 +220,10 @@
             all.put(1_000L + i, new Fleet.Listed("cache-" + i, Role.CACHE, 0));
         }
         this.listed = Map.copyOf(all);
-        this.limits = List.of(shape.limits > 1 ? new LimitRule("caches", Scope.EACH_CACHE, "", Measure.PER_SECOND, LIMIT)
-                : new LimitRule("origin", Scope.ORIGIN, "", Measure.PER_SECOND, LIMIT));
+        this.limits = List.of(
+                shape.limits > 1
+                        ? new LimitRule("caches", Scope.EACH_CACHE, "", Measure.PER_SECOND, LIMIT)
+                        : new LimitRule("origin", Scope.ORIGIN, "", Measure.PER_SECOND, LIMIT));
         this.readingTakes = readingTakes();
     }
 
@@ -242,17 +258,32 @@
 
     /** Starts a fresh process of a router. */
     void start(Router r) {
-        Optional<Bench.Rules> verdicts = config.verdicts() ? Optional.of(new Bench.Rules(0.2, 2, 5 * SECOND,
-                2_500 * MILLI)) : Optional.empty();
-        Optional<DrainTimes> drains = shape.drains ? Optional.of(new DrainTimes(2 * SECOND, 10 * SECOND,
-                60 * SECOND, 600 * SECOND, 5 * SECOND, 5 * SECOND)) : Optional.empty();
-        Optional<CellSetup> cells = Optional.ofNullable(config.cells()).map(c -> new CellSetup(
-                roots.computeIfAbsent(r.place.zone(), z -> "zone-" + z), c.most(), c.delegates()));
-        FleetSetup setup = new FleetSetup("scale", new Membership.Setup(r.name, r.address,
-                cells.isPresent() ? zoneSeeds.get(r.place.zone()) : seeds,
-                config.periodMillis() * MILLI, 3, 2, 600 * SECOND, cells.isPresent() ? TABLE
-                        : Math.max(TABLE, shape.routers)), shape.routers,
-                new LeaseTimes(config.leaseMillis() * MILLI, config.guardMillis() * MILLI), limits, verdicts, drains, cells);
+        Optional<Bench.Rules> verdicts =
+                config.verdicts() ? Optional.of(new Bench.Rules(0.2, 2, 5 * SECOND, 2_500 * MILLI)) : Optional.empty();
+        Optional<DrainTimes> drains = shape.drains
+                ? Optional.of(
+                        new DrainTimes(2 * SECOND, 10 * SECOND, 60 * SECOND, 600 * SECOND, 5 * SECOND, 5 * SECOND))
+                : Optional.empty();
+        Optional<CellSetup> cells = Optional.ofNullable(config.cells())
+                .map(c -> new CellSetup(
+                        roots.computeIfAbsent(r.place.zone(), z -> "zone-" + z), c.most(), c.delegates()));
+        FleetSetup setup = new FleetSetup(
+                "scale",
+                new Membership.Setup(
+                        r.name,
+                        r.address,
+                        cells.isPresent() ? zoneSeeds.get(r.place.zone()) : seeds,
+                        config.periodMillis() * MILLI,
+                        3,
+                        2,
+                        600 * SECOND,
+                        cells.isPresent() ? TABLE : Math.max(TABLE, shape.routers)),
+                shape.routers,
+                new LeaseTimes(config.leaseMillis() * MILLI, config.guardMillis() * MILLI),
+                limits,
+                verdicts,
+                drains,
+                cells);
         long before = cpu();
         r.part = part(setup, now, r.network.nextLong());
         r.part.members(now, listed);
@@ -279,7 +310,8 @@
 
     /** Kills those of a kind now and starts fresh processes of them so much later. */
     int restart(Predicate<Router> which, long after) {
-        List<Router> chosen = routers.stream().filter(r -> r.running && which.test(r)).toList();
+        List<Router> chosen =
+                routers.stream().filter(r -> r.running && which.test(r)).toList();
         chosen.forEach(this::kill);
         chosen.forEach(r -> later(after + 1, () -> start(r)));
         return chosen.size();
@@ -443,8 +475,12 @@
         if (to == null || cut.test(from.place, to.place) || from.network.nextDouble() < config.loss()) {
             return;
         }
-        Due due = new Due(at + geography.delay(from.place, to.place, from.network.nextDouble()), to, from.number,
-                from.sends++, d.bytes());
+        Due due = new Due(
+                at + geography.delay(from.place, to.place, from.network.nextDouble()),
+                to,
+                from.number,
+                from.sends++,
+                d.bytes());
         if (to.shard == from.shard) {
             to.shard.queue.add(due);
         } else {
@@ -454,8 +490,11 @@
 
     /** What all routers may spend of the limit now, in sum, as shares of it. */
     private double spent() {
-        return routers.stream().filter(r -> r.running && r.allowance != null).mapToDouble(r -> now < r.allowance.until()
-                ? r.allowance.share() : r.allowance.after()).sum() / LIMIT;
+        return routers.stream()
+                        .filter(r -> r.running && r.allowance != null)
+                        .mapToDouble(r -> now < r.allowance.until() ? r.allowance.share() : r.allowance.after())
+                        .sum()
+                / LIMIT;
     }
 
     // ---- counting -------------------------------------------------------------------------------------
@@ -515,11 +554,18 @@
      */
     List<Sample> samples(String scenario, boolean startOfAll) {
         List<Sample> samples = new ArrayList<>();
-        List<Router> old = routers.stream().filter(r -> r.running && (startOfAll || r.startedAt < began)).toList();
-        List<Router> fresh = routers.stream().filter(r -> r.running && !startOfAll && r.startedAt >= began).toList();
-        kinds(old).forEach((kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
-        kinds(fresh).forEach((kind, of) -> samples.add(new Sample("fresh " + kind.role + ", " + scenario, shape.routers,
-                figures(of))));
+        List<Router> old = routers.stream()
+                .filter(r -> r.running && (startOfAll || r.startedAt < began))
+                .toList();
+        List<Router> fresh = routers.stream()
+                .filter(r -> r.running && !startOfAll && r.startedAt >= began)
+                .toList();
+        kinds(old)
+                .forEach(
+                        (kind, of) -> samples.add(new Sample(kind.role + ", " + scenario, shape.routers, figures(of))));
+        kinds(fresh)
+                .forEach((kind, of) ->
+                        samples.add(new Sample("fresh " + kind.role + ", " + scenario, shape.routers, figures(of))));
         return samples;
     }
 
@@ -562,16 +608,23 @@
         }
         f.put("living known", known(of, "fleet-living"));
         if (config.cells() != null) {
-            f.put("cells", (double) routers.stream().filter(r -> r.running).map(r -> r.part.fields().get("fleet-cell"))
-                    .distinct().count());
+            f.put("cells", (double) routers.stream()
+                    .filter(r -> r.running)
+                    .map(r -> r.part.fields().get("fleet-cell"))
+                    .distinct()
+                    .count());
             f.put("delegates known", known(of, "fleet-delegates"));
         }
         return f;
     }
 
     private static double known(List<Router> of, String field) {
-        return of.stream().map(r -> r.part.fields().get(field)).filter(v -> v != null).mapToDouble(Double::parseDouble)
-                .average().orElse(0);
+        return of.stream()
+                .map(r -> r.part.fields().get(field))
+                .filter(v -> v != null)
+                .mapToDouble(Double::parseDouble)
+                .average()
+                .orElse(0);
     }
 
     private static long sum(int[] bySecond) {
@@ -587,8 +640,10 @@
         for (int i = 0; i < 2; i++) {
             System.gc();
         }
-        long onTheWay = shards.stream().flatMap(s -> s.queue.stream()).mapToLong(d -> 72 + (d.bytes == null ? 0
-                : 16 + d.bytes.length)).sum();
+        long onTheWay = shards.stream()
+                .flatMap(s -> s.queue.stream())
+                .mapToLong(d -> 72 + (d.bytes == null ? 0 : 16 + d.bytes.length))
+                .sum();
         return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() - onTheWay;
     }
 }
--- a/src/main/java/pumicemoor/lab/scale/HollowReader.java
+++ b/src/main/java/pumicemoor/lab/scale/HollowReader.java
@@ -27,11 +27,11 @@
     private static final long MILLI = 1_000;
     private static final long HIT = 2 * MILLI;
     private static final long FILL = 6 * MILLI;
-    private static final long DEADLINE = 3_000;  // milliseconds
+    private static final long DEADLINE = 3_000; // milliseconds
 
     private final Reducer reducer;
     private final Queue<Effect> effects = new ArrayDeque<>();
-    private final Queue<Pending> hits = new ArrayDeque<>();  // each of the two by time
+    private final Queue<Pending> hits = new ArrayDeque<>(); // each of the two by time
     private final Queue<Pending> fills = new ArrayDeque<>();
     private final List<Effect.ToFleet> packets = new ArrayList<>();
     private final Set<String> filled = new HashSet<>();
@@ -41,8 +41,7 @@
     private long served;
     private long bounded;
 
-    private record Pending(long at, long attempt, String note) {
-    }
+    private record Pending(long at, long attempt, String note) {}
 
     /** One that is told this configuration and whose operator has set nothing. */
     HollowReader(String config) {
@@ -51,8 +50,11 @@
 
     HollowReader(String config, OperatorConfig operator) {
         NodeConfig read = read(config);
-        reducer = new Reducer(new Logic(read.words().settings(), read.seed()), read.words(),
-                ResourceLimits.of(read.words().settings(), read.figures()), new Counters());
+        reducer = new Reducer(
+                new Logic(read.words().settings(), read.seed()),
+                read.words(),
+                ResourceLimits.of(read.words().settings(), read.figures()),
+                new Counters());
         reducer.operate(now, operator, read.location(), read.name(), read.seed());
         reducer.known(now, read, effects::add);
         carryOut();
@@ -102,7 +104,8 @@
 
     void request(String object) {
         streams++;
-        take(new Input.Request(1, streams, Integer.toString(streams), "file", object, 0, -1, null, DEADLINE, false, Bytes.NONE));
+        take(new Input.Request(
+                1, streams, Integer.toString(streams), "file", object, 0, -1, null, DEADLINE, false, Bytes.NONE));
     }
 
     /** Lets virtual time pass, with all that is due in it. */
@@ -123,8 +126,11 @@
 
     /** When something happens next. */
     long next() {
-        return Math.min(reducer.nextDue(), Math.min(hits.isEmpty() ? Long.MAX_VALUE : hits.peek().at(),
-                fills.isEmpty() ? Long.MAX_VALUE : fills.peek().at()));
+        return Math.min(
+                reducer.nextDue(),
+                Math.min(
+                        hits.isEmpty() ? Long.MAX_VALUE : hits.peek().at(),
+                        fills.isEmpty() ? Long.MAX_VALUE : fills.peek().at()));
     }
 
     private void carryOut() {
--- a/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
@@ -31,22 +31,22 @@
 
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
-    private static final double PURGE_SECONDS = 4.9;  // within which the target wants a purge everywhere
-    private static final int PURGE_LIVES = 3;  // for so many of those a router keeps a purge
-    private static final double CHANGES = 36_000 / 86_400.0;  // of configuration a second
-    private static final double MACHINES = 7_620 / 86_400.0;  // that come or go a second
-    private static final int MACHINE_LINES = 2;  // one that goes, one that comes back
-    private static final double PURGES = 210;  // a second
-    private static final int CONTROL = 39;  // machines for control
-    private static final int REQUESTS = 1_056;  // a second at a router
-    private static final int OBJECTS = 3_000;  // asked for, each many times
+    private static final double PURGE_SECONDS = 4.9; // within which the target wants a purge everywhere
+    private static final int PURGE_LIVES = 3; // for so many of those a router keeps a purge
+    private static final double CHANGES = 36_000 / 86_400.0; // of configuration a second
+    private static final double MACHINES = 7_620 / 86_400.0; // that come or go a second
+    private static final int MACHINE_LINES = 2; // one that goes, one that comes back
+    private static final double PURGES = 210; // a second
+    private static final int CONTROL = 39; // machines for control
+    private static final int REQUESTS = 1_056; // a second at a router
+    private static final int OBJECTS = 3_000; // asked for, each many times
     private static final int CHANGES_A_ROUND = 50;
-    private static final int HOLDING = 6;  // virtual seconds until all is lent
-    private static final int HELD = 5;  // virtual seconds that are counted: five reports
-    private static final int READ = 8_192;  // bytes of the stream that are handed on at once, at most
-    private static final int WARM_UP = 8;  // times the rounds, before anything counts
-    private static final int SMALL = 200;  // members then
-    private static final int WARMING = 4;  // rounds of requests that do not count
+    private static final int HOLDING = 6; // virtual seconds until all is lent
+    private static final int HELD = 5; // virtual seconds that are counted: five reports
+    private static final int READ = 8_192; // bytes of the stream that are handed on at once, at most
+    private static final int WARM_UP = 8; // times the rounds, before anything counts
+    private static final int SMALL = 200; // members then
+    private static final int WARMING = 4; // rounds of requests that do not count
 
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
     private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
@@ -59,13 +59,23 @@
      * What is measured: sizes of the list, purges a second, routers before the sender, seconds that a router was cut off,
      * rounds of each measurement of processor time (the median counts), the seed.
      */
-    public record Plan(List<Integer> members, List<Integer> purgeRates, List<Integer> routers, List<Integer> cutSeconds,
-            int rounds, long seed) {
+    public record Plan(
+            List<Integer> members,
+            List<Integer> purgeRates,
+            List<Integer> routers,
+            List<Integer> cutSeconds,
+            int rounds,
+            long seed) {
 
         /** That of the target. */
         public static Plan target() {
-            return new Plan(List.of(100, 300, 1_000, 3_000, 8_700), List.of(10, 50, 100, 150, 210),
-                    List.of(30, 300, 2_000, 6_000, 18_000), List.of(5, 15, 60, 120, 180), 9, 1);
+            return new Plan(
+                    List.of(100, 300, 1_000, 3_000, 8_700),
+                    List.of(10, 50, 100, 150, 210),
+                    List.of(30, 300, 2_000, 6_000, 18_000),
+                    List.of(5, 15, 60, 120, 180),
+                    9,
+                    1);
         }
     }
 
@@ -82,8 +92,15 @@
     @Override
     public List<Sample> measure(ScaleConfig config, PrintStream lines) {
         Plan target = Plan.target();
-        return measure(new Plan(config.members(), config.purges().stream().map(p -> (int) Math.round(p)).toList(),
-                config.routers(), target.cutSeconds(), target.rounds(), config.seed()), lines);
+        return measure(
+                new Plan(
+                        config.members(),
+                        config.purges().stream().map(p -> (int) Math.round(p)).toList(),
+                        config.routers(),
+                        target.cutSeconds(),
+                        target.rounds(),
+                        config.seed()),
+                lines);
     }
 
     /** All samples of the plan, in order; a line of progress for each. */
@@ -113,8 +130,8 @@
     /** Compiles what will be measured: the same work on a small list, thrown away. */
     private void warmUp() {
         PrintStream nowhere = new PrintStream(OutputStream.nullOutputStream());
-        ReaderRoles small = new ReaderRoles(new Plan(List.of(), List.of(), List.of(), List.of(), WARM_UP * plan.rounds(),
-                plan.seed()), nowhere);
+        ReaderRoles small = new ReaderRoles(
+                new Plan(List.of(), List.of(), List.of(), List.of(), WARM_UP * plan.rounds(), plan.seed()), nowhere);
         small.lists(SMALL);
         small.changes(SMALL);
         small.coldStart(SMALL);
@@ -183,12 +200,14 @@
         double[] rounds = new double[plan.rounds()];
         for (int i = 0; i < rounds.length; i++) {
             reader.pass(SECOND);
-            long lost = ++index;  // the one behind it shows the gap, the answer is the whole list
-            reader.take(new Input.Update(CoordinatorEvents.purge(lost + 1, CoordinatorEvents.object(i), CoordinatorEvents.BEGIN)));
+            long lost = ++index; // the one behind it shows the gap, the answer is the whole list
+            reader.take(new Input.Update(
+                    CoordinatorEvents.purge(lost + 1, CoordinatorEvents.object(i), CoordinatorEvents.BEGIN)));
             String whole = events.whole(lost);
             rounds[i] = micros(() -> reader.take(new Input.Update(whole))) / MILLI;
         }
-        figures.put("bytes a list", (double) CoordinatorEvents.bytes(CoordinatorEvents.onWire(index, events.whole(index))));
+        figures.put(
+                "bytes a list", (double) CoordinatorEvents.bytes(CoordinatorEvents.onWire(index, events.whole(index))));
         figures.put("asked again", (double) reader.followed());
         cpu(figures, "ms a list", rounds);
         add("reader, whole list", members, figures);
@@ -238,7 +257,9 @@
         figures.put("heap bytes", heap(readers));
         figures.put("bytes of configuration", (double) CoordinatorEvents.bytes(config));
         figures.put("ready", ready ? 1.0 : 0.0);
-        figures.put("worked out: bytes a control machine, 10 % at once", 1_800.0 * CoordinatorEvents.bytes(config) / CONTROL);
+        figures.put(
+                "worked out: bytes a control machine, 10 % at once",
+                1_800.0 * CoordinatorEvents.bytes(config) / CONTROL);
         cpu(figures, "ms a start", rounds);
         add("cold start", members, figures);
     }
@@ -254,13 +275,16 @@
         Random random = new Random(plan.seed());
         int requests = Math.max(200, Math.min(2_000, 1_000_000 / members));
         double[] rounds = new double[plan.rounds()];
-        for (int i = -WARMING; i < rounds.length; i++) {  // the first ones fill the caches, and are compiled
-            List<String> objects = random.ints(requests, 0, OBJECTS).mapToObj(CoordinatorEvents::object).toList();
+        for (int i = -WARMING; i < rounds.length; i++) { // the first ones fill the caches, and are compiled
+            List<String> objects = random.ints(requests, 0, OBJECTS)
+                    .mapToObj(CoordinatorEvents::object)
+                    .toList();
             reader.take(new Input.FeedHeard());
             double spent = micros(() -> objects.forEach(object -> {
-                reader.request(object);
-                reader.pass(SECOND / REQUESTS);
-            })) / requests;
+                        reader.request(object);
+                        reader.pass(SECOND / REQUESTS);
+                    }))
+                    / requests;
             if (i >= 0) {
                 rounds[i] = spent;
             }
@@ -270,13 +294,15 @@
         figures.put("requests", (double) requests * (rounds.length + WARMING));
         figures.put("served", (double) reader.served());
         cpu(figures, "us a request", rounds);
-        figures.put("worked out: cpu ms/s at 1,056 requests a second", figures.get("cpu us a request") * REQUESTS / MILLI);
+        figures.put(
+                "worked out: cpu ms/s at 1,056 requests a second", figures.get("cpu us a request") * REQUESTS / MILLI);
         add(role, members, figures);
     }
 
     // ---- limits ---------------------------------------------------------------------------------------
 
-    private static final String FLEET = """
+    private static final String FLEET =
+            """
             fleet:
               cluster: scale
               listen: 10.0.0.%d:7946
@@ -290,23 +316,28 @@
         CoordinatorEvents events = new CoordinatorEvents(Layout.SITES, members, plan.seed());
         List<Holder> pair = new ArrayList<>();
         for (int i = 1; i <= 2; i++) {
-            pair.add(new Holder("10.0.0." + i + ":7946", new HollowReader(events.config("r-" + i, CoordinatorEvents.FIRST + 1,
-                    events.whole(CoordinatorEvents.FIRST + 1)), operator(FLEET.formatted(i)))));
+            pair.add(new Holder(
+                    "10.0.0." + i + ":7946",
+                    new HollowReader(
+                            events.config(
+                                    "r-" + i, CoordinatorEvents.FIRST + 1, events.whole(CoordinatorEvents.FIRST + 1)),
+                            operator(FLEET.formatted(i)))));
         }
         run(pair, HOLDING);
         pair.forEach(Holder::count);
         run(pair, HELD);
-        boolean firstHolds = pair.get(0).bytes > pair.get(1).bytes;  // asks are longer than their answers
-        List<HollowReader> readers = new ArrayList<>(pair.stream().map(h -> h.reader).toList());
+        boolean firstHolds = pair.get(0).bytes > pair.get(1).bytes; // asks are longer than their answers
+        List<HollowReader> readers =
+                new ArrayList<>(pair.stream().map(h -> h.reader).toList());
         pair.forEach(h -> h.reader = null);
         double heap = heap(readers);
         for (Holder h : pair) {
             boolean holder = firstHolds == (h == pair.get(0));
             Map<String, Double> figures = new TreeMap<>();
-            figures.put("heap bytes", heap);  // the mean of both
+            figures.put("heap bytes", heap); // the mean of both
             figures.put("bytes out/s", (double) h.bytes / HELD);
             figures.put("packets out/s", (double) h.packets / HELD);
-            Holder other = pair.get(h == pair.get(0) ? 1 : 0);  // nothing is lost between the two
+            Holder other = pair.get(h == pair.get(0) ? 1 : 0); // nothing is lost between the two
             figures.put("bytes in/s", (double) other.bytes / HELD);
             figures.put("packets in/s", (double) other.packets / HELD);
             figures.put("cpu ms/s", h.nanos / 1e6 / HELD);
@@ -355,8 +386,10 @@
                 for (Effect.ToFleet packet : from.reader.takePackets()) {
                     from.bytes += packet.bytes().length;
                     from.packets++;
-                    pair.stream().filter(to -> to.address.equals(packet.address())).forEach(to -> to.nanos += (long) (MILLI
-                            * micros(() -> to.reader.take(new Input.FromFleet(packet.bytes())))));
+                    pair.stream()
+                            .filter(to -> to.address.equals(packet.address()))
+                            .forEach(to -> to.nanos +=
+                                    (long) (MILLI * micros(() -> to.reader.take(new Input.FromFleet(packet.bytes())))));
                 }
             }
         }
@@ -391,13 +424,14 @@
             bytes += second < filling ? 0 : CoordinatorEvents.bytes(CoordinatorEvents.COMMENT);
             for (HollowReader reader : readers) {
                 double all = micros(() -> {
-                    told.forEach(t -> {
-                        reader.take(new Input.Update(t));
-                        reader.take(new Input.FeedHeard());
-                        reader.pass(gap);
-                    });
-                    reader.pass(SECOND - rate * gap);
-                }) / MILLI;
+                            told.forEach(t -> {
+                                reader.take(new Input.Update(t));
+                                reader.take(new Input.FeedHeard());
+                                reader.pass(gap);
+                            });
+                            reader.pass(SECOND - rate * gap);
+                        })
+                        / MILLI;
                 if (second >= filling && reader == first) {
                     perSecond[second - filling] = all;
                 }
@@ -407,19 +441,20 @@
         figures.put("bytes in/s", (double) bytes / plan.rounds());
         HollowReader reader = readers.remove(0);
         figures.put("heap bytes", heap(readers));
-        for (int i = 0; i < perPurge.length; i++) {  // the taking in alone, without the passing of time
+        for (int i = 0; i < perPurge.length; i++) { // the taking in alone, without the passing of time
             List<String> told = new ArrayList<>();
             for (int k = 0; k < rate; k++) {
-                told.add(CoordinatorEvents.purge(CoordinatorEvents.FIRST + 2 + count, CoordinatorEvents.object(count++),
-                        reader.now() / MILLI));
+                told.add(CoordinatorEvents.purge(
+                        CoordinatorEvents.FIRST + 2 + count, CoordinatorEvents.object(count++), reader.now() / MILLI));
             }
             perPurge[i] = micros(() -> told.forEach(t -> {
-                reader.take(new Input.Update(t));
-                reader.take(new Input.FeedHeard());
-            })) / Math.max(1, rate);
+                        reader.take(new Input.Update(t));
+                        reader.take(new Input.FeedHeard());
+                    }))
+                    / Math.max(1, rate);
             reader.pass(SECOND);
         }
-        for (int i = 0; i < count; i++) {  // who is kept shows in the oldest copy that an attempt accepts
+        for (int i = 0; i < count; i++) { // who is kept shows in the oldest copy that an attempt accepts
             reader.request(CoordinatorEvents.object(i));
         }
         figures.put("entries", (double) reader.bounded());
@@ -442,15 +477,18 @@
             long bytes = 0;
             for (int second = 0; second < seconds; second++) {
                 for (int k = 0; k < PURGES; k++) {
-                    told.add(CoordinatorEvents.purge(++index, CoordinatorEvents.object(index), CoordinatorEvents.BEGIN
-                            + second * MILLI + (long) (k * MILLI / PURGES)));
+                    told.add(CoordinatorEvents.purge(
+                            ++index,
+                            CoordinatorEvents.object(index),
+                            CoordinatorEvents.BEGIN + second * MILLI + (long) (k * MILLI / PURGES)));
                 }
                 if ((int) ((second + 1) * CHANGES) > (int) (second * CHANGES)) {
                     told.add(events.change(++index, CoordinatorEvents.BEGIN + second * MILLI));
                 }
             }
             for (int k = 0; k < told.size(); k++) {
-                bytes += CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST + 2 + k, told.get(k)));
+                bytes +=
+                        CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST + 2 + k, told.get(k)));
             }
             reader.request(CoordinatorEvents.object(index));
             figures.put("bounded while cut off", (double) reader.bounded());
@@ -460,7 +498,8 @@
         }
         figures.put("unbounded while behind", (double) unbounded(events, seconds));
         cpu(figures, "ms", rounds);
-        figures.put("worked out: seconds at 26 KB a second beside 210 purges a second",
+        figures.put(
+                "worked out: seconds at 26 KB a second beside 210 purges a second",
                 figures.get("bytes") / Math.max(1, 26_000 - PURGES * purgeBytes()));
         add("reader, seconds cut off", seconds, figures);
     }
@@ -478,10 +517,11 @@
         int asked = 0;
         for (int k = 0; k < purges; k++) {
             long index = CoordinatorEvents.FIRST + 2 + k;
-            reader.take(new Input.Update(CoordinatorEvents.purge(index, CoordinatorEvents.object(index), CoordinatorEvents.BEGIN
-                    + (long) (k * MILLI / PURGES))));
+            reader.take(new Input.Update(CoordinatorEvents.purge(
+                    index, CoordinatorEvents.object(index), CoordinatorEvents.BEGIN + (long) (k * MILLI / PURGES))));
             if (k % aRead == aRead - 1 && k < purges - 1) {
-                reader.request(CoordinatorEvents.object(CoordinatorEvents.FIRST + 1 + purges));  // the last that is purged
+                reader.request(
+                        CoordinatorEvents.object(CoordinatorEvents.FIRST + 1 + purges)); // the last that is purged
                 asked++;
             }
         }
@@ -491,19 +531,22 @@
     // ---- the sender -----------------------------------------------------------------------------------
 
     private static double purgeBytes() {
-        return CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST,
-                CoordinatorEvents.purge(CoordinatorEvents.FIRST, CoordinatorEvents.object(1), CoordinatorEvents.BEGIN)));
+        return CoordinatorEvents.bytes(CoordinatorEvents.onWire(
+                CoordinatorEvents.FIRST,
+                CoordinatorEvents.purge(
+                        CoordinatorEvents.FIRST, CoordinatorEvents.object(1), CoordinatorEvents.BEGIN)));
     }
 
     /** The sizes of the encoded events are measured; what they come to at the target's rates is worked out. */
     private void sender(int routers) {
         CoordinatorEvents events = new CoordinatorEvents(Layout.SITES, 8_700, plan.seed());
-        double change = CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST,
-                events.change(CoordinatorEvents.FIRST, CoordinatorEvents.BEGIN)));
-        double whole = CoordinatorEvents.bytes(CoordinatorEvents.onWire(CoordinatorEvents.FIRST,
-                events.whole(CoordinatorEvents.FIRST)));
+        double change = CoordinatorEvents.bytes(CoordinatorEvents.onWire(
+                CoordinatorEvents.FIRST, events.change(CoordinatorEvents.FIRST, CoordinatorEvents.BEGIN)));
+        double whole = CoordinatorEvents.bytes(
+                CoordinatorEvents.onWire(CoordinatorEvents.FIRST, events.whole(CoordinatorEvents.FIRST)));
         double eventsASecond = PURGES + CHANGES + MACHINE_LINES * MACHINES;
-        double router = PURGES * purgeBytes() + (CHANGES + MACHINE_LINES * MACHINES) * change
+        double router = PURGES * purgeBytes()
+                + (CHANGES + MACHINE_LINES * MACHINES) * change
                 + CoordinatorEvents.bytes(CoordinatorEvents.COMMENT);
         Map<String, Double> figures = new TreeMap<>();
         figures.put("bytes a purge", purgeBytes());
@@ -514,7 +557,8 @@
         figures.put("worked out: bytes/s a control machine", router * routers / CONTROL);
         figures.put("worked out: events/s a control machine", eventsASecond * routers / CONTROL);
         figures.put("worked out: connections a control machine", Math.ceil((double) routers / CONTROL));
-        figures.put("worked out: bytes/s a router, whole lists in place of changes",
+        figures.put(
+                "worked out: bytes/s a router, whole lists in place of changes",
                 router + (CHANGES + MACHINE_LINES * MACHINES) * (whole - change));
         add("sender", routers, figures);
     }
--- a/src/main/java/pumicemoor/lab/scale/Sample.java
+++ b/src/main/java/pumicemoor/lab/scale/Sample.java
@@ -7,5 +7,4 @@
  * routers, or of members where the role grows with those (its name says so). Figures by name, the unit in the name:
  * "bytes out/s", "bytes in/s", "packets out/s", "packets in/s", "cpu ms/s", "heap bytes".
  */
-public record Sample(String role, int size, Map<String, Double> figures) {
-}
+public record Sample(String role, int size, Map<String, Double> figures) {}
--- a/src/main/java/pumicemoor/lab/scale/ScaleConfig.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleConfig.java
@@ -56,29 +56,34 @@
     /** The groups of roles that can be measured. */
     public enum Role {
         /** Routers of a fleet when nothing happens, after a common start, and under the faults that are set. */
-        @JsonProperty("fleet") FLEET,
+        @JsonProperty("fleet")
+        FLEET,
         /** A report's cost at the holder and at the grantor, by the number of limits. */
-        @JsonProperty("holder") HOLDER,
+        @JsonProperty("holder")
+        HOLDER,
         /** The keeper while every router accuses one member. */
-        @JsonProperty("keeper") KEEPER,
+        @JsonProperty("keeper")
+        KEEPER,
         /** The fleet with drains, at the sizes of 'drains'. */
-        @JsonProperty("drains") DRAINS,
+        @JsonProperty("drains")
+        DRAINS,
         /** A router as reader of the coordinator's stream, and the stream's sender. */
-        @JsonProperty("reader") READER
+        @JsonProperty("reader")
+        READER
     }
 
     /** A fleet of cells: routers in a cell at most, and delegates of each; absent: one flat fleet. */
-    public record Cells(Integer most, Integer delegates) {
-    }
+    public record Cells(Integer most, Integer delegates) {}
 
     /**
      * What is made to fail, in virtual seconds; 0 leaves it out. The zone is lost and its routers come back, as fresh
      * processes, after so long; the two largest regions hear nothing of each other for so long; a share of all routers
      * is started anew at once.
      */
-    public record Faults(@JsonProperty("zone-seconds") Double zoneSeconds,
-            @JsonProperty("cut-seconds") Double cutSeconds, @JsonProperty("restart-share") Double restartShare) {
-    }
+    public record Faults(
+            @JsonProperty("zone-seconds") Double zoneSeconds,
+            @JsonProperty("cut-seconds") Double cutSeconds,
+            @JsonProperty("restart-share") Double restartShare) {}
 
     static final int MOST_ROUTERS = 100_000;
 
@@ -87,7 +92,11 @@
         name = name == null ? "scale" : name;
         seed = seed == null ? 1L : seed;
         routers = routers == null ? List.of(30, 100, 300) : copy(routers);
-        int largest = routers.stream().filter(Objects::nonNull).mapToInt(Integer::intValue).max().orElse(1);
+        int largest = routers.stream()
+                .filter(Objects::nonNull)
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(1);
         sites = sites == null ? Math.max(1, largest / 12) : sites;
         zones = zones == null ? Math.max(1, largest / 140) : zones;
         regions = regions == null ? Math.max(1, largest / 346) : regions;
@@ -107,10 +116,13 @@
         verdicts = verdicts == null || verdicts;
         drains = drains == null ? List.of() : copy(drains);
         if (cells != null) {
-            cells = new Cells(cells.most() == null ? 96 : cells.most(), cells.delegates() == null ? 2 : cells.delegates());
+            cells = new Cells(
+                    cells.most() == null ? 96 : cells.most(), cells.delegates() == null ? 2 : cells.delegates());
         }
         Faults f = faults == null ? new Faults(null, null, null) : faults;
-        faults = new Faults(f.zoneSeconds() == null ? 0.0 : f.zoneSeconds(), f.cutSeconds() == null ? 0.0 : f.cutSeconds(),
+        faults = new Faults(
+                f.zoneSeconds() == null ? 0.0 : f.zoneSeconds(),
+                f.cutSeconds() == null ? 0.0 : f.cutSeconds(),
                 f.restartShare() == null ? 0.0 : f.restartShare());
         roles = roles == null ? List.of(Role.FLEET) : copy(roles);
         minutes = minutes == null ? 60.0 : minutes;
@@ -130,10 +142,13 @@
 
     /** Reads and checks a text; where is what the line of an error begins with. */
     static ScaleConfig parse(String text, String where) throws IOException {
-        YAMLMapper yaml = YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS).disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
-                .withCoercionConfig(LogicalType.Integer, c -> c.setCoercion(CoercionInputShape.EmptyString,
-                        CoercionAction.Fail)).build();
+        YAMLMapper yaml = YAMLMapper.builder()
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                .withCoercionConfig(
+                        LogicalType.Integer, c -> c.setCoercion(CoercionInputShape.EmptyString, CoercionAction.Fail))
+                .build();
         try {
             ScaleConfig config = yaml.readValue(text, ScaleConfig.class);
             if (config == null) {
@@ -144,18 +159,27 @@
         } catch (UnrecognizedPropertyException e) {
             throw new IOException(where + ": " + key(e) + ": there is no such key", e);
         } catch (JsonMappingException e) {
-            throw new IOException(where + ": " + key(e) + ": " + (e.getMessage().startsWith("Cannot deserialize")
-                    ? "it is not of the kind that docs/lab.md says" : e.getOriginalMessage().lines().findFirst().orElse("")),
+            throw new IOException(
+                    where + ": " + key(e) + ": "
+                            + (e.getMessage().startsWith("Cannot deserialize")
+                                    ? "it is not of the kind that docs/lab.md says"
+                                    : e.getOriginalMessage().lines().findFirst().orElse("")),
                     e);
         } catch (JsonProcessingException e) {
-            throw new IOException(where + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
-                    + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+            throw new IOException(
+                    where + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
+                            + e.getOriginalMessage().lines().findFirst().orElse(""),
+                    e);
         }
     }
 
     private static String key(JsonMappingException e) {
-        return e.getPath().isEmpty() ? "the file" : e.getPath().stream().map(r -> r.getFieldName() == null
-                ? "[" + r.getIndex() + "]" : "." + r.getFieldName()).collect(Collectors.joining()).substring(1);
+        return e.getPath().isEmpty()
+                ? "the file"
+                : e.getPath().stream()
+                        .map(r -> r.getFieldName() == null ? "[" + r.getIndex() + "]" : "." + r.getFieldName())
+                        .collect(Collectors.joining())
+                        .substring(1);
     }
 
     private void check(String where) throws IOException {
@@ -197,7 +221,8 @@
             throw new IOException(where + ": roles: it names none");
         }
         if (roles.contains(Role.DRAINS) && (cells != null || drains.isEmpty())) {
-            throw new IOException(where + ": drains: " + (cells != null ? "cells do not carry drains" : "it names no size"));
+            throw new IOException(
+                    where + ": drains: " + (cells != null ? "cells do not carry drains" : "it names no size"));
         }
     }
 
@@ -208,7 +233,8 @@
             }
             for (Number v : values) {
                 if (v == null || !(v.doubleValue() >= least && v.doubleValue() <= most)) {
-                    throw new IOException(where + ": " + key + ": " + v + " is not from " + plain(least) + " to " + plain(most));
+                    throw new IOException(
+                            where + ": " + key + ": " + v + " is not from " + plain(least) + " to " + plain(most));
                 }
             }
         }
--- a/src/main/java/pumicemoor/lab/scale/ScaleRun.java
+++ b/src/main/java/pumicemoor/lab/scale/ScaleRun.java
@@ -11,8 +11,7 @@
 /** Measures what a file asks for and writes the report; it owns the list of what can measure roles. */
 public final class ScaleRun {
 
-    private ScaleRun() {
-    }
+    private ScaleRun() {}
 
     /** Measures; the report's table is given back, it and the other files are left in the folder. */
     public static String run(Path file, Path folder, PrintStream progress) throws IOException {
--- a/src/main/java/pumicemoor/lab/scale/SlopePlot.java
+++ b/src/main/java/pumicemoor/lab/scale/SlopePlot.java
@@ -25,14 +25,15 @@
 /** Draws one figure of several roles over their sizes, both in logarithms, with the fits and the budget, as SVG. */
 final class SlopePlot {
 
-    private static final Pattern DIGITS = Pattern.compile("(\\d\\.\\d\\d)\\d+");  // a hundredth of a pixel is enough
+    private static final Pattern DIGITS = Pattern.compile("(\\d\\.\\d\\d)\\d+"); // a hundredth of a pixel is enough
 
-    private SlopePlot() {
-    }
+    private SlopePlot() {}
 
     private static Document document() {
         try {
-            return DocumentBuilderFactory.newInstance().newDocumentBuilder().getDOMImplementation()
+            return DocumentBuilderFactory.newInstance()
+                    .newDocumentBuilder()
+                    .getDOMImplementation()
                     .createDocument("http://www.w3.org/2000/svg", "svg", null);
         } catch (ParserConfigurationException e) {
             throw new IllegalStateException("the JDK has no XML documents", e);
@@ -43,22 +44,39 @@
     static void write(Budget budget, String scenario, List<Slope> slopes, Path file) throws IOException {
         System.setProperty("java.awt.headless", "true");
         String axis = slopes.get(0).axis();
-        XYChart chart = new XYChartBuilder().width(900).height(600).title(budget.figure() + ", " + scenario)
-                .xAxisTitle(axis).yAxisTitle(budget.figure()).build();
-        chart.getStyler().setXAxisLogarithmic(true).setYAxisLogarithmic(true)
-                .setXAxisDecimalPattern("#,##0").setYAxisDecimalPattern("#,##0.####")
-                .setPlotGridLinesStroke(new BasicStroke(0.5f))  // dashes make the file ten times as large
-                .setLegendPosition(Styler.LegendPosition.OutsideE).setChartBackgroundColor(Color.WHITE);
+        XYChart chart = new XYChartBuilder()
+                .width(900)
+                .height(600)
+                .title(budget.figure() + ", " + scenario)
+                .xAxisTitle(axis)
+                .yAxisTitle(budget.figure())
+                .build();
+        chart.getStyler()
+                .setXAxisLogarithmic(true)
+                .setYAxisLogarithmic(true)
+                .setXAxisDecimalPattern("#,##0")
+                .setYAxisDecimalPattern("#,##0.####")
+                .setPlotGridLinesStroke(new BasicStroke(0.5f)) // dashes make the file ten times as large
+                .setLegendPosition(Styler.LegendPosition.OutsideE)
+                .setChartBackgroundColor(Color.WHITE);
         double least = Double.MAX_VALUE;
         double most = 0;
         for (Slope s : slopes) {
-            List<Point> points = s.points().stream().filter(p -> p.value() > 0 && p.size() > 0).toList();
-            XYSeries series = chart.addSeries(s.role(), points.stream().mapToDouble(Point::size).toArray(),
+            List<Point> points = s.points().stream()
+                    .filter(p -> p.value() > 0 && p.size() > 0)
+                    .toList();
+            XYSeries series = chart.addSeries(
+                    s.role(),
+                    points.stream().mapToDouble(Point::size).toArray(),
                     points.stream().mapToDouble(Point::value).toArray());
             series.setLineStyle(new BasicStroke(s.fit() == null ? 1 : 0.01f));
             if (s.fit() != null) {
-                XYSeries line = chart.addSeries(s.role() + ", fit", new double[] {s.fit().least(), s.fit().most()},
-                        new double[] {s.fit().at(s.fit().least()), s.fit().at(s.fit().most())});
+                XYSeries line = chart.addSeries(
+                        s.role() + ", fit",
+                        new double[] {s.fit().least(), s.fit().most()},
+                        new double[] {
+                            s.fit().at(s.fit().least()), s.fit().at(s.fit().most())
+                        });
                 line.setMarker(SeriesMarkers.NONE).setShowInLegend(false);
                 line.setLineStyle(new BasicStroke(1));
             }
--- a/src/main/java/pumicemoor/net/AnswerDecoder.java
+++ b/src/main/java/pumicemoor/net/AnswerDecoder.java
@@ -19,8 +19,7 @@
 final class AnswerDecoder extends ByteToMessageDecoder {
 
     /** One whole answer; the body, perhaps empty, goes to whoever takes it. */
-    record Answer(String id, String word, Map<String, String> fields, ByteBuf body) {
-    }
+    record Answer(String id, String word, Map<String, String> fields, ByteBuf body) {}
 
     private final int longestLine;
     private final int longestBody;
@@ -44,15 +43,15 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        broken = true;  // unless this ends well, nothing behind it can be read either
+        broken = true; // unless this ends well, nothing behind it can be read either
         read(ctx, in, out);
         broken = false;
     }
 
     private void read(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (words == null) {
-            int end = in.indexOf(in.readerIndex(), in.readerIndex() + Math.min(in.readableBytes(), longestLine),
-                    (byte) '\n');
+            int end = in.indexOf(
+                    in.readerIndex(), in.readerIndex() + Math.min(in.readableBytes(), longestLine), (byte) '\n');
             if (end < 0) {
                 if (in.readableBytes() >= longestLine) {
                     throw new TooLongFrameException("a line of more than " + longestLine + " bytes");
@@ -103,7 +102,7 @@
         waiting = false;
         if (!ctx.isRemoved()) {
             ctx.channel().config().setAutoRead(true);
-            ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);  // takes up what has been read before
+            ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER); // takes up what has been read before
         }
     }
 
--- a/src/main/java/pumicemoor/net/CacheLine.java
+++ b/src/main/java/pumicemoor/net/CacheLine.java
@@ -18,12 +18,11 @@
 final class CacheLine {
 
     private static final Map<String, Word> WORDS = words();
-    private static final String LIFE = "life";  // no id of a client's
+    private static final String LIFE = "life"; // no id of a client's
     private static final Pattern ENTITY = Pattern.compile("[0-9A-Za-z._~-]{1,64}");
     private static final Pattern ISSUED = Pattern.compile("[0-9]{1,18}");
 
-    private CacheLine() {
-    }
+    private CacheLine() {}
 
     private static Map<String, Word> words() {
         Map<String, Word> words = new LinkedHashMap<>();
@@ -36,8 +35,15 @@
     /** The line of a request, up to its body. */
     static ByteBuf ask(ByteBufAllocator allocator, Effect.Ask ask) {
         StringBuilder line = new StringBuilder(192);
-        line.append("ASK ").append(ask.id()).append(" cls=").append(ask.requestClass()).append(",item=")
-                .append(ask.object()).append(",chunk=").append(ask.part()).append(",limit=")
+        line.append("ASK ")
+                .append(ask.id())
+                .append(" cls=")
+                .append(ask.requestClass())
+                .append(",item=")
+                .append(ask.object())
+                .append(",chunk=")
+                .append(ask.part())
+                .append(",limit=")
                 .append(ask.limitMillis());
         if (ask.source() != null) {
             line.append(",miss=").append(ask.source());
@@ -99,20 +105,24 @@
     static String unusable(AnswerDecoder.Answer answer, Effect.Ask ask) {
         Word word = word(answer.word());
         if (word == null) {
-            return answer.word().equals("well") && answer.id().equals(LIFE) ? null
+            return answer.word().equals("well") && answer.id().equals(LIFE)
+                    ? null
                     : "the unknown word '" + answer.word() + "'";
         }
         if (ask == null || word != Word.DATA && word != Word.UNCHANGED) {
             return null;
         }
-        if (ask.cacheable() && !ENTITY.matcher(answer.fields().getOrDefault("entity", "")).matches()) {
+        if (ask.cacheable()
+                && !ENTITY.matcher(answer.fields().getOrDefault("entity", "")).matches()) {
             return "an answer without a tag that can be read";
         }
-        if (ask.cacheable() && !ISSUED.matcher(answer.fields().getOrDefault("issued", "")).matches()) {
+        if (ask.cacheable()
+                && !ISSUED.matcher(answer.fields().getOrDefault("issued", "")).matches()) {
             return "an answer without a time that can be read";
         }
         return word == Word.UNCHANGED && (answer.body().isReadable() || ask.tag() == null)
-                ? "a copy said to be unchanged that cannot be" : null;
+                ? "a copy said to be unchanged that cannot be"
+                : null;
     }
 
     /** The word that ends an attempt; null for one that is not known. */
--- a/src/main/java/pumicemoor/net/CacheLines.java
+++ b/src/main/java/pumicemoor/net/CacheLines.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,11 +23,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect;
-import pumicemoor.node.Input.Word;
 import pumicemoor.node.Input;
+import pumicemoor.node.Input.Word;
 import pumicemoor.node.ResourceLimits;
 
 /**
@@ -48,16 +47,17 @@
     private final Map<String, List<Line>> lines = new HashMap<>();
     private final Map<Long, Line> lineOfAttempt = new HashMap<>();
 
-    CacheLines(Bootstrap bootstrap, ResourceLimits limits, BufferBudget budget, Counters counters,
-            Loop loop) {
+    CacheLines(Bootstrap bootstrap, ResourceLimits limits, BufferBudget budget, Counters counters, Loop loop) {
         this.limits = limits;
         this.budget = budget;
         this.counters = counters;
         this.loop = loop;
-        this.bootstrap = bootstrap.clone()
+        this.bootstrap = bootstrap
+                .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.connectTimeout() / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                .option(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(limits.lineBacklogBytes() / 2, limits.lineBacklogBytes()));
     }
 
@@ -87,7 +87,7 @@
         lineOfAttempt.put(ask.attempt(), line);
         line.queue.add(new Queued(ask, loop.clock()));
         if (fresh) {
-            line.open();  // may fail at once, and then ends what is queued
+            line.open(); // may fail at once, and then ends what is queued
         } else {
             line.pump();
         }
@@ -112,7 +112,9 @@
     }
 
     void closeIdle(String instance) {
-        List.copyOf(lines.getOrDefault(instance, List.of())).stream().filter(Line::empty).forEach(Line::close);
+        List.copyOf(lines.getOrDefault(instance, List.of())).stream()
+                .filter(Line::empty)
+                .forEach(Line::close);
     }
 
     void retire(String instance) {
@@ -121,7 +123,8 @@
     }
 
     void drop(String instance, long openedBefore) {
-        List.copyOf(lines.getOrDefault(instance, List.of())).stream().filter(l -> l.openedAt < openedBefore)
+        List.copyOf(lines.getOrDefault(instance, List.of())).stream()
+                .filter(l -> l.openedAt < openedBefore)
                 .forEach(Line::close);
     }
 
@@ -129,8 +132,9 @@
     void sweep(long now) {
         lines.values().stream().flatMap(List::stream).toList().forEach(l -> l.checkLife(now));
         for (List<Line> pool : List.copyOf(lines.values())) {
-            List.copyOf(pool).stream().filter(l -> l.empty() && l.retired
-                    || now - l.usedAt > (l.empty() ? limits.lineIdle() : limits.lineAbandoned()))
+            List.copyOf(pool).stream()
+                    .filter(l -> l.empty() && l.retired
+                            || now - l.usedAt > (l.empty() ? limits.lineIdle() : limits.lineAbandoned()))
                     .forEach(Line::close);
         }
     }
@@ -165,7 +169,7 @@
         private final long openedAt = loop.clock();
         private final Deque<Queued> queue = new ArrayDeque<>();
         private final Map<String, Sent> out = new LinkedHashMap<>();
-        private final Map<String, Past> past = new LinkedHashMap<>();  // ended here; an answer may still come
+        private final Map<String, Past> past = new LinkedHashMap<>(); // ended here; an answer may still come
         private final AnswerDecoder decoder = new AnswerDecoder(limits.lineBytes(), limits.answerBytes(), budget);
         private Effect.Ask writing;
         private Channel channel;
@@ -186,8 +190,8 @@
                     ch.pipeline().addLast(decoder, Line.this);
                 }
             });
-            ChannelFuture connecting = opening.connect(new InetSocketAddress(address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1))));
+            ChannelFuture connecting = opening.connect(
+                    new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
             channel = connecting.channel();
             // where no socket can be had, the listener is called on a thread that is not the loop's
             connecting.addListener(done -> bootstrap.config().group().next().execute(() -> connected(done)));
@@ -211,8 +215,11 @@
         }
 
         boolean takesAgain(Effect.Ask ask) {
-            return !retired && !ended && out.size() + queue.size() < limits.attemptsPerLine()
-                    && !out.containsKey(ask.id()) && !past.getOrDefault(ask.id(), Past.ANSWERED).givenUp()
+            return !retired
+                    && !ended
+                    && out.size() + queue.size() < limits.attemptsPerLine()
+                    && !out.containsKey(ask.id())
+                    && !past.getOrDefault(ask.id(), Past.ANSWERED).givenUp()
                     && queue.stream().noneMatch(q -> q.ask().id().equals(ask.id()));
         }
 
@@ -228,7 +235,7 @@
             while (connected && !ended && writing == null && !queue.isEmpty()) {
                 Queued next = queue.poll();
                 Effect.Ask ask = next.ask();
-                if (loop.clock() - next.since() > limits.unwritten()) {  // decided on news that is too old by now
+                if (loop.clock() - next.since() > limits.unwritten()) { // decided on news that is too old by now
                     ask.body().release();
                     lineOfAttempt.remove(ask.attempt());
                     loop.submit(new Input.Unreached(ask.attempt()));
@@ -265,14 +272,18 @@
                 return;
             }
             if (writing != null && writing.attempt() == attempt) {
-                close();  // half a request is on it
+                close(); // half a request is on it
                 return;
             }
-            String id = out.entrySet().stream().filter(e -> e.getValue().attempt() == attempt).map(Map.Entry::getKey)
-                    .findFirst().orElse(null);
+            String id = out.entrySet().stream()
+                    .filter(e -> e.getValue().attempt() == attempt)
+                    .map(Map.Entry::getKey)
+                    .findFirst()
+                    .orElse(null);
             if (id != null) {
                 // silent since that request was written: what comes next tries whether a new one comes up
-                retired |= heardAt <= out.get(id).writtenAt() && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
+                retired |= heardAt <= out.get(id).writtenAt()
+                        && loop.clock() - out.get(id).writtenAt() > limits.connectTimeout();
             }
             if (id != null && tellCache) {
                 out.remove(id);
@@ -281,7 +292,7 @@
                     channel.writeAndFlush(CacheLine.quit(channel.alloc(), id), channel.voidPromise());
                 }
                 if (!channel.isWritable()) {
-                    close();  // it takes nothing in any more
+                    close(); // it takes nothing in any more
                 }
             }
             if (retired && empty()) {
@@ -304,13 +315,15 @@
          * byte comes though answers are owed. While no answer is on its way in, a sign of life is asked for.
          */
         void checkLife(long now) {
-            long owedSince = out.values().stream().mapToLong(Sent::writtenAt).min().orElse(Long.MAX_VALUE);
+            long owedSince =
+                    out.values().stream().mapToLong(Sent::writtenAt).min().orElse(Long.MAX_VALUE);
             if (!connected || ended || owedSince == Long.MAX_VALUE || decoder.waiting()) {
                 askedLifeAt = -1;
                 return;
             }
             long quiet = now - Math.max(heardAt, owedSince);
-            if (decoder.midway() ? quiet > limits.lineQuiet() + limits.lineDead()
+            if (decoder.midway()
+                    ? quiet > limits.lineQuiet() + limits.lineDead()
                     : askedLifeAt >= 0 && now - askedLifeAt > limits.lineDead()) {
                 counters.add(Name.LINES_DEAD);
                 loop.complain("a connection to member " + instance + " was closed: it shows no sign of life");
@@ -339,7 +352,7 @@
                     throw new CorruptedFrameException(unusable);
                 }
                 if (!ended && word != null && past.remove(answer.id()) == null) {
-                    counters.add(Name.UNASKED);  // whole and harmless: nobody is given it
+                    counters.add(Name.UNASKED); // whole and harmless: nobody is given it
                 }
                 return;
             }
@@ -348,8 +361,12 @@
             past(answer.id(), false);
             lineOfAttempt.remove(sent.attempt());
             counters.add(Name.BYTES_IN, answer.body().readableBytes());
-            loop.submit(new Input.Answered(sent.attempt(), word, answer.fields().get("tell"),
-                    CacheLine.load(answer.fields().get("meter")), NettyBytes.of(answer.body())));
+            loop.submit(new Input.Answered(
+                    sent.attempt(),
+                    word,
+                    answer.fields().get("tell"),
+                    CacheLine.load(answer.fields().get("meter")),
+                    NettyBytes.of(answer.body())));
             if (retired && empty()) {
                 close();
             }
@@ -386,8 +403,11 @@
                 lines.remove(instance);
             }
             List<Input> ends = new ArrayList<>();
-            out.values().forEach(s -> ends.add(s.writtenAt() == Long.MAX_VALUE
-                    ? new Input.Unreached(s.attempt()) : new Input.Broken(s.attempt())));
+            out.values()
+                    .forEach(s -> ends.add(
+                            s.writtenAt() == Long.MAX_VALUE
+                                    ? new Input.Unreached(s.attempt())
+                                    : new Input.Broken(s.attempt())));
             queue.forEach(q -> {
                 q.ask().body().release();
                 ends.add(new Input.Unreached(q.attempt()));
@@ -396,8 +416,7 @@
             queue.clear();
             writing = null;
             for (Input end : ends) {
-                lineOfAttempt.remove(end instanceof Input.Broken b ? b.attempt()
-                        : ((Input.Unreached) end).attempt());
+                lineOfAttempt.remove(end instanceof Input.Broken b ? b.attempt() : ((Input.Unreached) end).attempt());
                 loop.submit(end);
             }
         }
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -18,10 +18,10 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import pumicemoor.node.Bytes;
-import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
-import pumicemoor.node.Effect.Code;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect;
+import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input;
 import pumicemoor.node.ResourceLimits;
 
@@ -39,9 +39,16 @@
      * ENDING: nothing is taken any more, what is open gets its answer. RELEASING: nothing is written any more, what
      * comes is read and dropped, so that no answer is lost by a reset, until the client closes or for a short while.
      */
-    enum Stage { OPENING, OPEN, DRAINING, ENDING, RELEASING, CLOSED }
+    enum Stage {
+        OPENING,
+        OPEN,
+        DRAINING,
+        ENDING,
+        RELEASING,
+        CLOSED
+    }
 
-    private static final int LOOKS = 16;  // reads in a row, of those that are not the selector's
+    private static final int LOOKS = 16; // reads in a row, of those that are not the selector's
 
     private final long number;
     private final ResourceLimits limits;
@@ -49,20 +56,19 @@
     private final Counters counters;
     private final Loop loop;
     private final Set<Integer> open = new HashSet<>();
-    private final TreeSet<Integer> used = new TreeSet<>(Integer::compareUnsigned);  // those above usedUpTo
+    private final TreeSet<Integer> used = new TreeSet<>(Integer::compareUnsigned); // those above usedUpTo
     private ChannelHandlerContext context;
-    private int usedUpTo;  // every stream up to here is used, or too old to be new
-    private final Map<Integer, Input.Request> arrived = new LinkedHashMap<>();  // in the read that goes on
-    private int misuses;  // requests that could not be used, so far
-    private boolean asked;  // something that can be used
+    private int usedUpTo; // every stream up to here is used, or too old to be new
+    private final Map<Integer, Input.Request> arrived = new LinkedHashMap<>(); // in the read that goes on
+    private int misuses; // requests that could not be used, so far
+    private boolean asked; // something that can be used
     private boolean reading;
     private Stage stage = Stage.OPENING;
-    private long dropped;  // bytes that came after the end
+    private long dropped; // bytes that came after the end
     private long openedAt, activeAt, midwaySince = -1;
     private long backlogSeen;
 
-    ClientConnection(long number, ResourceLimits limits, BufferBudget budget, Counters counters,
-            Loop loop) {
+    ClientConnection(long number, ResourceLimits limits, BufferBudget budget, Counters counters, Loop loop) {
         this.number = number;
         this.limits = limits;
         this.budget = budget;
@@ -102,7 +108,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         reading = true;
         try {
-            if (stage == Stage.OPEN || stage == Stage.DRAINING) {  // what stands behind the end is not looked at
+            if (stage == Stage.OPEN || stage == Stage.DRAINING) { // what stands behind the end is not looked at
                 frame((ByteBuf) message);
             } else {
                 dropped += ((ByteBuf) message).readableBytes();
@@ -119,7 +125,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
-        while (!arrived.isEmpty()) {  // one by one: the first may show that the next was withdrawn meanwhile
+        while (!arrived.isEmpty()) { // one by one: the first may show that the next was withdrawn meanwhile
             loop.submit(arrived.remove(arrived.keySet().iterator().next()));
         }
         ctx.fireChannelReadComplete();
@@ -135,18 +141,21 @@
      * end what was idle by what it knew.
      */
     void look() {
-        if (reading || !context.channel().isActive()
+        if (reading
+                || !context.channel().isActive()
                 || !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
             return;
         }
         FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
         int before = -1;
-        for (int i = 0; i < LOOKS && before != decoder.reads() && context.channel().isActive(); i++) {
+        for (int i = 0;
+                i < LOOKS && before != decoder.reads() && context.channel().isActive();
+                i++) {
             before = decoder.reads();
             unsafe.read();
         }
         if (!context.channel().isActive()) {
-            gone();  // its channelInactive comes only after what is worked on now
+            gone(); // its channelInactive comes only after what is worked on now
         }
     }
 
@@ -187,7 +196,7 @@
     private void answerReady(int stream, ByteBuf frame) {
         asked = true;
         if (!context.channel().isWritable()) {
-            return;  // it does not read what it asked for so far
+            return; // it does not read what it asked for so far
         }
         Map<String, String> fields = new LinkedHashMap<>();
         Map<String, String> wanted = ClientFrame.wanted(frame);
@@ -200,15 +209,16 @@
             fields.putAll(loop.state());
         }
         if (wanted.containsKey("rows")) {
-            loop.rows(wanted.get("rows")).ifPresent(rows -> ClientFrame.cut(rows).forEach(part ->
-                    fields.put("rows-" + fields.size(), part)));
+            loop.rows(wanted.get("rows")).ifPresent(rows -> ClientFrame.cut(rows)
+                    .forEach(part -> fields.put("rows-" + fields.size(), part)));
         }
         context.writeAndFlush(ClientFrame.ready(context.alloc(), stream, loop.ready(), fields), context.voidPromise());
     }
 
     /** Operators' commands are taken from this machine alone: clients from elsewhere have no say in what is taken out. */
     private void command(int stream, Map<String, String> fields) {
-        if (context.channel().remoteAddress() instanceof InetSocketAddress peer && !peer.getAddress().isLoopbackAddress()) {
+        if (context.channel().remoteAddress() instanceof InetSocketAddress peer
+                && !peer.getAddress().isLoopbackAddress()) {
             counters.add(Name.BAD_INPUT);
             told(new Effect.Told(number, stream, "refused: commands are taken from the router's own machine alone"));
         } else {
@@ -218,14 +228,15 @@
 
     /** Says what became of a command. */
     void told(Effect.Told told) {
-        context.writeAndFlush(ClientFrame.ready(context.alloc(), told.stream(), loop.ready(), Map.of("said", told.text())),
+        context.writeAndFlush(
+                ClientFrame.ready(context.alloc(), told.stream(), loop.ready(), Map.of("said", told.text())),
                 context.voidPromise());
     }
 
     private void request(int stream, ByteBuf frame) {
         if (!use(stream)) {
-            throw new CorruptedFrameException("a request on stream " + Integer.toUnsignedString(stream)
-                    + ", which is not new");
+            throw new CorruptedFrameException(
+                    "a request on stream " + Integer.toUnsignedString(stream) + ", which is not new");
         }
         open.add(stream);
         Input.Request request;
@@ -240,7 +251,9 @@
         }
         boolean tooMany = open.size() > limits.openPerClient();
         // a client that does not read its answers gets no more of them to read, but its end is seen all the same
-        if (tooMany || !context.channel().isWritable() || !budget.room(request.body().size())) {
+        if (tooMany
+                || !context.channel().isWritable()
+                || !budget.room(request.body().size())) {
             counters.add(Name.TURNED_AWAY);
             request.body().release();
             answer(new Effect.Answer(number, stream, Code.REFUSED, false, limits.pushback(), Bytes.NONE));
@@ -288,7 +301,7 @@
 
     /** An idle client in good standing gives its place to another: told to bring nothing new here, then let go. */
     boolean makeWay() {
-        look();  // it may have asked meanwhile
+        look(); // it may have asked meanwhile
         if (!open.isEmpty() || stage.compareTo(Stage.ENDING) >= 0) {
             return false;
         }
@@ -342,8 +355,13 @@
             answer.body().release();
             return;
         }
-        ByteBuf head = ClientFrame.answerHead(context.alloc(), answer.stream(), answer.code(), answer.unchanged(),
-                answer.pushbackMillis(), answer.body().size());
+        ByteBuf head = ClientFrame.answerHead(
+                context.alloc(),
+                answer.stream(),
+                answer.code(),
+                answer.unchanged(),
+                answer.pushbackMillis(),
+                answer.body().size());
         counters.add(Name.BYTES_OUT, head.readableBytes() + answer.body().size());
         ByteBuf body = NettyBytes.buffer(answer.body());
         context.write(head, context.voidPromise());
@@ -364,7 +382,8 @@
     /** What was written and has not left yet. */
     private long backlog() {
         ChannelOutboundBuffer backlog = context.channel().unsafe().outboundBuffer();
-        return backlog == null || backlog.totalPendingWriteBytes() == 0 ? 0
+        return backlog == null || backlog.totalPendingWriteBytes() == 0
+                ? 0
                 : backlog.totalPendingWriteBytes() - backlog.currentProgress();
     }
 
--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -34,10 +34,9 @@
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
     private static final int MOST_GROUP = 255;
     private static final int LONGEST_VALUE = 60_000;
-    private static final int LONGEST_TEXT = 4 * LONGEST_VALUE;  // a client takes frames of 262,144 bytes
+    private static final int LONGEST_TEXT = 4 * LONGEST_VALUE; // a client takes frames of 262,144 bytes
 
-    private ClientFrame() {
-    }
+    private ClientFrame() {}
 
     /** The request that follows type and stream; the body stays a slice of the frame. */
     static Input.Request request(long connection, int stream, ByteBuf frame, ResourceLimits limits) {
@@ -46,10 +45,17 @@
             throw new CorruptedFrameException("a body of " + frame.readableBytes() + " bytes is too long");
         }
         String tag = fields.get("ver");
-        return new Input.Request(connection, stream, word(fields, "call", ID), word(fields, "op", WORD),
-                word(fields, "row", ID), (int) number(fields, "piece", 0, Integer.MAX_VALUE),
-                (int) number(fields, "lot", -1, MOST_GROUP), tag != null && WORD.matcher(tag).matches() ? tag : null,
-                number(fields, "ttl", -1, limits.longestTtl() / 1_000), repeat(fields),
+        return new Input.Request(
+                connection,
+                stream,
+                word(fields, "call", ID),
+                word(fields, "op", WORD),
+                word(fields, "row", ID),
+                (int) number(fields, "piece", 0, Integer.MAX_VALUE),
+                (int) number(fields, "lot", -1, MOST_GROUP),
+                tag != null && WORD.matcher(tag).matches() ? tag : null,
+                number(fields, "ttl", -1, limits.longestTtl() / 1_000),
+                repeat(fields),
                 frame.isReadable() ? NettyBytes.of(frame.readRetainedSlice(frame.readableBytes())) : Bytes.NONE);
     }
 
@@ -97,8 +103,8 @@
     }
 
     /** All of an answer's frame but the body, which follows it unaltered. */
-    static ByteBuf answerHead(ByteBufAllocator allocator, int stream, Code code, boolean unchanged,
-            long pushbackMillis, int bodySize) {
+    static ByteBuf answerHead(
+            ByteBufAllocator allocator, int stream, Code code, boolean unchanged, long pushbackMillis, int bodySize) {
         ByteBuf head = allocator.ioBuffer(64);
         head.writeInt(0);
         head.writeByte(ANSWER).writeInt(stream);
@@ -136,8 +142,13 @@
 
     /** The answer to whether the router is ready, with these fields. */
     static ByteBuf ready(ByteBufAllocator allocator, int stream, boolean ready, Map<String, String> fields) {
-        ByteBuf out = allocator.ioBuffer(16).writeInt(0).writeByte(READY).writeInt(stream)
-                .writeByte(ready ? 1 : 0).writeByte(fields.size());
+        ByteBuf out = allocator
+                .ioBuffer(16)
+                .writeInt(0)
+                .writeByte(READY)
+                .writeInt(stream)
+                .writeByte(ready ? 1 : 0)
+                .writeByte(fields.size());
         fields.forEach((name, value) -> field(out, name, value));
         return out.setInt(0, out.readableBytes() - LENGTH_BYTES);
     }
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -30,8 +30,8 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Input;
 import pumicemoor.node.ResourceLimits;
 
@@ -45,27 +45,29 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(CoordinatorStream.class);
     private static final String PATH = "/v2/stream";
-    private static final int ATTEMPTS = 3;  // connections that wait for their answer at once
+    private static final int ATTEMPTS = 3; // connections that wait for their answer at once
 
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
     private final LongSupplier lastEvent;
     private final Counters counters;
     private final Loop loop;
-    private final List<Channel> attempts = new ArrayList<>();  // not answered yet, the oldest first
+    private final List<Channel> attempts = new ArrayList<>(); // not answered yet, the oldest first
     private String address = "";
-    private Channel stream;  // that is read; null while there is none
+    private Channel stream; // that is read; null while there is none
     private String streamAddress = "";
     private Future<?> nextAttempt;
-    private int failedInARow;  // connections that did not come up since the last stream
-    private boolean taking;  // in the middle of what was read
+    private int failedInARow; // connections that did not come up since the last stream
+    private boolean taking; // in the middle of what was read
 
-    CoordinatorStream(Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Counters counters, Loop loop) {
+    CoordinatorStream(
+            Bootstrap bootstrap, ResourceLimits limits, LongSupplier lastEvent, Counters counters, Loop loop) {
         this.limits = limits;
         this.counters = counters;
         this.lastEvent = lastEvent;
         this.loop = loop;
-        this.bootstrap = bootstrap.clone()
+        this.bootstrap = bootstrap
+                .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (limits.feedConnect() / 1_000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -102,8 +104,8 @@
             attempts.remove(0).close();
         }
         int colon = address.lastIndexOf(':');
-        ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1))));
+        ChannelFuture connecting = bootstrap.connect(
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
         Channel attempt = connecting.channel();
         attempts.add(attempt);
         attemptAfter(limits.feedSilence());
@@ -144,8 +146,10 @@
         stream = attempt;
         streamAddress = address;
         counters.add(Name.COORDINATOR_STREAMS);
-        LOG.info("the coordinator's stream is open from event {} on, after {} failed connections",
-                lastEvent.getAsLong(), failedInARow);
+        LOG.info(
+                "the coordinator's stream is open from event {} on, after {} failed connections",
+                lastEvent.getAsLong(),
+                failedInARow);
         failedInARow = 0;
     }
 
@@ -175,8 +179,7 @@
         if (stream != null) {
             open.add(0, stream);
         }
-        open.stream().filter(Channel::isActive)
-                .forEach(c -> ((AbstractNioChannel.NioUnsafe) c.unsafe()).read());
+        open.stream().filter(Channel::isActive).forEach(c -> ((AbstractNioChannel.NioUnsafe) c.unsafe()).read());
     }
 
     void close() {
@@ -212,16 +215,16 @@
         }
 
         private void take(String event) {
-            if (context.channel().isOpen()) {  // what stands behind the end of this stream is asked for again
+            if (context.channel().isOpen()) { // what stands behind the end of this stream is asked for again
                 loop.submit(new Input.Update(event));
             }
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            DefaultFullHttpRequest request =
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH);
-            request.headers().set(HttpHeaderNames.HOST, address)
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH);
+            request.headers()
+                    .set(HttpHeaderNames.HOST, address)
                     .set(HttpHeaderNames.ACCEPT, HttpHeaderValues.TEXT_EVENT_STREAM)
                     .set("Last-Event-ID", lastEvent.getAsLong());
             ctx.writeAndFlush(request);
--- a/src/main/java/pumicemoor/net/FleetSocket.java
+++ b/src/main/java/pumicemoor/net/FleetSocket.java
@@ -30,7 +30,9 @@
 
     /** Listens; an address that can't be had is an exception. */
     void listen(EventLoopGroup group, String address) throws InterruptedException {
-        channel = new Bootstrap().group(group).channel(NioDatagramChannel.class)
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
                 // one byte more than a packet may have, so that a longer one is not taken for one cut to fit
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(PacketCodec.LONGEST + 1))
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
@@ -43,7 +45,10 @@
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                         // a peer that is not there; who lives is found out by who answers
                     }
-                }).bind(inet(address)).sync().channel();
+                })
+                .bind(inet(address))
+                .sync()
+                .channel();
     }
 
     private static InetSocketAddress inet(String address) {
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -39,8 +39,8 @@
 import pumicemoor.node.BoundedLog;
 import pumicemoor.node.CallFront;
 import pumicemoor.node.CallLoop;
-import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Counters;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input;
 import pumicemoor.node.NodeConfig;
@@ -70,12 +70,12 @@
     private final BufferBudget budget;
     private final CacheLines lines;
     private final CoordinatorStream coordinator;
-    private final Map<Long, ClientConnection> clients = new LinkedHashMap<>();  // the longest open first
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();  // those too that are being let go
+    private final Map<Long, ClientConnection> clients = new LinkedHashMap<>(); // the longest open first
+    private final Set<ClientConnection> connections = new LinkedHashSet<>(); // those too that are being let go
     private final BoundedLog complaints;
     private final Queue<Input> inbox = new ArrayDeque<>();
-    private final Queue<Input> news = new ArrayDeque<>();  // of the coordinator; goes before all else
-    private final Queue<Input> gone = new ArrayDeque<>();  // clients that wait no more; go before what is left
+    private final Queue<Input> news = new ArrayDeque<>(); // of the coordinator; goes before all else
+    private final Queue<Input> gone = new ArrayDeque<>(); // clients that wait no more; go before what is left
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch synced = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -93,15 +93,16 @@
         this.config = config;
         this.operator = operator;
         this.limits = ResourceLimits.of(config.words().settings(), config.figures());
-        this.reducer = new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits,
-                counters);
+        this.reducer =
+                new Reducer(new Logic(config.words().settings(), config.seed()), config.words(), limits, counters);
         this.complaints = new BoundedLog(LOG, limits.complaints());
-        Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        Bootstrap connections = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
         this.budget = new BufferBudget(PooledByteBufAllocator.DEFAULT::pinnedDirectMemory, limits.bufferedBytes());
         this.lines = new CacheLines(connections, limits, budget, counters, this);
-        this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, counters,
-                this);
+        this.coordinator = new CoordinatorStream(connections, limits, reducer::lastUpdate, counters, this);
     }
 
     /** Has proxies call through this front too; before the start. */
@@ -126,12 +127,13 @@
             fleet.listen(group, operator.fleet().get().listen());
         }
         loop.submit(() -> {
-            reducer.operate(clock(), operator, config.location(), config.name(), config.seed());
-            reducer.known(clock(), config, effects::add);
-            work();
-            loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
-            coordinator.follow(config.coordinator());
-        }).sync();
+                    reducer.operate(clock(), operator, config.location(), config.name(), config.seed());
+                    reducer.known(clock(), config, effects::add);
+                    work();
+                    loop.scheduleAtFixedRate(this::sweep, limits.sweep(), limits.sweep(), TimeUnit.MICROSECONDS);
+                    coordinator.follow(config.coordinator());
+                })
+                .sync();
     }
 
     /** Listens once the router has caught up with the coordinator, or has given up waiting for that. */
@@ -145,8 +147,11 @@
             return;
         }
         int colon = config.listen().lastIndexOf(':');
-        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -157,24 +162,33 @@
                             ch.close();
                             return;
                         }
-                        ch.config().setWriteBufferWaterMark(new WriteBufferWaterMark(
-                                limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
+                        ch.config()
+                                .setWriteBufferWaterMark(new WriteBufferWaterMark(
+                                        limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
                         ClientConnection client =
                                 new ClientConnection(++lastClient, limits, budget, counters, NodeServer.this);
                         connections.add(client);
                         ch.closeFuture().addListener(done -> connections.remove(client));
                         ch.pipeline().addLast(new FrameDecoder(limits.frameBytes()), client);
                     }
-                }).bind(new InetSocketAddress(config.listen().substring(0, colon),
-                        Integer.parseInt(config.listen().substring(colon + 1)))).sync().channel();
+                })
+                .bind(new InetSocketAddress(
+                        config.listen().substring(0, colon),
+                        Integer.parseInt(config.listen().substring(colon + 1))))
+                .sync()
+                .channel();
         LOG.info("{} listens on {}", config.name(), config.listen());
     }
 
     private void rehearse() throws InterruptedException {
         long began = System.nanoTime();
-        long answered = new Rehearsal(config, limits, clock()).run(limits.rehearsals(), limits.rehearsalTime(),
-                () -> loop.submit(() -> { }).sync());
-        LOG.info("{} rehearsed {} requests in {} ms", config.name(), answered,
+        long answered = new Rehearsal(config, limits, clock())
+                .run(limits.rehearsals(), limits.rehearsalTime(), () -> loop.submit(() -> {})
+                        .sync());
+        LOG.info(
+                "{} rehearsed {} requests in {} ms",
+                config.name(),
+                answered,
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began));
     }
 
@@ -183,18 +197,25 @@
      * longest, so that whoever holds connections without use keeps nobody out.
      */
     private boolean makeRoom() {
-        if (connections.size() >= limits.clients() + limits.clients() / 8) {  // few may be on their way out at once
-            connections.stream().filter(c -> c.stage() == ClientConnection.Stage.RELEASING).findFirst()
+        if (connections.size() >= limits.clients() + limits.clients() / 8) { // few may be on their way out at once
+            connections.stream()
+                    .filter(c -> c.stage() == ClientConnection.Stage.RELEASING)
+                    .findFirst()
                     .ifPresent(c -> c.cut("it was told to go, and its place is needed"));
         }
         if (clients.size() < limits.clients()) {
             return true;
         }
-        Optional<ClientConnection> silent = clients.values().stream().filter(ClientConnection::silent).findFirst();
+        Optional<ClientConnection> silent =
+                clients.values().stream().filter(ClientConnection::silent).findFirst();
         silent.ifPresent(c -> c.turnAway("it said nothing, and its place is needed"));
-        return silent.isPresent() || clients.values().stream().filter(c -> c.idleSince() < Long.MAX_VALUE)
-                .sorted(Comparator.comparingLong(ClientConnection::idleSince)).toList().stream()
-                .anyMatch(ClientConnection::makeWay);
+        return silent.isPresent()
+                || clients.values().stream()
+                        .filter(c -> c.idleSince() < Long.MAX_VALUE)
+                        .sorted(Comparator.comparingLong(ClientConnection::idleSince))
+                        .toList()
+                        .stream()
+                        .anyMatch(ClientConnection::makeWay);
     }
 
     private void sweep() {
@@ -335,7 +356,7 @@
                 inbox.add(input instanceof Input.Request r ? r.unreadFor(gap) : input);
             }
             unreadFor = gap;
-            unreadUntil = now + limits.heldUp() / 3;  // who is only accepted now
+            unreadUntil = now + limits.heldUp() / 3; // who is only accepted now
         }
         turnedAt = now;
         return !news.isEmpty() ? news.poll() : !gone.isEmpty() ? gone.poll() : inbox.poll();
@@ -430,7 +451,7 @@
 
     /** Takes in who has connected and what has been asked by now, to the last. */
     private void readAll() {
-        for (long before = -1; listener != null && before != lastClient;) {
+        for (long before = -1; listener != null && before != lastClient; ) {
             before = lastClient;
             ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
         }
@@ -451,7 +472,7 @@
         List.copyOf(connections).forEach(c -> flushed.add(c.release()));
         Promise<Void> all = loop.newPromise();
         flushed.finish(all);
-        all.addListener(done -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
-                .addListener(end -> ended.countDown()));
+        all.addListener(
+                done -> group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(end -> ended.countDown()));
     }
 }
--- a/src/main/java/pumicemoor/net/Rehearsal.java
+++ b/src/main/java/pumicemoor/net/Rehearsal.java
@@ -28,7 +28,7 @@
  */
 final class Rehearsal implements Loop {
 
-    private static final long STEP = 1_000;  // microseconds between requests on the clock of the rehearsal
+    private static final long STEP = 1_000; // microseconds between requests on the clock of the rehearsal
     private static final int OBJECTS = 512;
     private static final int BODY = 1_024;
     private static final int MISS_EVERY = 16;
@@ -66,8 +66,7 @@
     /** Goes on until so many requests are done or this time has passed; tells how many were answered. */
     long run(int requests, long longestMicros, Pause pause) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(longestMicros);
-        for (int i = 1; i <= requests && !classes.isEmpty() && System.nanoTime() < end
-                && fromClient.isOpen(); i++) {
+        for (int i = 1; i <= requests && !classes.isEmpty() && System.nanoTime() < end && fromClient.isOpen(); i++) {
             clock += STEP;
             if (reducer.nextDue() <= clock) {
                 submit(new Input.Due());
@@ -86,14 +85,31 @@
         }
         fromClient.finishAndReleaseAll();
         fromCache.finishAndReleaseAll();
-        return counters.get(Counters.Name.SERVED) + counters.get(Counters.Name.REFUSED)
+        return counters.get(Counters.Name.SERVED)
+                + counters.get(Counters.Name.REFUSED)
                 + counters.get(Counters.Name.FAILED);
     }
 
     private ByteBuf request(int number) {
-        ByteBuf frame = allocator.ioBuffer(256).writeInt(0).writeByte(ClientFrame.REQUEST).writeInt(number);
-        String[] fields = {"op", classes.get(number % classes.size()).name(), "call", id(number), "ttl", "1000",
-            "row", id(number % OBJECTS), "piece", "0", "lot", "1"};
+        ByteBuf frame = allocator
+                .ioBuffer(256)
+                .writeInt(0)
+                .writeByte(ClientFrame.REQUEST)
+                .writeInt(number);
+        String[] fields = {
+            "op",
+            classes.get(number % classes.size()).name(),
+            "call",
+            id(number),
+            "ttl",
+            "1000",
+            "row",
+            id(number % OBJECTS),
+            "piece",
+            "0",
+            "lot",
+            "1"
+        };
         frame.writeByte(fields.length / 2);
         for (int i = 0; i < fields.length; i += 2) {
             ClientFrame.field(frame, fields[i], fields[i + 1]);
@@ -110,13 +126,18 @@
         submit(new Input.Written(ask.attempt()));
         boolean miss = number % MISS_EVERY == 0;
         ByteBuf bytes = allocator.ioBuffer(BODY + 128);
-        bytes.writeCharSequence(ask.id() + (miss ? " absent - 0" : " data entity=0,issued=1,tell=mem,meter=a:1;b:0.5 "
-                + BODY) + "\r\n", StandardCharsets.US_ASCII);
+        bytes.writeCharSequence(
+                ask.id() + (miss ? " absent - 0" : " data entity=0,issued=1,tell=mem,meter=a:1;b:0.5 " + BODY) + "\r\n",
+                StandardCharsets.US_ASCII);
         bytes.writeZero(miss ? 0 : BODY).writeCharSequence("\r\n", StandardCharsets.US_ASCII);
         fromCache.writeInbound(bytes);
         for (AnswerDecoder.Answer a = fromCache.readInbound(); a != null; a = fromCache.readInbound()) {
-            submit(new Input.Answered(ask.attempt(), CacheLine.word(a.word()), a.fields().get("tell"),
-                    CacheLine.load(a.fields().get("meter")), NettyBytes.of(a.body())));
+            submit(new Input.Answered(
+                    ask.attempt(),
+                    CacheLine.word(a.word()),
+                    a.fields().get("tell"),
+                    CacheLine.load(a.fields().get("meter")),
+                    NettyBytes.of(a.body())));
         }
     }
 
--- a/src/main/java/pumicemoor/net/ServerSentEvents.java
+++ b/src/main/java/pumicemoor/net/ServerSentEvents.java
@@ -16,7 +16,7 @@
 
     private final Consumer<String> sink;
     private boolean heard;
-    private boolean commented;  // a comment has come before
+    private boolean commented; // a comment has come before
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private StringBuilder data;
     private boolean afterReturn;
--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -14,16 +14,51 @@
 
     /** What is counted. */
     public enum Name {
-        CONNECTIONS, REQUESTS, WITHDRAWN, TURNED_AWAY, TURNED_OUT, ATTEMPTS, QUITS, SERVED, UNCHANGED, REFUSED, FAILED,
-        OVERDUE, OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, MISS, LATE_ANSWERS, UNASKED,
-        COORDINATOR_CONNECT_FAILED, COORDINATOR_STREAMS, COORDINATOR_STREAMS_LOST, STARTED_UNSYNCED,
-        UPDATES, LIST_LINES, PURGES, GAPS, RELOADS, RELOADS_REFUSED, BAD_INPUT, FAULTS, BYTES_IN, BYTES_OUT, LINES_OPENED, LINES_DEAD
+        CONNECTIONS,
+        REQUESTS,
+        WITHDRAWN,
+        TURNED_AWAY,
+        TURNED_OUT,
+        ATTEMPTS,
+        QUITS,
+        SERVED,
+        UNCHANGED,
+        REFUSED,
+        FAILED,
+        OVERDUE,
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT,
+        MISS,
+        LATE_ANSWERS,
+        UNASKED,
+        COORDINATOR_CONNECT_FAILED,
+        COORDINATOR_STREAMS,
+        COORDINATOR_STREAMS_LOST,
+        STARTED_UNSYNCED,
+        UPDATES,
+        LIST_LINES,
+        PURGES,
+        GAPS,
+        RELOADS,
+        RELOADS_REFUSED,
+        BAD_INPUT,
+        FAULTS,
+        BYTES_IN,
+        BYTES_OUT,
+        LINES_OPENED,
+        LINES_DEAD
     }
 
     private final AtomicLongArray counts = new AtomicLongArray(Name.values().length);
 
     public void add(Name name, long more) {
-        counts.lazySet(name.ordinal(), counts.get(name.ordinal()) + more);  // one thread writes
+        counts.lazySet(name.ordinal(), counts.get(name.ordinal()) + more); // one thread writes
     }
 
     public void add(Name name) {
@@ -46,7 +81,9 @@
     /** All that is not zero, on one line. */
     @Override
     public String toString() {
-        return all().entrySet().stream().filter(e -> !e.getValue().equals("0"))
-                .map(e -> e.getKey() + "=" + e.getValue()).collect(Collectors.joining(" "));
+        return all().entrySet().stream()
+                .filter(e -> !e.getValue().equals("0"))
+                .map(e -> e.getKey() + "=" + e.getValue())
+                .collect(Collectors.joining(" "));
     }
 }
--- a/src/main/java/pumicemoor/node/DrainedMembers.java
+++ b/src/main/java/pumicemoor/node/DrainedMembers.java
@@ -21,7 +21,7 @@
 final class DrainedMembers {
 
     private final Map<Long, Member> told = new TreeMap<>();
-    private final Map<Long, Member> seen = new TreeMap<>();  // as the decisions have them
+    private final Map<Long, Member> seen = new TreeMap<>(); // as the decisions have them
     private Drains.View view = new Drains.View(false, Set.of(), Map.of());
     private long version;
 
@@ -58,13 +58,20 @@
                 changed.add(now);
             }
         });
-        return !view.settled() || changed.isEmpty() ? Optional.empty()
+        return !view.settled() || changed.isEmpty()
+                ? Optional.empty()
                 : Optional.of(new MembersListed(first ? ListKind.WHOLE : ListKind.CHANGES, version, changed));
     }
 
     private Member asSeen(Member m) {
         State state = m.state() == State.READY && view.alone().contains(m.id()) ? State.DRAINING : m.state();
-        return new Member(m.id(), m.role(), m.zone(), m.cell(), m.weight(),
-                Math.max(m.started(), view.returned().getOrDefault(m.id(), 0L)), state);
+        return new Member(
+                m.id(),
+                m.role(),
+                m.zone(),
+                m.cell(),
+                m.weight(),
+                Math.max(m.started(), view.returned().getOrDefault(m.id(), 0L)),
+                state);
     }
 }
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -11,77 +11,96 @@
 public sealed interface Effect {
 
     /** The codes of a final answer. */
-    enum Code { SERVED, REFUSED, FAILED }
+    enum Code {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /**
      * Write this request to a member; source null names none, within 0 leaves the class's bound. The answer to a
      * cacheable one says which copy it is. The way names what the source is to fill from in turn; on the
      * platform it is always empty.
      */
-    record Ask(long attempt, String instance, String address, String id, String requestClass, String object,
-            int part, long limitMillis, String source, int keepRank, long withinMillis, boolean join,
-            boolean onlyIfHeld, boolean passParent, boolean renew, String tag, boolean cacheable, List<String> way, Bytes body) implements Effect {
-    }
+    record Ask(
+            long attempt,
+            String instance,
+            String address,
+            String id,
+            String requestClass,
+            String object,
+            int part,
+            long limitMillis,
+            String source,
+            int keepRank,
+            long withinMillis,
+            boolean join,
+            boolean onlyIfHeld,
+            boolean passParent,
+            boolean renew,
+            String tag,
+            boolean cacheable,
+            List<String> way,
+            Bytes body)
+            implements Effect {}
 
     /**
      * Name this attempt to the proxy that called under this number: the member and how it is to be asked. Source
      * null names none; within 0 leaves the class's bound. The key is told with the attempt's end.
      */
-    record Name(long call, long key, int attempt, String instance, String address, long limitMillis, String source,
-            List<String> way, int keepRank, long withinMillis, boolean join, boolean onlyIfHeld, boolean renew)
-            implements Effect {
-    }
+    record Name(
+            long call,
+            long key,
+            int attempt,
+            String instance,
+            String address,
+            long limitMillis,
+            String source,
+            List<String> way,
+            int keepRank,
+            long withinMillis,
+            boolean join,
+            boolean onlyIfHeld,
+            boolean renew)
+            implements Effect {}
 
     /** The operator's file was read anew and is taken over. */
-    record Operate(OperatorConfig operator) implements Effect {
-    }
+    record Operate(OperatorConfig operator) implements Effect {}
 
     /** Give an attempt up: take it back where it was not written whole, else tell the cache if that is told. */
-    record Quit(long attempt, boolean tellCache) implements Effect {
-    }
+    record Quit(long attempt, boolean tellCache) implements Effect {}
 
     /** The one final answer of a request; pushback 0 gives no advice. */
     record Answer(long connection, int stream, Code code, boolean unchanged, long pushbackMillis, Bytes body)
-            implements Effect {
-    }
+            implements Effect {}
 
     /** What came on this client's connection could not be used; its answer goes by itself. */
-    record Misused(long connection) implements Effect {
-    }
+    record Misused(long connection) implements Effect {}
 
     /** Close the connections to a member that carry nothing. */
-    record CloseIdle(String instance) implements Effect {
-    }
+    record CloseIdle(String instance) implements Effect {}
 
     /** Connections to a member opened before this time (Unix microseconds) lead nowhere: drop them. */
-    record Drop(String instance, long openedBefore) implements Effect {
-    }
+    record Drop(String instance, long openedBefore) implements Effect {}
 
     /** A member is gone: use its connections for nothing new, close them when they carry nothing. */
-    record Retire(String instance) implements Effect {
-    }
+    record Retire(String instance) implements Effect {}
 
     /** Tell every client, also those still to come, to bring no new request. */
-    record Drain() implements Effect {
-    }
+    record Drain() implements Effect {}
 
     /** Follow the coordinator at this address from the last event on, in place of any stream so far. */
-    record Follow(String coordinator) implements Effect {
-    }
+    record Follow(String coordinator) implements Effect {}
 
     /** Send a packet to another router of the fleet. */
-    record ToFleet(String address, byte[] bytes) implements Effect {
-    }
+    record ToFleet(String address, byte[] bytes) implements Effect {}
 
     /** What becomes of an operator's command, in one line. */
-    record Told(long connection, int stream, String text) implements Effect {
-    }
+    record Told(long connection, int stream, String text) implements Effect {}
 
     /** Take in who has connected and what was asked by now, to the last, and say so. */
-    record ReadAll() implements Effect {
-    }
+    record ReadAll() implements Effect {}
 
     /** All is done: end the process. */
-    record Exit() implements Effect {
-    }
+    record Exit() implements Effect {}
 }
--- a/src/main/java/pumicemoor/node/FleetParts.java
+++ b/src/main/java/pumicemoor/node/FleetParts.java
@@ -9,8 +9,7 @@
 /** The one place that knows which kind of fleet a setup asks for; it must never change what was set. */
 final class FleetParts {
 
-    private FleetParts() {
-    }
+    private FleetParts() {}
 
     /** A router's part that starts at this time (Unix microseconds): in a fleet of cells where the setup has them, else in a flat one. */
     static FleetPart of(FleetSetup setup, long time, long seed, Drains.Usage usage) {
--- a/src/main/java/pumicemoor/node/HitCount.java
+++ b/src/main/java/pumicemoor/node/HitCount.java
@@ -6,7 +6,7 @@
 /** How often members lately answered from what they hold: the present stretch of time and the one before, no more. */
 final class HitCount {
 
-    private static final long STRETCH = 10_000_000;  // microseconds
+    private static final long STRETCH = 10_000_000; // microseconds
 
     private Map<Long, Integer> present = new HashMap<>();
     private Map<Long, Integer> before = new HashMap<>();
--- a/src/main/java/pumicemoor/node/NodeConfig.java
+++ b/src/main/java/pumicemoor/node/NodeConfig.java
@@ -12,8 +12,16 @@
  * What a router is told before it starts, read from the JSON that RELAY_CONFIG names. It checks the form
  * only and must never fill in a value for a decision that the settings leave out.
  */
-public record NodeConfig(String name, String listen, String coordinator, long seed, Figures figures,
-        Vocabulary words, long knownIndex, List<Message> known, Message whole) {
+public record NodeConfig(
+        String name,
+        String listen,
+        String coordinator,
+        long seed,
+        Figures figures,
+        Vocabulary words,
+        long knownIndex,
+        List<Message> known,
+        Message whole) {
 
     private static final int LAST_PORT = 65_535;
 
@@ -21,8 +29,7 @@
     private static final List<String> FIXED = List.of("name", "listen", "limits", "settings");
 
     /** The platform's limits and what the settings say of connections. */
-    public record Figures(int memoryMb, int sockets, long keepAlive, int multiplex) {
-    }
+    public record Figures(int memoryMb, int sockets, long keepAlive, int multiplex) {}
 
     /** Reads the configuration; the exception names the field that cannot be used. */
     public static NodeConfig parse(String json) throws WireException {
@@ -32,12 +39,20 @@
         Message policy = settings.object("policy-limits");
         Message known = all.objectOrEmpty("known");
         String coordinator = all.text("coordinator", "");
-        return new NodeConfig(all.text("name", ""), address(all, "listen"),
+        return new NodeConfig(
+                all.text("name", ""),
+                address(all, "listen"),
                 coordinator.isEmpty() ? coordinator : address(all, "coordinator"),
                 seed(all.text("seed", "0")),
-                new Figures((int) limits.integer("memory_mb", 192), (int) limits.integer("sockets", 1024),
-                        policy.integer("keepalive-us", 0), (int) policy.integer("multiplex", 100)),
-                new Vocabulary(settings), known.integer("index", 0), new ArrayList<>(known.objects("updates")), all);
+                new Figures(
+                        (int) limits.integer("memory_mb", 192),
+                        (int) limits.integer("sockets", 1024),
+                        policy.integer("keepalive-us", 0),
+                        (int) policy.integer("multiplex", 100)),
+                new Vocabulary(settings),
+                known.integer("index", 0),
+                new ArrayList<>(known.objects("updates")),
+                all);
     }
 
     /** The name of the location that this router serves. */
@@ -47,7 +62,9 @@
 
     /** The first field by which this configuration differs from another that a running router cannot follow. */
     public Optional<String> unfollowable(NodeConfig other) {
-        return FIXED.stream().filter(f -> !Objects.equals(whole.value(f), other.whole.value(f))).findFirst();
+        return FIXED.stream()
+                .filter(f -> !Objects.equals(whole.value(f), other.whole.value(f)))
+                .findFirst();
     }
 
     static String address(Message all, String field) throws WireException {
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -18,6 +18,7 @@
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
 import pumicemoor.RouterApi.Cancel;
@@ -26,9 +27,9 @@
 import pumicemoor.RouterApi.Fail;
 import pumicemoor.RouterApi.Fetch;
 import pumicemoor.RouterApi.FillNote;
+import pumicemoor.RouterApi.Judged;
 import pumicemoor.RouterApi.ListKind;
 import pumicemoor.RouterApi.Log;
-import pumicemoor.RouterApi.Judged;
 import pumicemoor.RouterApi.Lookup;
 import pumicemoor.RouterApi.Member;
 import pumicemoor.RouterApi.MembersListed;
@@ -43,7 +44,6 @@
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
 import pumicemoor.RouterApi.Wanted;
-import pumicemoor.RouterApi;
 import pumicemoor.fleet.Fleet;
 import pumicemoor.fleet.FleetPart;
 import pumicemoor.fleet.drains.Drains;
@@ -71,15 +71,30 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Reducer.class);
     private static final long MILLI = 1_000;
-    private static final long CLOCKS_AGREE = 1_000_000;  // microseconds; machines' clocks are never closer than some
-    private static final Map<String, FillNote> NOTES = Map.ofEntries(Map.entry("mem", FillNote.HIT),
-            Map.entry("parent", FillNote.FILLED), Map.entry("origin", FillNote.FILLED_BY_ORIGIN),
-            Map.entry("shared", FillNote.JOINED), Map.entry("old", FillNote.STALE),
-            Map.entry("denied", FillNote.SOURCE_REFUSED), Map.entry("unreached", FillNote.SOURCE_FAILED),
-            Map.entry("absent", FillNote.SOURCE_LACKS), Map.entry("crowded", FillNote.NO_PLACE),
+    private static final long CLOCKS_AGREE = 1_000_000; // microseconds; machines' clocks are never closer than some
+    private static final Map<String, FillNote> NOTES = Map.ofEntries(
+            Map.entry("mem", FillNote.HIT),
+            Map.entry("parent", FillNote.FILLED),
+            Map.entry("origin", FillNote.FILLED_BY_ORIGIN),
+            Map.entry("shared", FillNote.JOINED),
+            Map.entry("old", FillNote.STALE),
+            Map.entry("denied", FillNote.SOURCE_REFUSED),
+            Map.entry("unreached", FillNote.SOURCE_FAILED),
+            Map.entry("absent", FillNote.SOURCE_LACKS),
+            Map.entry("crowded", FillNote.NO_PLACE),
             Map.entry("behind", FillNote.ORIGIN_FAILED));
-    private static final Map<Word, Outcome> OUTCOMES = Map.of(Word.DATA, Outcome.OK, Word.UNCHANGED, Outcome.OK,
-            Word.ABSENT, Outcome.MISS, Word.FULL, Outcome.FULL, Word.FAILED, Outcome.ERROR, Word.MOOT,
+    private static final Map<Word, Outcome> OUTCOMES = Map.of(
+            Word.DATA,
+            Outcome.OK,
+            Word.UNCHANGED,
+            Outcome.OK,
+            Word.ABSENT,
+            Outcome.MISS,
+            Word.FULL,
+            Outcome.FULL,
+            Word.FAILED,
+            Outcome.ERROR,
+            Word.MOOT,
             Outcome.MOOT);
     private static final Map<String, State> STATES =
             Map.of("active", State.READY, "leaving", State.DRAINING, "left", State.GONE);
@@ -91,20 +106,20 @@
     private final Counters counters;
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<Stream, Request> unanswered = new LinkedHashMap<>();
-    private final Map<String, Request> calls = new HashMap<>();  // the unanswered, by the client's own id
+    private final Map<String, Request> calls = new HashMap<>(); // the unanswered, by the client's own id
     private final BoundedLog complaints;
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<Long, Endpoint> endpoints = new HashMap<>();
-    private final Map<Long, Fleet.Listed> fleetMembers = new TreeMap<>();  // those listed, as the fleet knows them
+    private final Map<Long, Fleet.Listed> fleetMembers = new TreeMap<>(); // those listed, as the fleet knows them
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Queue<Event> events = new ArrayDeque<>();
     private Consumer<Effect> out;
     private long now;
-    private long wall;  // by the machine's clock, which may be stepped
-    private long numbers;  // of requests, attempts and timers, each its own
+    private long wall; // by the machine's clock, which may be stepped
+    private long numbers; // of requests, attempts and timers, each its own
     private long lastUpdate;
-    private boolean synced;  // caught up with the coordinator since the start, or given up waiting for that
-    private long gapAt = -1;  // the last event taken when an event was found missing behind it
+    private boolean synced; // caught up with the coordinator since the start, or given up waiting for that
+    private long gapAt = -1; // the last event taken when an event was found missing behind it
     private NodeConfig config;
     private OperatorConfig operator = OperatorConfig.NONE;
     private Optional<Hierarchy> hierarchy = Optional.empty();
@@ -119,17 +134,29 @@
     private Exit exit = Exit.NOT_YET;
 
     /** What a client's connection and a stream on it name together. */
-    private record Stream(long connection, int stream) {
-    }
+    private record Stream(long connection, int stream) {}
 
     /** Where a member listens, the start of the process that does, and its state by the list. */
-    private record Endpoint(String instance, String address, long toldStart, long started, State state) {
-    }
+    private record Endpoint(String instance, String address, long toldStart, long started, State state) {}
 
     /** How far the end has come: what has arrived by then is read once more before the last step. */
-    private enum Exit { NOT_YET, READING, DONE }
+    private enum Exit {
+        NOT_YET,
+        READING,
+        DONE
+    }
 
-    private enum Kind { MODULE, ATTEMPT, UNWRITTEN, OVERDUE, HIERARCHY, FLEET, SYNC, EXIT_IF_QUIET, EXIT }
+    private enum Kind {
+        MODULE,
+        ATTEMPT,
+        UNWRITTEN,
+        OVERDUE,
+        HIERARCHY,
+        FLEET,
+        SYNC,
+        EXIT_IF_QUIET,
+        EXIT
+    }
 
     private record Timer(long at, long order, Kind kind, long about) implements Comparable<Timer> {
         @Override
@@ -145,7 +172,7 @@
         Stream stream;
         long deadline;
         boolean over;
-        boolean named;  // its attempts are named to another proxy, which sends them
+        boolean named; // its attempts are named to another proxy, which sends them
         int sent, requestClass;
         final Map<Integer, Attempt> out = new LinkedHashMap<>();
     }
@@ -199,14 +226,26 @@
         now = Math.max(now, time);
         wall = wallTime;
         out = effects;
-        if (fleetDue <= now) {  // a process that was paused must not go by what has run out meanwhile
+        if (fleetDue <= now) { // a process that was paused must not go by what has run out meanwhile
             followFleet();
         }
         if (input instanceof Input.Request r) {
             arrived(r, false);
         } else if (input instanceof Input.Call c) {
-            arrived(new Input.Request(c.number(), 0, c.id(), c.requestClass(), c.object(), c.part(), c.group(), null,
-                    c.ttlMillis(), c.repeat(), Bytes.NONE), true);
+            arrived(
+                    new Input.Request(
+                            c.number(),
+                            0,
+                            c.id(),
+                            c.requestClass(),
+                            c.object(),
+                            c.part(),
+                            c.group(),
+                            null,
+                            c.ttlMillis(),
+                            c.repeat(),
+                            Bytes.NONE),
+                    true);
         } else if (input instanceof Input.Answered a) {
             answered(a);
         } else if (input instanceof Input.Written w) {
@@ -218,7 +257,9 @@
         } else if (input instanceof Input.Withdrawn w) {
             withdrawn(unanswered.get(new Stream(w.connection(), w.stream())));
         } else if (input instanceof Input.ClientClosed c) {
-            unanswered.values().stream().filter(r -> r.stream.connection() == c.connection()).toList()
+            unanswered.values().stream()
+                    .filter(r -> r.stream.connection() == c.connection())
+                    .toList()
                     .forEach(this::withdrawn);
         } else if (input instanceof Input.Unreached u) {
             end(attempts.get(u.attempt()), Outcome.CONNECT_FAILED);
@@ -245,7 +286,9 @@
         drive();
         followHierarchy();
         followFleet();
-        if (terminatedAt >= 0 && exit == Exit.NOT_YET && unanswered.isEmpty()
+        if (terminatedAt >= 0
+                && exit == Exit.NOT_YET
+                && unanswered.isEmpty()
                 && now >= terminatedAt + limits.quietAfterTerm()) {
             exit = Exit.READING;
             out.accept(new Effect.ReadAll());
@@ -286,13 +329,17 @@
         Request same = calls.putIfAbsent(asked.call(), request);
         if (requestClass < 0 || same != null && !same.asked.object().equals(asked.object())) {
             counters.add(Name.BAD_INPUT);
-            complaints.warn(now, requestClass < 0 ? "a request was failed: unknown class '" + asked.requestClass()
-                    + "'" : "a request was failed: its id is that of an open request for another object");
+            complaints.warn(
+                    now,
+                    requestClass < 0
+                            ? "a request was failed: unknown class '" + asked.requestClass() + "'"
+                            : "a request was failed: its id is that of an open request for another object");
             answer(request, Code.FAILED, false, 0, Bytes.NONE);
             if (!named) {
                 out.accept(new Effect.Misused(asked.connection()));
             }
-        } else if (unanswered.size() > limits.openRequests() || exit == Exit.DONE
+        } else if (unanswered.size() > limits.openRequests()
+                || exit == Exit.DONE
                 || terminatedAt >= 0 && now >= terminatedAt + limits.lastAfterTerm()) {
             counters.add(Name.TURNED_AWAY);
             answer(request, Code.REFUSED, false, limits.pushback(), Bytes.NONE);
@@ -300,8 +347,15 @@
             request.requestClass = requestClass;
             requests.put(request.id, request);
             timer(request.deadline + limits.answerGuard(), Kind.OVERDUE, Long.parseLong(request.id));
-            events.add(new RequestArrived(request.id, requestClass, asked.object(), asked.part(),
-                    asked.group(), 0, request.deadline - now, asked.repeat()));
+            events.add(new RequestArrived(
+                    request.id,
+                    requestClass,
+                    asked.object(),
+                    asked.part(),
+                    asked.group(),
+                    0,
+                    request.deadline - now,
+                    asked.repeat()));
         }
     }
 
@@ -329,12 +383,15 @@
             body.release();
             return false;
         }
-        counters.add(code == Code.SERVED ? unchanged ? Name.UNCHANGED : Name.SERVED
-                : code == Code.REFUSED ? Name.REFUSED : Name.FAILED);
-        RequestTrace.answered(request.asked.call(), code, pushbackMillis, request.sent, (request.deadline - now) / MILLI);
+        counters.add(
+                code == Code.SERVED
+                        ? unchanged ? Name.UNCHANGED : Name.SERVED
+                        : code == Code.REFUSED ? Name.REFUSED : Name.FAILED);
+        RequestTrace.answered(
+                request.asked.call(), code, pushbackMillis, request.sent, (request.deadline - now) / MILLI);
         close(request);
-        out.accept(new Effect.Answer(request.stream.connection(), request.stream.stream(), code, unchanged,
-                pushbackMillis, body));
+        out.accept(new Effect.Answer(
+                request.stream.connection(), request.stream.stream(), code, unchanged, pushbackMillis, body));
         return true;
     }
 
@@ -357,9 +414,10 @@
     private void act(Action action) {
         if (action instanceof Fetch f) {
             send(requests.get(f.id()), f);
-        } else if (action instanceof Lookup l) {  // no fill: what the member holds
-            send(requests.get(l.id()), new Fetch(l.id(), l.member(), l.member(), 0, 0, false, false, false, false,
-                    l.timeout()));
+        } else if (action instanceof Lookup l) { // no fill: what the member holds
+            send(
+                    requests.get(l.id()),
+                    new Fetch(l.id(), l.member(), l.member(), 0, 0, false, false, false, false, l.timeout()));
         } else if (action instanceof Cancel c) {
             Request request = requests.get(c.id());
             Attempt attempt = request == null ? null : request.out.get(c.attempt());
@@ -404,35 +462,70 @@
         attempts.put(attempt.key, attempt);
         request.out.put(attempt.number, attempt);
         long until = f.timeout() > 0 ? Math.min(request.deadline, now + f.timeout()) : request.deadline;
-        if (request.over || f.timeout() < 0 || until <= now || request.sent > settings.limits().attempts()) {
+        if (request.over
+                || f.timeout() < 0
+                || until <= now
+                || request.sent > settings.limits().attempts()) {
             end(attempt, Outcome.MOOT);
             return;
         }
         counters.add(Name.ATTEMPTS);
         timer(until, Kind.ATTEMPT, attempt.key);
         Input.Request asked = request.asked;
-        List<String> way = f.way().stream().map(endpoints::get).filter(Objects::nonNull).map(Endpoint::instance).toList();
+        List<String> way = f.way().stream()
+                .map(endpoints::get)
+                .filter(Objects::nonNull)
+                .map(Endpoint::instance)
+                .toList();
         String sourceName = f.source() == f.member() ? null : source.instance();
-        RequestTrace.attempt(asked.call(), attempt.number, target.instance(), sourceName, lastUpdate, (until - now) / MILLI);
+        RequestTrace.attempt(
+                asked.call(), attempt.number, target.instance(), sourceName, lastUpdate, (until - now) / MILLI);
         long within = f.oldest() > 0 ? Math.max(1, f.oldest() / MILLI) : 0;
         if (request.named) {
-            attempt.written = true;  // once it is named, it may run
-            out.accept(new Effect.Name(request.stream.connection(), attempt.key, attempt.number, target.instance(),
-                    target.address(), Math.max(1, (until - now) / MILLI), sourceName, way, f.keepRank(), within, f.join(),
-                    f.onlyIfHeld(), f.renew()));
+            attempt.written = true; // once it is named, it may run
+            out.accept(new Effect.Name(
+                    request.stream.connection(),
+                    attempt.key,
+                    attempt.number,
+                    target.instance(),
+                    target.address(),
+                    Math.max(1, (until - now) / MILLI),
+                    sourceName,
+                    way,
+                    f.keepRank(),
+                    within,
+                    f.join(),
+                    f.onlyIfHeld(),
+                    f.renew()));
             return;
         }
         timer(now + limits.unwritten(), Kind.UNWRITTEN, attempt.key);
-        out.accept(new Effect.Ask(attempt.key, target.instance(), target.address(), asked.call(),
-                asked.requestClass(), asked.object(), asked.part(), Math.max(1, (until - now) / MILLI),
-                sourceName, f.keepRank(), within, f.join(), f.onlyIfHeld(), f.passParent(), f.renew(), asked.tag(),
-                !settings.classes().get(request.requestClass).uncacheable(), way, asked.body().retain()));
+        out.accept(new Effect.Ask(
+                attempt.key,
+                target.instance(),
+                target.address(),
+                asked.call(),
+                asked.requestClass(),
+                asked.object(),
+                asked.part(),
+                Math.max(1, (until - now) / MILLI),
+                sourceName,
+                f.keepRank(),
+                within,
+                f.join(),
+                f.onlyIfHeld(),
+                f.passParent(),
+                f.renew(),
+                asked.tag(),
+                !settings.classes().get(request.requestClass).uncacheable(),
+                way,
+                asked.body().retain()));
     }
 
     private void quit(Attempt attempt) {
         counters.add(Name.QUITS);
         if (attempt.request.named) {
-            return;  // whoever sends it is told of the next attempt, or of the end
+            return; // whoever sends it is told of the next attempt, or of the end
         }
         out.accept(new Effect.Quit(attempt.key, settings.limits().cancel()));
     }
@@ -453,8 +546,12 @@
         } else {
             a.body().release();
         }
-        end(attempt, outcome, a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
-                a.load(), kb);
+        end(
+                attempt,
+                outcome,
+                a.note() == null ? FillNote.NONE : NOTES.getOrDefault(a.note(), FillNote.NONE),
+                a.load(),
+                kb);
     }
 
     private void end(Attempt attempt, Outcome outcome) {
@@ -469,12 +566,22 @@
         attempts.remove(attempt.key);
         request.out.remove(attempt.number);
         counters.add(Name.valueOf(outcome.name()));
-        RequestTrace.attemptEnded(request.asked.call(), attempt.number, outcome, note, attempt.written, now - attempt.sentAt);
+        RequestTrace.attemptEnded(
+                request.asked.call(), attempt.number, outcome, note, attempt.written, now - attempt.sentAt);
         if (drained.isPresent() && note == FillNote.HIT) {
             hits.add(now, attempt.member);
         }
-        events.add(new AttemptEnded(request.id, attempt.number, attempt.member, outcome, now - attempt.sentAt,
-                request.over, note, 0, load, kb));
+        events.add(new AttemptEnded(
+                request.id,
+                attempt.number,
+                attempt.member,
+                outcome,
+                now - attempt.sentAt,
+                request.over,
+                note,
+                0,
+                load,
+                kb));
         forgetIfDone(request);
     }
 
@@ -546,7 +653,10 @@
 
     /** Whether new requests are wanted: the members are known as of now and the process is not about to end. */
     public boolean ready() {
-        return terminatedAt < 0 && synced && !endpoints.isEmpty() && fleet.map(FleetPart::settled).orElse(true);
+        return terminatedAt < 0
+                && synced
+                && !endpoints.isEmpty()
+                && fleet.map(FleetPart::settled).orElse(true);
     }
 
     // ---- what the coordinator tells -------------------------------------------------------------------
@@ -579,8 +689,10 @@
         if (!synced) {
             synced = true;
             counters.add(Name.STARTED_UNSYNCED);
-            LOG.warn("the coordinator did not tell what is new within {} ms: serving on event {}",
-                    limits.syncTime() / MILLI, lastUpdate);
+            LOG.warn(
+                    "the coordinator did not tell what is new within {} ms: serving on event {}",
+                    limits.syncTime() / MILLI,
+                    lastUpdate);
         }
     }
 
@@ -617,8 +729,9 @@
             fleet = Optional.of(FleetParts.of(f.setup(name, settings.rules()), time, seed, new Drains.Usage() {
                 @Override
                 public int underWay(long member) {
-                    return (int) attempts.values().stream().filter(a -> a.member == member || a.source == member
-                            || a.way.contains(member)).count();
+                    return (int) attempts.values().stream()
+                            .filter(a -> a.member == member || a.source == member || a.way.contains(member))
+                            .count();
                 }
 
                 @Override
@@ -630,9 +743,14 @@
         });
         set.hierarchy().ifPresent(h -> {
             long coldTime = settings.rules().parent().warmAfter();
-            Hierarchy.Setup setup = new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(),
-                    h.timing(), coldTime);
-            hierarchy = Optional.of(Hierarchy.start(h.shape(), h.before(), h.lastPiece(), time, setup,
+            Hierarchy.Setup setup =
+                    new Hierarchy.Setup(h.depot().isEmpty() ? location : h.depot(), h.news(), h.timing(), coldTime);
+            hierarchy = Optional.of(Hierarchy.start(
+                    h.shape(),
+                    h.before(),
+                    h.lastPiece(),
+                    time,
+                    setup,
                     notice -> complaints.warn(now, notice.text(), notice.figures())));
         });
     }
@@ -686,7 +804,7 @@
 
     private void shapeTold(ShapeNews news) {
         if (hierarchy.isEmpty()) {
-            return;  // this installation has none
+            return; // this installation has none
         }
         if (news instanceof ShapeNews.Told t) {
             hierarchy.get().take(now, t.piece());
@@ -707,12 +825,13 @@
     private String operateAnew(OperatorConfig next) {
         if (next.equals(operator)) {
             if (next.processor().isPresent()) {
-                out.accept(new Effect.Operate(next));  // the certificates that it names may be new all the same
+                out.accept(new Effect.Operate(next)); // the certificates that it names may be new all the same
             }
             return null;
         }
         if (next.processor().isPresent() != operator.processor().isPresent()
-                || next.processor().isPresent() && !next.processor().get().follows(operator.processor().get())) {
+                || next.processor().isPresent()
+                        && !next.processor().get().follows(operator.processor().get())) {
             return "the section 'processor' can't come or go, and its listen and tls can't change, while running";
         }
         if (!next.fleet().equals(operator.fleet())) {
@@ -728,14 +847,21 @@
         }
         HierarchySection old = operator.hierarchy().get();
         HierarchySection fresh = next.hierarchy().get();
-        if (old.news() != fresh.news() || !old.timing().equals(fresh.timing()) || !old.depot().equals(fresh.depot())) {
+        if (old.news() != fresh.news()
+                || !old.timing().equals(fresh.timing())
+                || !old.depot().equals(fresh.depot())) {
             return "news, depot and times of the hierarchy can't be changed while running";
         }
         if (!old.shape().equals(fresh.shape())) {
-            List<Problem> problems = hierarchy.get().take(now, fresh.shape(),
-                    endpoints.values().stream().map(Endpoint::instance).collect(Collectors.toSet()));
+            List<Problem> problems = hierarchy
+                    .get()
+                    .take(
+                            now,
+                            fresh.shape(),
+                            endpoints.values().stream().map(Endpoint::instance).collect(Collectors.toSet()));
             if (!problems.isEmpty()) {
-                return "the shape of version " + fresh.shape().version() + ": " + problems.get(0).text();
+                return "the shape of version " + fresh.shape().version() + ": "
+                        + problems.get(0).text();
             }
         }
         operator = next;
@@ -748,8 +874,11 @@
      * what a running router cannot follow, changes nothing at all. Nothing that is open is disturbed.
      */
     private void reload(Input.Reload r) {
-        String problem = r.config() == null ? r.problem() : config.unfollowable(r.config())
-                .map(f -> "field '" + f + "' can't be changed while running").orElse(null);
+        String problem = r.config() == null
+                ? r.problem()
+                : config.unfollowable(r.config())
+                        .map(f -> "field '" + f + "' can't be changed while running")
+                        .orElse(null);
         problem = problem == null ? operateAnew(r.operator()) : problem;
         counters.add(problem == null ? Name.RELOADS : Name.RELOADS_REFUSED);
         if (problem != null) {
@@ -767,19 +896,19 @@
     private void updated(Message update) throws WireException {
         long index = update.integer("index", lastUpdate + 1);
         if (index <= lastUpdate) {
-            return;  // told before
+            return; // told before
         }
         if (index > lastUpdate + 1 && gapAt != lastUpdate && config != null) {
             gapAt = lastUpdate;
             counters.add(Name.GAPS);
-            complaints.warn(now, "event " + index + " came behind event " + lastUpdate
-                    + ": the coordinator is asked again");
+            complaints.warn(
+                    now, "event " + index + " came behind event " + lastUpdate + ": the coordinator is asked again");
             out.accept(new Effect.Follow(config.coordinator()));
             return;
         }
         lastUpdate = index;
         counters.add(Name.UPDATES);
-        part(index, "evict", update, this::purged);  // each by itself: one that can't be read costs no other
+        part(index, "evict", update, this::purged); // each by itself: one that can't be read costs no other
         part(index, "endpoints", update, this::listed);
         part(index, "shape", update, shape -> shapeTold(ShapeNews.read(shape)));
     }
@@ -802,8 +931,8 @@
 
     private void purged(Message purge) throws WireException {
         counters.add(Name.PURGES);
-        events.add(new Purged(purge.text("ref", null), (int) purge.integer("shard", -1),
-                age(purge.integer("unix_ms") * MILLI)));
+        events.add(new Purged(
+                purge.text("ref", null), (int) purge.integer("shard", -1), age(purge.integer("unix_ms") * MILLI)));
     }
 
     /**
@@ -825,8 +954,7 @@
     }
 
     /** A line of a list that could be read. */
-    private record Line(Member member, Endpoint endpoint) {
-    }
+    private record Line(Member member, Endpoint endpoint) {}
 
     private Line line(Message line) throws WireException {
         String instance = line.text("instanceId");
@@ -835,11 +963,17 @@
             throw new WireException("unknown lifecycle '" + line.text("lifecycle") + "'");
         }
         long toldStart = line.integer("startedAtMs", 0) * MILLI;
-        Member member = new Member(memberId(instance), words.role(line.text("machineType", null)),
-                words.zone(line.text("zone")), (int) line.integer("cell", 0), line.number("weight", 1),
-                started(memberId(instance), toldStart), state);
-        return new Line(member, new Endpoint(instance, NodeConfig.address(line, "hostPort"), toldStart, member.started(),
-                state));
+        Member member = new Member(
+                memberId(instance),
+                words.role(line.text("machineType", null)),
+                words.zone(line.text("zone")),
+                (int) line.integer("cell", 0),
+                line.number("weight", 1),
+                started(memberId(instance), toldStart),
+                state);
+        return new Line(
+                member,
+                new Endpoint(instance, NodeConfig.address(line, "hostPort"), toldStart, member.started(), state));
     }
 
     /** A list: all of it is read before any of it is applied, and a line that can't be read costs that member's news alone. */
@@ -859,7 +993,7 @@
             }
         }
         if (lines.isEmpty() && !unread.isEmpty()) {
-            return;  // nothing of it can be used
+            return; // nothing of it can be used
         }
         List<Member> members = new ArrayList<>();
         for (Line line : lines) {
@@ -870,8 +1004,8 @@
             if (state == State.GONE) {
                 fleetMembers.remove(member.id());
             } else {
-                fleetMembers.put(member.id(), new Fleet.Listed(instance, member.role(), member.started(),
-                        state == State.READY));
+                fleetMembers.put(
+                        member.id(), new Fleet.Listed(instance, member.role(), member.started(), state == State.READY));
             }
             Endpoint before = endpoints.put(member.id(), line.endpoint());
             logChange(before, line.endpoint());
@@ -881,10 +1015,13 @@
                 out.accept(new Effect.Drop(instance, member.started()));
             }
         }
-        if (whole) {  // who is not in a whole list has been removed
+        if (whole) { // who is not in a whole list has been removed
             Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
             listed.addAll(unread);
-            endpoints.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::gone);
+            endpoints.keySet().stream()
+                    .filter(id -> !listed.contains(id))
+                    .toList()
+                    .forEach(this::gone);
             fleetMembers.keySet().retainAll(listed);
         }
         fleet.ifPresent(f -> f.members(now, fleetMembers));
@@ -900,9 +1037,13 @@
 
     /** One log line for each endpoint whose state or process is new; the list known at the start is not logged. */
     private void logChange(Endpoint before, Endpoint after) {
-        if (config != null && (before == null || before.state() != after.state() || before.started() != after.started())) {
-            changeLog.info(now, "event " + lastUpdate + ": endpoint " + after.instance() + " is "
-                    + after.state() + ", was " + (before == null ? "not listed" : before.state()), Map.of());
+        if (config != null
+                && (before == null || before.state() != after.state() || before.started() != after.started())) {
+            changeLog.info(
+                    now,
+                    "event " + lastUpdate + ": endpoint " + after.instance() + " is " + after.state() + ", was "
+                            + (before == null ? "not listed" : before.state()),
+                    Map.of());
         }
     }
 
--- a/src/main/java/pumicemoor/node/RequestTrace.java
+++ b/src/main/java/pumicemoor/node/RequestTrace.java
@@ -14,35 +14,57 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(RequestTrace.class);
 
-    private RequestTrace() {
-    }
+    private RequestTrace() {}
 
     static void arrived(Input.Request request, long millisLeft) {
         if (LOG.isDebugEnabled()) {
-            LOG.debug("request {} arrived: class {} object {} connection {} stream {} has {} ms", request.call(),
-                    request.requestClass(), request.object(), request.connection(), request.stream(), millisLeft);
+            LOG.debug(
+                    "request {} arrived: class {} object {} connection {} stream {} has {} ms",
+                    request.call(),
+                    request.requestClass(),
+                    request.object(),
+                    request.connection(),
+                    request.stream(),
+                    millisLeft);
         }
     }
 
     /** An attempt goes out; the source is null where nothing is filled, the event is the last one that was applied. */
     static void attempt(String call, int number, String target, String source, long lastEvent, long millisLeft) {
         if (LOG.isDebugEnabled()) {
-            LOG.debug("request {} attempt {} at {} source {} decided on event {} has {} ms", call, number, target, source,
-                    lastEvent, millisLeft);
+            LOG.debug(
+                    "request {} attempt {} at {} source {} decided on event {} has {} ms",
+                    call,
+                    number,
+                    target,
+                    source,
+                    lastEvent,
+                    millisLeft);
         }
     }
 
     static void attemptEnded(String call, int number, Outcome outcome, FillNote note, boolean written, long micros) {
         if (LOG.isDebugEnabled()) {
-            LOG.debug("request {} attempt {} ended {} {} written {} after {} us", call, number, outcome, note, written,
+            LOG.debug(
+                    "request {} attempt {} ended {} {} written {} after {} us",
+                    call,
+                    number,
+                    outcome,
+                    note,
+                    written,
                     micros);
         }
     }
 
     static void answered(String call, Effect.Code code, long pushbackMillis, int attempts, long millisLeft) {
         if (LOG.isDebugEnabled()) {
-            LOG.debug("request {} answered {} pushback {} ms after {} attempts, {} ms before its deadline", call, code,
-                    pushbackMillis, attempts, millisLeft);
+            LOG.debug(
+                    "request {} answered {} pushback {} ms after {} attempts, {} ms before its deadline",
+                    call,
+                    code,
+                    pushbackMillis,
+                    attempts,
+                    millisLeft);
         }
     }
 
--- a/src/main/java/pumicemoor/operator/HierarchySection.java
+++ b/src/main/java/pumicemoor/operator/HierarchySection.java
@@ -11,6 +11,5 @@
  * location; empty for the location's own name. A shape's first piece has number 1; those in the file end at the
  * one told.
  */
-public record HierarchySection(News news, String depot, Timing timing, Shape shape, Optional<Shape> before,
-        long lastPiece) {
-}
+public record HierarchySection(
+        News news, String depot, Timing timing, Shape shape, Optional<Shape> before, long lastPiece) {}
--- a/src/main/java/pumicemoor/operator/OperatorFile.java
+++ b/src/main/java/pumicemoor/operator/OperatorFile.java
@@ -58,11 +58,13 @@
     private static final long MILLI = 1_000;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
     private static final Pattern ROOT = Pattern.compile("[A-Za-z0-9_-]{1,24}");
-    private static final int FLAT_SIZE = 2_000;  // routers that each can know of each
+    private static final int FLAT_SIZE = 2_000; // routers that each can know of each
     private static final int CELLS_SIZE = 100_000;
-    private static final int LONGEST_TIME = 24 * 3_600_000;  // milliseconds
+    private static final int LONGEST_TIME = 24 * 3_600_000; // milliseconds
     private static final YAMLMapper YAML = YAMLMapper.builder()
-            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
+            .enable(
+                    DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES,
+                    DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
                     DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
@@ -73,63 +75,94 @@
             .build();
 
     // the form of the file, with its own names and units; absent keys are null
-    private record Root(LogForm log, HierarchyForm hierarchy, ProcessorForm processor, FleetForm fleet) {
-    }
-
-    private record FleetForm(String cluster, String listen, String advertise, List<String> seeds, Integer size,
-            @JsonProperty("period-ms") Integer period, Integer indirect, Integer fanout,
-            @JsonProperty("remember-ms") Integer remember, @JsonProperty("lease-ms") Integer lease,
-            @JsonProperty("guard-ms") Integer guard, List<LimitForm> limits, VerdictsForm verdicts, DrainsForm drains,
-            CellsForm cells) {
-    }
-
-    private record CellsForm(String root, Integer most, Integer delegates) {
-    }
-
-    private record DrainsForm(@JsonProperty("least-ms") Integer least, @JsonProperty("drain-ms") Integer drain,
-            @JsonProperty("gone-ms") Integer gone, @JsonProperty("overdue-ms") Integer overdue) {
-    }
-
-    private record LimitForm(String name, String members, @JsonProperty("per-second") Double perSecond,
-            @JsonProperty("in-flight") Integer inFlight, @JsonProperty("cold-in-flight") Integer coldInFlight,
-            @JsonProperty("kb-per-second") Double kbPerSecond) {
-    }
-
-    private record VerdictsForm(@JsonProperty("most-out") Double mostOut, Integer witnesses,
-            @JsonProperty("hold-ms") Integer hold, @JsonProperty("guard-ms") Integer guard) {
-    }
-
-    private record ProcessorForm(String listen, @JsonProperty("plain-anywhere") Boolean plainAnywhere, TlsForm tls,
+    private record Root(LogForm log, HierarchyForm hierarchy, ProcessorForm processor, FleetForm fleet) {}
+
+    private record FleetForm(
+            String cluster,
+            String listen,
+            String advertise,
+            List<String> seeds,
+            Integer size,
+            @JsonProperty("period-ms") Integer period,
+            Integer indirect,
+            Integer fanout,
+            @JsonProperty("remember-ms") Integer remember,
+            @JsonProperty("lease-ms") Integer lease,
+            @JsonProperty("guard-ms") Integer guard,
+            List<LimitForm> limits,
+            VerdictsForm verdicts,
+            DrainsForm drains,
+            CellsForm cells) {}
+
+    private record CellsForm(String root, Integer most, Integer delegates) {}
+
+    private record DrainsForm(
+            @JsonProperty("least-ms") Integer least,
+            @JsonProperty("drain-ms") Integer drain,
+            @JsonProperty("gone-ms") Integer gone,
+            @JsonProperty("overdue-ms") Integer overdue) {}
+
+    private record LimitForm(
+            String name,
+            String members,
+            @JsonProperty("per-second") Double perSecond,
+            @JsonProperty("in-flight") Integer inFlight,
+            @JsonProperty("cold-in-flight") Integer coldInFlight,
+            @JsonProperty("kb-per-second") Double kbPerSecond) {}
+
+    private record VerdictsForm(
+            @JsonProperty("most-out") Double mostOut,
+            Integer witnesses,
+            @JsonProperty("hold-ms") Integer hold,
+            @JsonProperty("guard-ms") Integer guard) {}
+
+    private record ProcessorForm(
+            String listen,
+            @JsonProperty("plain-anywhere") Boolean plainAnywhere,
+            TlsForm tls,
             @JsonProperty("message-timeout-ms") Integer messageTimeout,
-            @JsonProperty("retry-wait-ms") Integer retryWait, @JsonProperty("header-bytes") Integer headerBytes,
+            @JsonProperty("retry-wait-ms") Integer retryWait,
+            @JsonProperty("header-bytes") Integer headerBytes,
             @JsonProperty("calls-per-connection") Integer callsPerConnection,
-            @JsonProperty("open-calls") Integer openCalls, @JsonProperty("open-calls-per-caller") Integer openPerCaller,
-            @JsonProperty("calls-per-second") Integer rate, @JsonProperty("fair-shares") Boolean fair,
-            @JsonProperty("no-rule") String noRule, List<RuleForm> rules) {
-    }
-
-    private record TlsForm(String certificate, String key, String callers) {
-    }
-
-    private record RuleForm(String method, String path, Map<String, String> headers,
-            @JsonProperty("class") String requestClass, @JsonProperty("group-header") String groupHeader) {
-    }
-
-    private record LogForm(String format) {
-    }
-
-    private record HierarchyForm(String news, String depot, @JsonProperty("lead-ms") Integer lead,
-            @JsonProperty("move-ms") Integer move, @JsonProperty("gap-ms") Integer gap,
+            @JsonProperty("open-calls") Integer openCalls,
+            @JsonProperty("open-calls-per-caller") Integer openPerCaller,
+            @JsonProperty("calls-per-second") Integer rate,
+            @JsonProperty("fair-shares") Boolean fair,
+            @JsonProperty("no-rule") String noRule,
+            List<RuleForm> rules) {}
+
+    private record TlsForm(String certificate, String key, String callers) {}
+
+    private record RuleForm(
+            String method,
+            String path,
+            Map<String, String> headers,
+            @JsonProperty("class") String requestClass,
+            @JsonProperty("group-header") String groupHeader) {}
+
+    private record LogForm(String format) {}
+
+    private record HierarchyForm(
+            String news,
+            String depot,
+            @JsonProperty("lead-ms") Integer lead,
+            @JsonProperty("move-ms") Integer move,
+            @JsonProperty("gap-ms") Integer gap,
             @JsonProperty("remember-ms") Integer remember,
-            @JsonProperty("last-piece") Long lastPiece, ShapeForm shape, ShapeForm before) {
-    }
+            @JsonProperty("last-piece") Long lastPiece,
+            ShapeForm shape,
+            ShapeForm before) {}
 
-    private record ShapeForm(Long version, String announced, @JsonProperty("allow-skips") Boolean allowSkips,
-            String origin, Map<String, UnitForm> hubs, Map<String, UnitForm> depots, Map<String, UnitForm> caches) {
-    }
+    private record ShapeForm(
+            Long version,
+            String announced,
+            @JsonProperty("allow-skips") Boolean allowSkips,
+            String origin,
+            Map<String, UnitForm> hubs,
+            Map<String, UnitForm> depots,
+            Map<String, UnitForm> caches) {}
 
-    private record UnitForm(@JsonProperty("fill-from") Map<String, Double> fillFrom) {
-    }
+    private record UnitForm(@JsonProperty("fill-from") Map<String, Double> fillFrom) {}
 
     private final String name;
     private final KeyLines lines;
@@ -155,8 +188,9 @@
 
     /** Reads only the shape of a file: the section of a whole file, or a file that is a shape by itself. */
     public static HierarchySection readHierarchy(Path file) throws OperatorException {
-        return read(file).hierarchy().orElseThrow(
-                () -> new OperatorException(file + ":1: hierarchy: the file has no such section"));
+        return read(file)
+                .hierarchy()
+                .orElseThrow(() -> new OperatorException(file + ":1: hierarchy: the file has no such section"));
     }
 
     static OperatorConfig parse(String name, String yaml) throws OperatorException {
@@ -165,20 +199,26 @@
             Root root = yaml.isBlank() ? null : YAML.readValue(yaml, Root.class);
             return root == null ? OperatorConfig.NONE : file.config(root);
         } catch (JsonMappingException e) {
-            String path = e.getPath().stream().map(JsonMappingException.Reference::getFieldName)
+            String path = e.getPath().stream()
+                    .map(JsonMappingException.Reference::getFieldName)
                     .collect(Collectors.joining("."));
-            int line = e.getCause() instanceof JsonProcessingException ? e.getLocation().getLineNr()
+            int line = e.getCause() instanceof JsonProcessingException
+                    ? e.getLocation().getLineNr()
                     : new OperatorFile(name, linesOf(yaml)).lines.of(path);
             String what = e instanceof UnrecognizedPropertyException u
-                    ? "unknown key; known here: " + u.getKnownPropertyIds().stream().map(Object::toString).sorted()
-                            .collect(Collectors.joining(", "))
+                    ? "unknown key; known here: "
+                            + u.getKnownPropertyIds().stream()
+                                    .map(Object::toString)
+                                    .sorted()
+                                    .collect(Collectors.joining(", "))
                     : e instanceof MismatchedInputException m && m.getTargetType() != null
-                    ? "wrong type, wanted is " + typeName(m.getTargetType())
-                    : e.getOriginalMessage().lines().findFirst().orElse("");
+                            ? "wrong type, wanted is " + typeName(m.getTargetType())
+                            : e.getOriginalMessage().lines().findFirst().orElse("");
             throw new OperatorException(name + ":" + line + ": " + path + ": " + what.replace('\n', ' '));
         } catch (JsonProcessingException e) {
-            throw new OperatorException(name + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr())
-                    + ": not YAML: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw new OperatorException(
+                    name + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": not YAML: "
+                            + e.getOriginalMessage().lines().findFirst().orElse(""));
         } catch (IOException e) {
             throw new OperatorException(name + ":1: not YAML: " + e.getMessage());
         }
@@ -193,8 +233,13 @@
     }
 
     private static String typeName(Class<?> type) {
-        return type == Integer.class || type == Long.class ? "a whole number" : type == Double.class ? "a number"
-                : type == Boolean.class ? "true or false" : type == String.class ? "text (quote it)" : "a group of keys";
+        return type == Integer.class || type == Long.class
+                ? "a whole number"
+                : type == Double.class
+                        ? "a number"
+                        : type == Boolean.class
+                                ? "true or false"
+                                : type == String.class ? "text (quote it)" : "a group of keys";
     }
 
     private OperatorException wrong(String key, String what) {
@@ -202,11 +247,14 @@
     }
 
     private OperatorConfig config(Root root) throws OperatorException {
-        String format = root.log() == null || root.log().format() == null ? "text" : root.log().format();
+        String format = root.log() == null || root.log().format() == null
+                ? "text"
+                : root.log().format();
         if (!Set.of("text", "json").contains(format)) {
             throw wrong("log.format", "'" + format + "' is neither text nor json");
         }
-        return new OperatorConfig(format.equals("json") ? LogFormat.JSON : LogFormat.TEXT,
+        return new OperatorConfig(
+                format.equals("json") ? LogFormat.JSON : LogFormat.TEXT,
                 root.hierarchy() == null ? Optional.empty() : Optional.of(hierarchy(root.hierarchy())),
                 root.processor() == null ? Optional.empty() : Optional.of(processor(root.processor())),
                 root.fleet() == null ? Optional.empty() : Optional.of(fleet(root.fleet())));
@@ -224,8 +272,10 @@
         }
         int largest = form.cells() == null ? FLAT_SIZE : CELLS_SIZE;
         if (form.size() == null || form.size() < 1 || form.size() > largest) {
-            throw wrong("fleet.size", "it is missing or out of range: 1 to " + largest + " routers"
-                    + (form.cells() == null ? ", to " + CELLS_SIZE + " with fleet.cells" : ""));
+            throw wrong(
+                    "fleet.size",
+                    "it is missing or out of range: 1 to " + largest + " routers"
+                            + (form.cells() == null ? ", to " + CELLS_SIZE + " with fleet.cells" : ""));
         }
         if (form.cells() != null && form.drains() != null) {
             throw wrong("fleet.drains", "not together with fleet.cells: cells do not take members out in order yet");
@@ -245,12 +295,26 @@
             limits.add(rule);
         }
         Optional<Bench.Rules> verdicts = form.verdicts() == null ? Optional.empty() : Optional.of(verdicts(form));
-        return new FleetSection(form.cluster(), listen, advertise, List.copyOf(seeds), form.size(), period,
-                count(form.indirect(), 3, "fleet.indirect"), count(form.fanout(), 2, "fleet.fanout"),
-                MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"), new LeaseTimes(lease, guard),
-                List.copyOf(limits), verdicts, form.drains() == null ? Optional.empty()
-                        : Optional.of(drains(form.drains(), lease + guard, MILLI * time(form.remember(), 600_000, 1_000,
-                        "fleet.remember-ms"))), form.cells() == null ? Optional.empty() : Optional.of(cells(form.cells())));
+        return new FleetSection(
+                form.cluster(),
+                listen,
+                advertise,
+                List.copyOf(seeds),
+                form.size(),
+                period,
+                count(form.indirect(), 3, "fleet.indirect"),
+                count(form.fanout(), 2, "fleet.fanout"),
+                MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"),
+                new LeaseTimes(lease, guard),
+                List.copyOf(limits),
+                verdicts,
+                form.drains() == null
+                        ? Optional.empty()
+                        : Optional.of(drains(
+                                form.drains(),
+                                lease + guard,
+                                MILLI * time(form.remember(), 600_000, 1_000, "fleet.remember-ms"))),
+                form.cells() == null ? Optional.empty() : Optional.of(cells(form.cells())));
     }
 
     private CellSetup cells(CellsForm form) throws OperatorException {
@@ -278,15 +342,17 @@
         if (gone < touch + drain) {
             throw wrong("fleet.drains.gone-ms", "it is under lease-ms, guard-ms and drain-ms together");
         }
-        if (gone > remember) {  // a router that was forgotten is waited for no more
+        if (gone > remember) { // a router that was forgotten is waited for no more
             throw wrong("fleet.drains.gone-ms", "it is over remember-ms");
         }
-        return new DrainTimes(least, drain, gone, MILLI * time(form.overdue(), 600_000, 1_000, "fleet.drains.overdue-ms"), 0, 0);
+        return new DrainTimes(
+                least, drain, gone, MILLI * time(form.overdue(), 600_000, 1_000, "fleet.drains.overdue-ms"), 0, 0);
     }
 
     private String fleetAddress(String address, String key) throws OperatorException {
         if (address == null || !PacketCodec.possibleAddress(address)) {
-            throw wrong(key, address == null ? "it is missing" : "'" + address + "' is no address such as 127.0.0.1:7946");
+            throw wrong(
+                    key, address == null ? "it is missing" : "'" + address + "' is no address such as 127.0.0.1:7946");
         }
         return address;
     }
@@ -295,32 +361,45 @@
         if (form.name() == null || !NAME.matcher(form.name()).matches() || form.members() == null) {
             throw wrong("fleet.limits", "a limit has a name and members");
         }
-        int measures = (form.perSecond() == null ? 0 : 1) + (form.inFlight() == null ? 0 : 1)
-                + (form.coldInFlight() == null ? 0 : 1) + (form.kbPerSecond() == null ? 0 : 1);
+        int measures = (form.perSecond() == null ? 0 : 1)
+                + (form.inFlight() == null ? 0 : 1)
+                + (form.coldInFlight() == null ? 0 : 1)
+                + (form.kbPerSecond() == null ? 0 : 1);
         if (measures != 1) {
-            throw wrong("fleet.limits", "limit '" + form.name() + "' needs one of per-second, in-flight, cold-in-flight, kb-per-second");
+            throw wrong(
+                    "fleet.limits",
+                    "limit '" + form.name() + "' needs one of per-second, in-flight, cold-in-flight, kb-per-second");
         }
         if (form.members().equals("across-zones") != (form.kbPerSecond() != null)) {
             throw wrong("fleet.limits", "limit '" + form.name() + "': across-zones and kb-per-second go together");
         }
-        Measure measure = form.kbPerSecond() != null ? Measure.KB_PER_SECOND : form.perSecond() != null ? Measure.PER_SECOND
-                : form.inFlight() != null ? Measure.IN_FLIGHT : Measure.COLD_IN_FLIGHT;
-        double amount = form.kbPerSecond() != null ? form.kbPerSecond() : form.perSecond() != null ? form.perSecond()
-                : form.inFlight() != null ? form.inFlight() : form.coldInFlight();
+        Measure measure = form.kbPerSecond() != null
+                ? Measure.KB_PER_SECOND
+                : form.perSecond() != null
+                        ? Measure.PER_SECOND
+                        : form.inFlight() != null ? Measure.IN_FLIGHT : Measure.COLD_IN_FLIGHT;
+        double amount = form.kbPerSecond() != null
+                ? form.kbPerSecond()
+                : form.perSecond() != null
+                        ? form.perSecond()
+                        : form.inFlight() != null ? form.inFlight() : form.coldInFlight();
         if (!(amount > 0 && amount <= 1e9)) {
             throw wrong("fleet.limits", "limit '" + form.name() + "' is out of range: over 0, up to 1000000000");
         }
         if (measure.whole && amount < size) {
-            throw wrong("fleet.limits", "limit '" + form.name() + "' of " + (int) amount
-                    + " can't be shared out in whole parts among " + size + " routers");
-        }
-        Scope scope = switch (form.members()) {
-            case "each-cache" -> Scope.EACH_CACHE;
-            case "each-parent" -> Scope.EACH_PARENT;
-            case "origin" -> Scope.ORIGIN;
-            case "across-zones" -> Scope.ACROSS_ZONES;
-            default -> Scope.MEMBER;
-        };
+            throw wrong(
+                    "fleet.limits",
+                    "limit '" + form.name() + "' of " + (int) amount + " can't be shared out in whole parts among "
+                            + size + " routers");
+        }
+        Scope scope =
+                switch (form.members()) {
+                    case "each-cache" -> Scope.EACH_CACHE;
+                    case "each-parent" -> Scope.EACH_PARENT;
+                    case "origin" -> Scope.ORIGIN;
+                    case "across-zones" -> Scope.ACROSS_ZONES;
+                    default -> Scope.MEMBER;
+                };
         return new LimitRule(form.name(), scope, form.members(), measure, amount);
     }
 
@@ -331,7 +410,10 @@
             throw wrong("fleet.verdicts.most-out", share + " is out of range: 0 to 1");
         }
         long hold = MILLI * time(form.hold(), 5_000, 500, "fleet.verdicts.hold-ms");
-        return new Bench.Rules(share, count(form.witnesses(), 2, "fleet.verdicts.witnesses"), hold,
+        return new Bench.Rules(
+                share,
+                count(form.witnesses(), 2, "fleet.verdicts.witnesses"),
+                hold,
                 MILLI * time(form.guard(), 2_500, 10, "fleet.verdicts.guard-ms"));
     }
 
@@ -340,7 +422,8 @@
         if (!listen.matches("[^:\\s]+:\\d{1,5}")) {
             throw wrong("processor.listen", "'" + listen + "' is no address such as 127.0.0.1:9443");
         }
-        if (form.tls() == null && !Boolean.TRUE.equals(form.plainAnywhere())
+        if (form.tls() == null
+                && !Boolean.TRUE.equals(form.plainAnywhere())
                 && !listen.matches("127\\.\\d+\\.\\d+\\.\\d+:.*|localhost:.*")) {
             throw wrong("processor.listen", "without tls only on loopback, unless plain-anywhere is true");
         }
@@ -349,7 +432,8 @@
             if (form.tls().certificate() == null || form.tls().key() == null) {
                 throw wrong("processor.tls", "certificate and key are needed");
             }
-            tls = Optional.of(new ProcessorSection.Tls(form.tls().certificate(), form.tls().key(), form.tls().callers()));
+            tls = Optional.of(new ProcessorSection.Tls(
+                    form.tls().certificate(), form.tls().key(), form.tls().callers()));
         }
         String noRule = form.noRule() == null ? "refuse" : form.noRule();
         if (!Set.of("pass", "refuse").contains(noRule)) {
@@ -368,19 +452,30 @@
             } catch (IllegalArgumentException e) {
                 throw wrong("processor.rules", "the path '" + rule.path() + "': " + e.getMessage());
             }
-            rules.add(new ProcessorSection.RuleText(rule.method(), rule.path(),
-                    rule.headers() == null ? Map.of() : Map.copyOf(rule.headers()), rule.requestClass(),
+            rules.add(new ProcessorSection.RuleText(
+                    rule.method(),
+                    rule.path(),
+                    rule.headers() == null ? Map.of() : Map.copyOf(rule.headers()),
+                    rule.requestClass(),
                     rule.groupHeader()));
         }
         int open = count(form.openCalls(), 10_000, "processor.open-calls");
-        return new ProcessorSection(listen, tls, MILLI * time(form.messageTimeout(), 200, 20, "processor.message-timeout-ms"),
+        return new ProcessorSection(
+                listen,
+                tls,
+                MILLI * time(form.messageTimeout(), 200, 20, "processor.message-timeout-ms"),
                 MILLI * time(form.retryWait(), 0, 0, "processor.retry-wait-ms"),
                 count(form.headerBytes(), 16_384, "processor.header-bytes"),
                 count(form.callsPerConnection(), 1_000, "processor.calls-per-connection"),
-                new FairAdmission.Limits(open, form.openPerCaller() == null ? open
-                        : count(form.openPerCaller(), open, "processor.open-calls-per-caller"),
-                        count(form.rate(), 5_000, "processor.calls-per-second"), !Boolean.FALSE.equals(form.fair())),
-                noRule.equals("pass") ? CallRules.NoRule.PASS : CallRules.NoRule.REFUSE, List.copyOf(rules));
+                new FairAdmission.Limits(
+                        open,
+                        form.openPerCaller() == null
+                                ? open
+                                : count(form.openPerCaller(), open, "processor.open-calls-per-caller"),
+                        count(form.rate(), 5_000, "processor.calls-per-second"),
+                        !Boolean.FALSE.equals(form.fair())),
+                noRule.equals("pass") ? CallRules.NoRule.PASS : CallRules.NoRule.REFUSE,
+                List.copyOf(rules));
     }
 
     private int count(Integer value, int absent, String key) throws OperatorException {
@@ -396,7 +491,8 @@
         if (!Set.of("file", "feed").contains(news)) {
             throw wrong("hierarchy.news", "'" + news + "' is neither file nor feed");
         }
-        Timing timing = new Timing(MILLI * time(form.lead(), 5_000, 0, "hierarchy.lead-ms"),
+        Timing timing = new Timing(
+                MILLI * time(form.lead(), 5_000, 0, "hierarchy.lead-ms"),
                 MILLI * time(form.move(), 60_000, 0, "hierarchy.move-ms"),
                 MILLI * time(form.gap(), 10_000, 100, "hierarchy.gap-ms"),
                 MILLI * time(form.remember(), 600_000, 0, "hierarchy.remember-ms"));
@@ -404,11 +500,13 @@
             throw wrong("hierarchy.shape", "it is missing");
         }
         Shape shape = shape("hierarchy.shape", form.shape());
-        Optional<Shape> before = form.before() == null ? Optional.empty()
-                : Optional.of(shape("hierarchy.before", form.before()));
+        Optional<Shape> before =
+                form.before() == null ? Optional.empty() : Optional.of(shape("hierarchy.before", form.before()));
         if (before.isPresent() && before.get().version() >= shape.version()) {
-            throw wrong("hierarchy.before.version", "the version before is " + before.get().version()
-                    + ", and that of the shape is " + shape.version());
+            throw wrong(
+                    "hierarchy.before.version",
+                    "the version before is " + before.get().version() + ", and that of the shape is "
+                            + shape.version());
         }
         long last = form.lastPiece() == null ? 0 : form.lastPiece();
         if (last < 0) {
@@ -417,8 +515,13 @@
         if (last > 0 && news.equals("file")) {
             throw wrong("hierarchy.last-piece", "pieces come with news: feed only");
         }
-        return new HierarchySection(news.equals("file") ? News.FILE : News.FEED,
-                form.depot() == null ? "" : form.depot(), timing, shape, before, last);
+        return new HierarchySection(
+                news.equals("file") ? News.FILE : News.FEED,
+                form.depot() == null ? "" : form.depot(),
+                timing,
+                shape,
+                before,
+                last);
     }
 
     private long time(Integer value, int absent, int least, String key) throws OperatorException {
@@ -441,16 +544,18 @@
         addAll(units, path + ".hubs", Kind.HUB, form.hubs());
         addAll(units, path + ".depots", Kind.DEPOT, form.depots());
         addAll(units, path + ".caches", Kind.CACHE, form.caches());
-        Shape shape = new Shape(form.version(), announced(path, form.announced()),
-                Boolean.TRUE.equals(form.allowSkips()), units);
+        Shape shape = new Shape(
+                form.version(), announced(path, form.announced()), Boolean.TRUE.equals(form.allowSkips()), units);
         List<Problem> problems = ShapeCheck.problems(shape, Set.of());
         if (!problems.isEmpty()) {
             Problem first = problems.get(0);
             Unit unit = units.get(first.unit());
-            String group = unit == null || unit.kind() == Kind.ORIGIN ? ".origin"
+            String group = unit == null || unit.kind() == Kind.ORIGIN
+                    ? ".origin"
                     : "." + unit.kind().name().toLowerCase(java.util.Locale.ROOT) + "s." + unit.name();
-            throw wrong(path + group, first.text()
-                    + (problems.size() > 1 ? " (and " + (problems.size() - 1) + " more)" : ""));
+            throw wrong(
+                    path + group,
+                    first.text() + (problems.size() > 1 ? " (and " + (problems.size() - 1) + " more)" : ""));
         }
         return shape;
     }
--- a/src/main/java/pumicemoor/wire/ActionWriter.java
+++ b/src/main/java/pumicemoor/wire/ActionWriter.java
@@ -59,8 +59,12 @@
             json.writeNumberField("from-where", a.source());
             json.writeNumberField("store-as", a.keepRank());
             json.writeNumberField("how-old-us", a.oldest());
-            json.writeNumberField("opts", (a.join() ? JOIN : 0) | (a.onlyIfHeld() ? ONLY_IF_HELD : 0)
-                    | (a.passParent() ? PASS_PARENT : 0) | (a.renew() ? RENEW : 0));
+            json.writeNumberField(
+                    "opts",
+                    (a.join() ? JOIN : 0)
+                            | (a.onlyIfHeld() ? ONLY_IF_HELD : 0)
+                            | (a.passParent() ? PASS_PARENT : 0)
+                            | (a.renew() ? RENEW : 0));
             json.writeNumberField("try-for-us", a.timeout());
         } else if (action instanceof Lookup a) {
             start("Try", router);
--- a/src/main/java/pumicemoor/wire/Drill.java
+++ b/src/main/java/pumicemoor/wire/Drill.java
@@ -33,8 +33,15 @@
 /** Hosts the instances of one simulator process: reads batches of events, answers each with one reply. */
 public final class Drill {
 
-    private static final Map<String, ListKind> LIST_KINDS = Map.of("delta", ListKind.CHANGES, "full",
-            ListKind.WHOLE, "cached", ListKind.REMEMBERED, "failed", ListKind.FAILED);
+    private static final Map<String, ListKind> LIST_KINDS = Map.of(
+            "delta",
+            ListKind.CHANGES,
+            "full",
+            ListKind.WHOLE,
+            "cached",
+            ListKind.REMEMBERED,
+            "failed",
+            ListKind.FAILED);
     private static final FillNote[] FILL_NOTES = FillNote.values();
 
     private final BufferedReader in;
@@ -48,8 +55,7 @@
     private boolean inBatch;
     private boolean started;
 
-    private record Instance(int number, Vocabulary words, RouterApi router) {
-    }
+    private record Instance(int number, Vocabulary words, RouterApi router) {}
 
     public Drill(InputStream in, OutputStream out) throws IOException {
         this(in, out, Logic::new);
@@ -112,8 +118,8 @@
             throw new WireException("batch " + nextRound + " opens within batch " + round);
         }
         if (started && (nextRound != round + 1 || nextClock < clock)) {
-            throw new WireException("batch " + nextRound + " at " + nextClock
-                    + " is out of order after batch " + round + " at " + clock);
+            throw new WireException("batch " + nextRound + " at " + nextClock + " is out of order after batch " + round
+                    + " at " + clock);
         }
         clock = nextClock;
         round = nextRound;
@@ -136,8 +142,7 @@
         int number = (int) message.integer("router");
         Instance instance = instances.get(number);
         if (instance == null) {
-            throw new WireException("'" + message.text("msg") + "' for router " + number
-                    + ", which was never born");
+            throw new WireException("'" + message.text("msg") + "' for router " + number + ", which was never born");
         }
         return instance;
     }
@@ -166,20 +171,39 @@
     private Event event(String name, Message m, Vocabulary words) throws WireException {
         return switch (name) {
             case "Fleet" -> members(m, words);
-            case "Arrival" -> new RequestArrived(m.text("id"), words.requestClass(m.text("grade")),
-                    m.text("asset", ""), (int) m.integer("chunk", 0), (int) m.integer("group", -1),
-                    m.number("size-kb", 0), m.integer("time-left-us"), m.flag("again-by-client"));
-            case "Opened" -> new AnswerStarted(m.text("id"), (int) m.integer("trial"), m.integer("server"),
-                    m.integer("lag-us"));
-            case "Verdict" -> new AttemptEnded(m.text("id"), (int) m.integer("trial"), m.integer("server"),
-                    words.outcome(m.integer("rc")), m.integer("lag-us"), m.flag("settled"), note(m),
-                    m.integer("waited-us", 0), m.objectOrEmpty("load").numbersByName());
+            case "Arrival" ->
+                new RequestArrived(
+                        m.text("id"),
+                        words.requestClass(m.text("grade")),
+                        m.text("asset", ""),
+                        (int) m.integer("chunk", 0),
+                        (int) m.integer("group", -1),
+                        m.number("size-kb", 0),
+                        m.integer("time-left-us"),
+                        m.flag("again-by-client"));
+            case "Opened" ->
+                new AnswerStarted(m.text("id"), (int) m.integer("trial"), m.integer("server"), m.integer("lag-us"));
+            case "Verdict" ->
+                new AttemptEnded(
+                        m.text("id"),
+                        (int) m.integer("trial"),
+                        m.integer("server"),
+                        words.outcome(m.integer("rc")),
+                        m.integer("lag-us"),
+                        m.flag("settled"),
+                        note(m),
+                        m.integer("waited-us", 0),
+                        m.objectOrEmpty("load").numbersByName());
             case "Lapsed" -> new RequestGone(m.text("id"));
-            case "Checked" -> new ProbeEnded(m.integer("server"), words.outcome(m.integer("rc")),
-                    m.integer("lag-us"), m.objectOrEmpty("load").numbersByName());
+            case "Checked" ->
+                new ProbeEnded(
+                        m.integer("server"),
+                        words.outcome(m.integer("rc")),
+                        m.integer("lag-us"),
+                        m.objectOrEmpty("load").numbersByName());
             case "TickDue" -> new TimerDue(m.integer("cookie"));
-            case "Invalidated" -> new Purged(m.text("asset", null), (int) m.integer("set-no", -1),
-                    m.integer("how-old-us", 0));
+            case "Invalidated" ->
+                new Purged(m.text("asset", null), (int) m.integer("set-no", -1), m.integer("how-old-us", 0));
             case "FromPeer" -> new PeerNote((int) m.integer("origin-peer"), bytes(m.text("bytes", "")));
             default -> throw new WireException("unknown message '" + name + "'");
         };
--- a/src/main/java/pumicemoor/wire/Message.java
+++ b/src/main/java/pumicemoor/wire/Message.java
@@ -35,7 +35,8 @@
             }
             return new Message("", fields);
         } catch (JsonProcessingException e) {
-            throw new WireException("not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw new WireException(
+                    "not JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
         } catch (IOException e) {
             throw new WireException("not JSON: " + e.getMessage());
         }
--- a/src/main/java/pumicemoor/wire/Rows.java
+++ b/src/main/java/pumicemoor/wire/Rows.java
@@ -11,8 +11,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private Rows() {
-    }
+    private Rows() {}
 
     public static String json(List<Map<String, Object>> rows) {
         try {
@@ -25,7 +24,7 @@
     /** Reads them back; the exception says what came instead. */
     public static List<Map<String, Object>> read(String json) throws WireException {
         try {
-            return JSON.readValue(json, new TypeReference<List<Map<String, Object>>>() { });
+            return JSON.readValue(json, new TypeReference<List<Map<String, Object>>>() {});
         } catch (JsonProcessingException e) {
             throw new WireException("these are no rows: " + e.getOriginalMessage());
         }
--- a/src/main/java/pumicemoor/wire/ShapeNews.java
+++ b/src/main/java/pumicemoor/wire/ShapeNews.java
@@ -19,12 +19,10 @@
 public sealed interface ShapeNews {
 
     /** A piece, with its number. */
-    record Told(Piece piece) implements ShapeNews {
-    }
+    record Told(Piece piece) implements ShapeNews {}
 
     /** All pieces announced until a time (Unix microseconds) have numbers up to this one. */
-    record Certain(long asOf, long lastNumber) implements ShapeNews {
-    }
+    record Certain(long asOf, long lastNumber) implements ShapeNews {}
 
     private static Kind kind(String text) throws WireException {
         for (Kind kind : Kind.values()) {
@@ -42,8 +40,16 @@
             return new Certain(news.integer("certain_ms") * 1_000, number);
         }
         String unit = news.text("unit");
-        Map<String, Double> parents = new LinkedHashMap<>(news.objectOrEmpty("parents").numbersByName());
-        return new Told(new Piece(number, news.integer("announced_ms") * 1_000, news.integer("version"),
-                (int) news.integer("pieces", 0), unit, kind(news.text("kind")), parents, news.flag("removed")));
+        Map<String, Double> parents =
+                new LinkedHashMap<>(news.objectOrEmpty("parents").numbersByName());
+        return new Told(new Piece(
+                number,
+                news.integer("announced_ms") * 1_000,
+                news.integer("version"),
+                (int) news.integer("pieces", 0),
+                unit,
+                kind(news.text("kind")),
+                parents,
+                news.flag("removed")));
     }
 }
--- a/src/main/java/pumicemoor/wire/Vocabulary.java
+++ b/src/main/java/pumicemoor/wire/Vocabulary.java
@@ -29,20 +29,34 @@
             Map.of("pure", Effect.SAFE, "token", Effect.KEYED, "side_effect", Effect.UNSAFE);
     private static final Map<String, RepeatGroup> GROUPS =
             Map.of("all", RepeatGroup.ALL, "zone", RepeatGroup.ZONE, "cell", RepeatGroup.CELL);
-    private static final Map<String, SiblingSources> SIBLINGS = Map.of("none", SiblingSources.NONE,
-            "location", SiblingSources.LOCATION, "any", SiblingSources.ANY);
-    private static final Map<String, Notes> NOTES =
-            Map.of("none", Notes.NONE, "hit", Notes.HIT_ONLY, "all", Notes.ALL);
+    private static final Map<String, SiblingSources> SIBLINGS =
+            Map.of("none", SiblingSources.NONE, "location", SiblingSources.LOCATION, "any", SiblingSources.ANY);
+    private static final Map<String, Notes> NOTES = Map.of("none", Notes.NONE, "hit", Notes.HIT_ONLY, "all", Notes.ALL);
     private static final Map<String, ReportBy> REPORTS =
             Map.of("none", ReportBy.NONE, "probe", ReportBy.PROBE, "answers", ReportBy.ANSWER);
-    private static final Map<String, Weights> WEIGHTS = Map.of("none", Weights.NONE, "nominal",
-            Weights.NOMINAL,
-            "rough", Weights.ROUGH, "live", Weights.LIVE);
+    private static final Map<String, Weights> WEIGHTS =
+            Map.of("none", Weights.NONE, "nominal", Weights.NOMINAL, "rough", Weights.ROUGH, "live", Weights.LIVE);
     private static final Map<String, State> STATES =
             Map.of("in_service", State.READY, "terminating", State.DRAINING, "terminated", State.GONE);
-    private static final Map<Long, Outcome> OUTCOMES = Map.of(200L, Outcome.OK, 502L, Outcome.ERROR, 429L,
-            Outcome.FULL, 408L, Outcome.TIMEOUT, 521L, Outcome.CONNECT_FAILED, 520L, Outcome.RESET, 444L,
-            Outcome.CANCELLED, 409L, Outcome.MOOT, 204L, Outcome.MISS);
+    private static final Map<Long, Outcome> OUTCOMES = Map.of(
+            200L,
+            Outcome.OK,
+            502L,
+            Outcome.ERROR,
+            429L,
+            Outcome.FULL,
+            408L,
+            Outcome.TIMEOUT,
+            521L,
+            Outcome.CONNECT_FAILED,
+            520L,
+            Outcome.RESET,
+            444L,
+            Outcome.CANCELLED,
+            409L,
+            Outcome.MOOT,
+            204L,
+            Outcome.MISS);
 
     private final Settings settings;
     private final List<String> classes = new ArrayList<>();
@@ -67,34 +81,58 @@
         Message prices = info.objectOrEmpty("prices");
         Message telemetry = info.objectOrEmpty("telemetry");
         List<Integer> routersByLocation = integers(specifics.numbers("crew-by-zone"));
-        settings = new Settings((int) info.integer("me"), (int) info.integer("siblings"),
-                index(zones, info.text("az"), "zone"), routersByLocation,
+        settings = new Settings(
+                (int) info.integer("me"),
+                (int) info.integer("siblings"),
+                index(zones, info.text("az"), "zone"),
+                routersByLocation,
                 integers(specifics.numbers("zone-hub")),
                 requestClasses,
-                new Limits((int) limits.integer("most-tries"), (int) limits.integer("max-open"),
-                        limits.flag("probing"), limits.flag("may-tell"), limits.flag("cancelling"),
-                        limits.flag("second-copies"), limits.flag("retry-after"),
-                        limits.integer("max-retry-after-us", 0), limits.integer("connect-timeout-us", 0)),
-                new Rules(rules.integer("answer-slack-us", 0), rules.integer("stop-sending-within-us", 0),
-                        new ColdStart(rules.number("cold-from", 0), rules.integer("cold-us", 0),
+                new Limits(
+                        (int) limits.integer("most-tries"),
+                        (int) limits.integer("max-open"),
+                        limits.flag("probing"),
+                        limits.flag("may-tell"),
+                        limits.flag("cancelling"),
+                        limits.flag("second-copies"),
+                        limits.flag("retry-after"),
+                        limits.integer("max-retry-after-us", 0),
+                        limits.integer("connect-timeout-us", 0)),
+                new Rules(
+                        rules.integer("answer-slack-us", 0),
+                        rules.integer("stop-sending-within-us", 0),
+                        new ColdStart(
+                                rules.number("cold-from", 0),
+                                rules.integer("cold-us", 0),
                                 rules.number("tip-multiple", 0)),
-                        new ColdStart(specifics.number("parent-starts-at", 0),
+                        new ColdStart(
+                                specifics.number("parent-starts-at", 0),
                                 specifics.integer("upper-cold-us", 0),
                                 specifics.number("parent-fall-multiple", 0)),
-                        rules.integer("overload-for-us", 0), specifics.integer("notice-time-us", 0),
-                        specifics.integer("purge-settles-us", 0), rules.integer("ask-within-us", 0)),
-                new Prices(prices.number("cross-zone", 0), prices.number("waste", 0), prices.number("probe",
-                0),
-                        prices.number("peer", 0), prices.number("late-fail", 0), prices.number("origin", 0),
+                        rules.integer("overload-for-us", 0),
+                        specifics.integer("notice-time-us", 0),
+                        specifics.integer("purge-settles-us", 0),
+                        rules.integer("ask-within-us", 0)),
+                new Prices(
+                        prices.number("cross-zone", 0),
+                        prices.number("waste", 0),
+                        prices.number("probe", 0),
+                        prices.number("peer", 0),
+                        prices.number("late-fail", 0),
+                        prices.number("origin", 0),
                         specifics.number("inlet-cost", 0)),
-                new Fills(specifics.flag("pass-through-ok"), specifics.flag("can-join"),
+                new Fills(
+                        specifics.flag("pass-through-ok"),
+                        specifics.flag("can-join"),
                         word(SIBLINGS, specifics.text("sideways", "none"), "sideways"),
                         word(NOTES, specifics.text("note-level", "none"), "note-level"),
-                        specifics.number("one-flow-kb-per-s", 0), specifics.number("origin-fall-multiple", 0),
+                        specifics.number("one-flow-kb-per-s", 0),
+                        specifics.number("origin-fall-multiple", 0),
                         specifics.integer("origin-bears-us", 0),
-                        specifics.numbers("feed-kb-per-s").stream().map(Number::doubleValue).toList()),
-                new LoadReports(word(REPORTS, telemetry.text("how", "none"), "how"),
-                telemetry.texts("columns")),
+                        specifics.numbers("feed-kb-per-s").stream()
+                                .map(Number::doubleValue)
+                                .toList()),
+                new LoadReports(word(REPORTS, telemetry.text("how", "none"), "how"), telemetry.texts("columns")),
                 info.text("discovery", "push").equals("ask"),
                 word(WEIGHTS, info.text("weights", "none"), "weights"),
                 info.objectOrEmpty("clients").flag("marks-retry"));
@@ -118,9 +156,12 @@
     }
 
     Member member(Message line) throws WireException {
-        return new Member(line.integer("server"), role(line.text("generation-hw", null)),
+        return new Member(
+                line.integer("server"),
+                role(line.text("generation-hw", null)),
                 zone(line.text("area")),
-                (int) line.integer("block", 0), line.number("capacity-hint", 1),
+                (int) line.integer("block", 0),
+                line.number("capacity-hint", 1),
                 line.integer("online-since-us", 0),
                 word(STATES, line.text("health"), "health"));
     }
@@ -128,7 +169,8 @@
     /** What a member of this kind of machine is for; without a kind it is a cache. */
     public Role role(String kindName) throws WireException {
         int kind = kindName == null ? -1 : index(kinds, kindName, "kind");
-        return kind >= 0 && kind == parentKind ? Role.PARENT
+        return kind >= 0 && kind == parentKind
+                ? Role.PARENT
                 : kind >= 0 && kind == originKind ? Role.ORIGIN : Role.CACHE;
     }
 
@@ -137,14 +179,21 @@
     }
 
     private static RequestClass requestClass(Message entry, Message specifics, int at) throws WireException {
-        return new RequestClass(entry.text("name"), entry.integer("aim-us"), entry.number("aim-stretch", 0),
-                entry.integer("deadline-us"), entry.number("worth", 1), entry.number("late-worth", 0),
+        return new RequestClass(
+                entry.text("name"),
+                entry.integer("aim-us"),
+                entry.number("aim-stretch", 0),
+                entry.integer("deadline-us"),
+                entry.number("worth", 1),
+                entry.number("late-worth", 0),
                 word(EFFECTS, entry.text("idempotency"), "idempotency"),
-                word(GROUPS, entry.text("group", "all"), "group"), entry.integer("window-us", 0),
-                entry.flag("streamed"), flagAt(specifics, "never-kept", at), flagAt(specifics, "class-parts",
-                at),
-                (long) numberAt(specifics, "good-for-us", at), (long) numberAt(specifics, "class-grace-us",
-                at),
+                word(GROUPS, entry.text("group", "all"), "group"),
+                entry.integer("window-us", 0),
+                entry.flag("streamed"),
+                flagAt(specifics, "never-kept", at),
+                flagAt(specifics, "class-parts", at),
+                (long) numberAt(specifics, "good-for-us", at),
+                (long) numberAt(specifics, "class-grace-us", at),
                 numberAt(specifics, "worth-when-old", at));
     }
 
