--- a/src/test/java/pumicemoor/DeparturesTest.java
+++ b/src/test/java/pumicemoor/DeparturesTest.java
@@ -59,8 +59,12 @@
         Fetch look = sent.get(sent.size() - 1);
         assertEquals(101, sent.get(0).source());
         assertEquals(look.member(), look.source(), "asks the cache alone");
-        assertEquals(0, only(Fetch.class, r.end(look, 0, Outcome.MISS, FillNote.NONE)).stream()
-                .filter(f -> f.id().equals(look.id())).count(), "waits for room at the source");
+        assertEquals(
+                0,
+                only(Fetch.class, r.end(look, 0, Outcome.MISS, FillNote.NONE)).stream()
+                        .filter(f -> f.id().equals(look.id()))
+                        .count(),
+                "waits for room at the source");
     }
 
     @Test
@@ -79,7 +83,7 @@
     @Test
     void largeRequestFindsAMemberFullSoonerThanASmallOne() {
         RouterHarness r = new RouterHarness().fleet(1, 1).start();
-        for (int i = 0; i < 30; i++) {  // past the share of a first limit of 48 open to the largest
+        for (int i = 0; i < 30; i++) { // past the share of a first limit of 48 open to the largest
             r.ask("o" + i, RouterHarness.PAGE, 1_000);
         }
         assertTrue(only(Fetch.class, r.ask("large", RouterHarness.PAGE, 40_000)).isEmpty());
@@ -107,8 +111,8 @@
             r.now += 30 * MILLI;
             List<Cancel> cancels = only(Cancel.class, r.handle(new RequestGone(sent.id())));
             assertEquals(1, cancels.size());
-            r.handle(new AttemptEnded(sent.id(), 0, sent.member(), Outcome.CANCELLED, 30 * MILLI, true,
-                    FillNote.NONE, 0, Map.of()));
+            r.handle(new AttemptEnded(
+                    sent.id(), 0, sent.member(), Outcome.CANCELLED, 30 * MILLI, true, FillNote.NONE, 0, Map.of()));
         }
         assertEquals(before, crowd(r, 40).size());
     }
@@ -117,8 +121,8 @@
     void quickFailureIsTriedAgainAtTheSameCache() {
         RouterHarness r = new RouterHarness().fleet(3, 2).start();
         Fetch sent = fetch(r.ask("a"));
-        Fetch again = fetch(r.handle(new AttemptEnded(sent.id(), 0, sent.member(), Outcome.ERROR, 2 * MILLI,
-                false, FillNote.NONE, 0, Map.of())));
+        Fetch again = fetch(r.handle(new AttemptEnded(
+                sent.id(), 0, sent.member(), Outcome.ERROR, 2 * MILLI, false, FillNote.NONE, 0, Map.of())));
         assertEquals(sent.member(), again.member());
     }
 
@@ -141,8 +145,8 @@
             for (int attempt = 0; !only(Fetch.class, actions).isEmpty(); attempt++) {
                 assertTrue(attempt < 4, "sent a fifth time");
                 Fetch sent = fetch(actions);
-                actions = r.handle(new AttemptEnded(sent.id(), attempt, sent.member(), Outcome.ERROR, MILLI, false,
-                        FillNote.NONE, 0, Map.of()));
+                actions = r.handle(new AttemptEnded(
+                        sent.id(), attempt, sent.member(), Outcome.ERROR, MILLI, false, FillNote.NONE, 0, Map.of()));
                 assertEquals(List.of(), only(Log.class, actions));
             }
             assertEquals(1, only(Refuse.class, actions).size());
@@ -163,7 +167,8 @@
         r.now += 100 * MILLI;
         Fetch next = fetch(r.ask("a"));
         r.now += 100 * MILLI;
-        assertEquals(1, only(Log.class, r.end(next, 0, Outcome.RESET, FillNote.NONE)).size(), "but after another");
+        assertEquals(
+                1, only(Log.class, r.end(next, 0, Outcome.RESET, FillNote.NONE)).size(), "but after another");
     }
 
     @Test
@@ -281,7 +286,10 @@
         Fetch stale = fetch(next);
         assertEquals(5 * SECOND, stale.oldest());
         assertTrue(stale.onlyIfHeld());
-        assertEquals(1, only(Refuse.class, r.end(stale, ++attempt, Outcome.MISS, FillNote.NONE)).size());
+        assertEquals(
+                1,
+                only(Refuse.class, r.end(stale, ++attempt, Outcome.MISS, FillNote.NONE))
+                        .size());
     }
 
     @Test
@@ -297,12 +305,16 @@
         int notes = 0;
         for (int i = 0; i < 20; i++) {
             Fetch f = fetch(r.ask("a"));
-            notes += only(TellPeer.class, r.end(f, 0, Outcome.OK, FillNote.FILLED)).size();
+            notes += only(TellPeer.class, r.end(f, 0, Outcome.OK, FillNote.FILLED))
+                    .size();
         }
         assertEquals(12, notes);
         RouterHarness quiet = new RouterHarness().fleet(3, 2).start();
         Fetch f = fetch(quiet.ask("a"));
-        assertEquals(0, only(TellPeer.class, quiet.end(f, 0, Outcome.OK, FillNote.FILLED)).size());
+        assertEquals(
+                0,
+                only(TellPeer.class, quiet.end(f, 0, Outcome.OK, FillNote.FILLED))
+                        .size());
     }
 
     @Test
@@ -311,7 +323,8 @@
         long home = fetch(teller.ask("a")).member();
         teller.change(home, State.DRAINING, 0);
         Fetch f = fetch(teller.ask("a"));
-        TellPeer note = only(TellPeer.class, teller.end(f, 0, Outcome.OK, FillNote.FILLED)).get(0);
+        TellPeer note = only(TellPeer.class, teller.end(f, 0, Outcome.OK, FillNote.FILLED))
+                .get(0);
         RouterHarness hearer = noting(1);
         hearer.handle(new PeerNote(1, note.text()));
         assertEquals(f.member(), fetch(hearer.ask("a")).source());
@@ -326,9 +339,16 @@
     void notesGoToTheRoutersOfTheLocationOnceKnown() {
         RouterHarness r = noting(2);
         Fetch first = fetch(r.ask("a"));
-        assertEquals(-1, only(TellPeer.class, r.end(first, 0, Outcome.OK, FillNote.FILLED)).get(0).router());
-        r.handle(new PeerNote(7, only(TellPeer.class, r.end(fetch(r.ask("b")), 0, Outcome.OK,
-                FillNote.FILLED)).get(0).text()));
+        assertEquals(
+                -1,
+                only(TellPeer.class, r.end(first, 0, Outcome.OK, FillNote.FILLED))
+                        .get(0)
+                        .router());
+        r.handle(new PeerNote(
+                7,
+                only(TellPeer.class, r.end(fetch(r.ask("b")), 0, Outcome.OK, FillNote.FILLED))
+                        .get(0)
+                        .text()));
         List<TellPeer> told = only(TellPeer.class, r.end(fetch(r.ask("c")), 0, Outcome.OK, FillNote.FILLED));
         assertEquals(List.of(7), told.stream().map(TellPeer::router).toList());
         RouterHarness alone = noting(1);
@@ -345,7 +365,11 @@
         RouterHarness direct = new RouterHarness();
         direct.direct = true;
         direct.fleet(3, 2).start();
-        assertEquals(900, only(Lookup.class, direct.ask("w", RouterHarness.WRITE, 0)).get(0).member());
+        assertEquals(
+                900,
+                only(Lookup.class, direct.ask("w", RouterHarness.WRITE, 0))
+                        .get(0)
+                        .member());
     }
 
     /** Work is not told: a fresh router must not take transfers of usual length for a jam. */
@@ -355,11 +379,12 @@
         for (int i = 0; i < 12; i++) {
             Fetch fetch = fetch(r.ask("o" + i, RouterHarness.PAGE, 0));
             r.pass(1_200 * MILLI);
-            r.handle(new AttemptEnded(fetch.id(), 0, fetch.member(), Outcome.OK, 1_200 * MILLI,
-                    true, FillNote.HIT, 0, Map.of()));
+            r.handle(new AttemptEnded(
+                    fetch.id(), 0, fetch.member(), Outcome.OK, 1_200 * MILLI, true, FillNote.HIT, 0, Map.of()));
         }
         for (int i = 0; i < 6; i++) {
-            assertEquals(1, only(Fetch.class, r.ask("o" + i, RouterHarness.PAGE, 0)).size());
+            assertEquals(
+                    1, only(Fetch.class, r.ask("o" + i, RouterHarness.PAGE, 0)).size());
         }
     }
 
@@ -375,7 +400,8 @@
         }
         int wentPast = 0;
         for (int i = 0; i < 30; i++) {
-            long home = fetch(new RouterHarness().fleet(1, 2).start().ask("p" + i)).source();
+            long home =
+                    fetch(new RouterHarness().fleet(1, 2).start().ask("p" + i)).source();
             for (Fetch fetch : only(Fetch.class, r.ask("p" + i))) {
                 wentPast += home == slow && fetch.source() == 102 ? 1 : 0;
             }
@@ -397,7 +423,9 @@
         }
         long looks = 0;
         for (int i = 0; i < 6; i++) {
-            looks += only(Fetch.class, r.ask("o" + i)).stream().filter(f -> f.source() == f.member()).count();
+            looks += only(Fetch.class, r.ask("o" + i)).stream()
+                    .filter(f -> f.source() == f.member())
+                    .count();
         }
         assertTrue(looks > 0);
     }
@@ -412,8 +440,13 @@
             boolean look = f.source() == f.member() || f.onlyIfHeld();
             filled += look ? 0 : 1;
             r.now += 5 * MILLI;
-            open.addAll(only(Fetch.class, r.end(f, attempts.merge(f.id(), 1, Integer::sum) - 1,
-                    look ? Outcome.MISS : Outcome.OK, look ? FillNote.NONE : note)));
+            open.addAll(only(
+                    Fetch.class,
+                    r.end(
+                            f,
+                            attempts.merge(f.id(), 1, Integer::sum) - 1,
+                            look ? Outcome.MISS : Outcome.OK,
+                            look ? FillNote.NONE : note)));
         }
         return filled;
     }
@@ -427,7 +460,9 @@
     }
 
     private static long fills(List<Fetch> out) {
-        return out.stream().filter(f -> f.source() != f.member() && !f.onlyIfHeld()).count();
+        return out.stream()
+                .filter(f -> f.source() != f.member() && !f.onlyIfHeld())
+                .count();
     }
 
     /** Caches and parents that bear much, before an origin whose weight is one. */
@@ -435,8 +470,9 @@
         RouterHarness r = new RouterHarness().fleet(16, 4);
         r.notes = RouterApi.Notes.HIT_ONLY;
         r.weights = RouterApi.Weights.ROUGH;
-        r.members.replaceAll(m -> m.role() == RouterApi.Role.ORIGIN ? m : new RouterApi.Member(m.id(), m.role(), m.zone(),
-                m.cell(), 500, m.started(), m.state()));
+        r.members.replaceAll(m -> m.role() == RouterApi.Role.ORIGIN
+                ? m
+                : new RouterApi.Member(m.id(), m.role(), m.zone(), m.cell(), 500, m.started(), m.state()));
         return r.start();
     }
 
--- a/src/test/java/pumicemoor/FleetDecisionsTest.java
+++ b/src/test/java/pumicemoor/FleetDecisionsTest.java
@@ -32,9 +32,13 @@
 
     /** How many attempts may reach a member, as its target, its source, or the origin behind its parent. */
     private static long reach(List<Action> actions, long member) {
-        return Stream.concat(RouterHarness.only(Fetch.class, actions).stream().filter(f -> f.member() == member
-                        || f.source() == member || member == 900 && f.source() > 100 && !f.onlyIfHeld()),
-                RouterHarness.only(Lookup.class, actions).stream().filter(l -> l.member() == member)).count();
+        return Stream.concat(
+                        RouterHarness.only(Fetch.class, actions).stream()
+                                .filter(f -> f.member() == member
+                                        || f.source() == member
+                                        || member == 900 && f.source() > 100 && !f.onlyIfHeld()),
+                        RouterHarness.only(Lookup.class, actions).stream().filter(l -> l.member() == member))
+                .count();
     }
 
     /** Asks for a new object every 10 ms, answers every attempt after 5 ms; returns all actions. */
@@ -45,8 +49,13 @@
             now.addAll(r.pass(5 * MILLI));
             for (int j = 0; j < now.size(); j++) {
                 if (now.get(j) instanceof Fetch f) {
-                    now.addAll(r.end(f, (int) now.subList(0, j).stream().filter(a -> a instanceof Fetch o
-                            && o.id().equals(f.id())).count(), Outcome.OK, FillNote.FILLED));
+                    now.addAll(r.end(
+                            f,
+                            (int) now.subList(0, j).stream()
+                                    .filter(a -> a instanceof Fetch o && o.id().equals(f.id()))
+                                    .count(),
+                            Outcome.OK,
+                            FillNote.FILLED));
                 } else if (now.get(j) instanceof Lookup l) {
                     now.addAll(r.end(l.id(), 0, l.member(), Outcome.OK, FillNote.NONE));
                 }
@@ -115,7 +124,8 @@
 
     @Test
     void whatCrossesZonesStaysWithinItsKilobytes() {
-        RouterHarness r = limited(new Allowance(Allowance.ACROSS_ZONES, Measure.KB_PER_SECOND, 200, Long.MAX_VALUE, 200));
+        RouterHarness r =
+                limited(new Allowance(Allowance.ACROSS_ZONES, Measure.KB_PER_SECOND, 200, Long.MAX_VALUE, 200));
         java.util.Map<String, Integer> tries = new java.util.HashMap<>();
         double crossed = 0;
         int local = 0;
@@ -129,8 +139,17 @@
                 boolean away = f.source() > 100;
                 crossed += away ? 10 : 0;
                 local += away ? 0 : 1;
-                sent.addAll(r.handle(new RouterApi.AttemptEnded(f.id(), tries.merge(f.id(), 1, Integer::sum) - 1, f.member(), away ? Outcome.OK : Outcome.MISS, MILLI, false,
-                        away ? FillNote.FILLED : FillNote.NONE, 0, java.util.Map.of(), away ? 10 : 0)));
+                sent.addAll(r.handle(new RouterApi.AttemptEnded(
+                        f.id(),
+                        tries.merge(f.id(), 1, Integer::sum) - 1,
+                        f.member(),
+                        away ? Outcome.OK : Outcome.MISS,
+                        MILLI,
+                        false,
+                        away ? FillNote.FILLED : FillNote.NONE,
+                        0,
+                        java.util.Map.of(),
+                        away ? 10 : 0)));
             }
         }
         double most = crossed;
@@ -145,7 +164,8 @@
         List<Wanted> wanted = RouterHarness.only(Wanted.class, load(r, 400, RouterHarness.WRITE));
         assertTrue(wanted.size() >= 3);
         assertTrue(wanted.get(2).wanted() > 80, wanted::toString);
-        assertTrue(RouterHarness.only(Wanted.class, load(limited(), 200, RouterHarness.WRITE)).isEmpty());
+        assertTrue(RouterHarness.only(Wanted.class, load(limited(), 200, RouterHarness.WRITE))
+                .isEmpty());
     }
 
     @Test
@@ -163,12 +183,20 @@
             assertNotEquals(2, f.source());
         }
         r.pass(20 * SECOND);
-        assertTrue(Stream.iterate(0, i -> i + 1).limit(60).map(i -> r.serve("o" + i, FillNote.HIT))
-                .anyMatch(f -> f.member() == 2), "its time is over");
+        assertTrue(
+                Stream.iterate(0, i -> i + 1)
+                        .limit(60)
+                        .map(i -> r.serve("o" + i, FillNote.HIT))
+                        .anyMatch(f -> f.member() == 2),
+                "its time is over");
         r.handle(new VerdictsGiven(List.of(new MemberOut(2, 0, r.now + 60 * SECOND))));
         r.change(2, State.READY, r.now - 30 * SECOND);
-        assertTrue(Stream.iterate(0, i -> i + 1).limit(60).map(i -> r.serve("o" + i, FillNote.FILLED))
-                .anyMatch(f -> f.member() == 2), "another process is not meant");
+        assertTrue(
+                Stream.iterate(0, i -> i + 1)
+                        .limit(60)
+                        .map(i -> r.serve("o" + i, FillNote.FILLED))
+                        .anyMatch(f -> f.member() == 2),
+                "another process is not meant");
     }
 
     @Test
--- a/src/test/java/pumicemoor/FleetTest.java
+++ b/src/test/java/pumicemoor/FleetTest.java
@@ -23,7 +23,6 @@
 import pumicemoor.RouterApi.MembersListed;
 import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.RequestArrived;
-import pumicemoor.RouterApi.Role;
 import pumicemoor.RouterApi.Rules;
 import pumicemoor.RouterApi.SetTimer;
 import pumicemoor.RouterApi.State;
@@ -34,23 +33,22 @@
 
     private static final long MILLI = RouterHarness.MILLI;
     private static final long SECOND = RouterHarness.SECOND;
-    private static final double WIDTH = 6;  // transfers that a cache's link fits
+    private static final double WIDTH = 6; // transfers that a cache's link fits
     private static final long WORK = 200 * MILLI;
     private static final int COLD = 1;
     private static final int COLD_PARENT = 101;
 
-    private record Later(long at, long order, Runnable what) {
-    }
+    private record Later(long at, long order, Runnable what) {}
 
-    private final PriorityQueue<Later> agenda = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Later> agenda =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final RouterHarness setup = new RouterHarness();
     private final List<Logic> routers = new ArrayList<>();
     private final Deque<Long> toCold = new ArrayDeque<>();
     private final Random random = new Random(5);
     private long now = 1_000 * SECOND;
     private long coldFrom = Long.MAX_VALUE;
-    private long drainsAfter = Long.MAX_VALUE;  // of the start, where the cold one was out before
+    private long drainsAfter = Long.MAX_VALUE; // of the start, where the cold one was out before
     private long outFrom = Long.MAX_VALUE;
     private int sentWhileOut;
     private long order;
@@ -77,26 +75,47 @@
             routers.add(router);
             handle(router, new MembersListed(ListKind.REMEMBERED, 1, List.copyOf(setup.members)));
         }
-        for (long at = 0; at < 22 * SECOND; at += (long) (-Math.log(1 - random.nextDouble()) * WORK
-                / (4 * WIDTH * load))) {
+        for (long at = 0;
+                at < 22 * SECOND;
+                at += (long) (-Math.log(1 - random.nextDouble()) * WORK / (4 * WIDTH * load))) {
             later(at, () -> {
                 Logic router = routers.get(random.nextInt(crew));
-                handle(router, new RequestArrived("r" + asked++, RouterHarness.PAGE, "o" + random.nextInt(400),
-                        0, 4, 10.0 * WORK / MILLI, 5 * SECOND, false));
+                handle(
+                        router,
+                        new RequestArrived(
+                                "r" + asked++,
+                                RouterHarness.PAGE,
+                                "o" + random.nextInt(400),
+                                0,
+                                4,
+                                10.0 * WORK / MILLI,
+                                5 * SECOND,
+                                false));
             });
         }
         if (drainsAfter < Long.MAX_VALUE) {
             later(drainsAfter, () -> {
                 outFrom = now;
-                Member out = setup.members.stream().filter(m -> m.id() == cold).findFirst().orElseThrow();
-                routers.forEach(r -> handle(r, new MembersListed(ListKind.CHANGES, 2, List.of(new Member(out.id(), out.role(),
-                        out.zone(), 0, 1, out.started(), State.DRAINING)))));
+                Member out = setup.members.stream()
+                        .filter(m -> m.id() == cold)
+                        .findFirst()
+                        .orElseThrow();
+                routers.forEach(r -> handle(
+                        r,
+                        new MembersListed(
+                                ListKind.CHANGES,
+                                2,
+                                List.of(new Member(
+                                        out.id(), out.role(), out.zone(), 0, 1, out.started(), State.DRAINING)))));
             });
         }
         later(10 * SECOND, () -> {
             coldFrom = now;
             for (int id : restarted) {
-                Member old = setup.members.stream().filter(m -> m.id() == id).findFirst().orElseThrow();
+                Member old = setup.members.stream()
+                        .filter(m -> m.id() == id)
+                        .findFirst()
+                        .orElseThrow();
                 Member young = new Member(id, old.role(), old.zone(), 0, 1, now, State.READY);
                 setup.members.set(setup.members.indexOf(old), young);
                 routers.forEach(r -> handle(r, new MembersListed(ListKind.CHANGES, 2, List.of(young))));
@@ -134,9 +153,20 @@
         open++;
         mostOpen = Math.max(mostOpen, now > 1_015 * SECOND ? open : 0);
         later(fails ? 2 * SECOND : WORK, () -> open--);
-        later(fails ? 2 * SECOND : WORK, () -> handle(router, new AttemptEnded(f.id(), attempt, f.member(),
-                fails ? Outcome.TIMEOUT : Outcome.OK, fails ? 2 * SECOND : WORK, true,
-                fails ? FillNote.NONE : cold == COLD ? FillNote.HIT : FillNote.FILLED, 0, Map.of())));
+        later(
+                fails ? 2 * SECOND : WORK,
+                () -> handle(
+                        router,
+                        new AttemptEnded(
+                                f.id(),
+                                attempt,
+                                f.member(),
+                                fails ? Outcome.TIMEOUT : Outcome.OK,
+                                fails ? 2 * SECOND : WORK,
+                                true,
+                                fails ? FillNote.NONE : cold == COLD ? FillNote.HIT : FillNote.FILLED,
+                                0,
+                                Map.of())));
     }
 
     private void bookCold() {
@@ -198,7 +228,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 5, 20})
     void theRoutersOfALocationTogetherKeepToTheLimitsOfItsCaches(int crew) {
-        play(crew, 3, 1, List.of());  // four caches at a first limit of 48 attempts each, sizes untold
+        play(crew, 3, 1, List.of()); // four caches at a first limit of 48 attempts each, sizes untold
         assertTrue(mostOpen <= 400, mostOpen + " attempts were out at four caches that answer nothing in time");
     }
 
--- a/src/test/java/pumicemoor/MixedShapesTest.java
+++ b/src/test/java/pumicemoor/MixedShapesTest.java
@@ -43,21 +43,19 @@
 
     private static final long MILLI = RouterHarness.MILLI;
     private static final long SECOND = RouterHarness.SECOND;
-    private static final int WIDTH = 6;  // transfers that a cache serves at once; more are turned away as full
+    private static final int WIDTH = 6; // transfers that a cache serves at once; more are turned away as full
     private static final long WORK = 200 * MILLI;
     private static final int COLD = 1;
     private static final int DRAINING = 2;
     private static final int EACH_KIND = 4;
-    private static final double LOAD = 0.9;  // of four caches' width, where the cold budget binds
+    private static final double LOAD = 0.9; // of four caches' width, where the cold budget binds
 
-    private record Later(long at, long order, Runnable what) {
-    }
+    private record Later(long at, long order, Runnable what) {}
 
-    private record Router(Logic logic, int kind, int number) {
-    }
+    private record Router(Logic logic, int kind, int number) {}
 
-    private final PriorityQueue<Later> agenda = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Later> agenda =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final List<Router> routers = new ArrayList<>();
     private final Map<Long, Integer> busy = new HashMap<>();
     private final Map<String, Integer> answers = new HashMap<>();
@@ -72,7 +70,7 @@
     private long now = 1_000 * SECOND;
     private long order;
     private long coldFrom = Long.MAX_VALUE;
-    private long drainedAt;  // 0: nothing drains yet
+    private long drainedAt; // 0: nothing drains yet
     private int lateAnswers;
     private int afterDrain;
     private double worstCold;
@@ -95,15 +93,25 @@
             routers.add(router);
             handle(router, new MembersListed(ListKind.REMEMBERED, 1, List.copyOf(shape.members)));
         }
-        for (long at = 0; at < 22 * SECOND; at += (long) (-Math.log(1 - random.nextDouble()) * WORK
-                / (4 * WIDTH * load))) {
+        for (long at = 0;
+                at < 22 * SECOND;
+                at += (long) (-Math.log(1 - random.nextDouble()) * WORK / (4 * WIDTH * load))) {
             later(at, () -> {
                 Router router = routers.get(random.nextInt(routers.size()));
                 String id = "r" + (asked[0] + asked[1]);
                 asked[router.kind]++;
                 deadlines.put(id, now + 5 * SECOND);
-                handle(router, new RequestArrived(id, RouterHarness.PAGE, "o" + random.nextInt(400), 0, 4,
-                        router.kind == 0 ? 10.0 * WORK / MILLI : 0, 5 * SECOND, false));
+                handle(
+                        router,
+                        new RequestArrived(
+                                id,
+                                RouterHarness.PAGE,
+                                "o" + random.nextInt(400),
+                                0,
+                                4,
+                                router.kind == 0 ? 10.0 * WORK / MILLI : 0,
+                                5 * SECOND,
+                                false));
             });
         }
         later(8 * SECOND, () -> change(DRAINING, State.DRAINING, 0));
@@ -139,7 +147,8 @@
             } else if (action instanceof Fail f) {
                 answered(f.id());
             } else if (action instanceof TellPeer t) {
-                routers.stream().filter(r -> r != router && (t.router() < 0 || r.number == t.router()))
+                routers.stream()
+                        .filter(r -> r != router && (t.router() < 0 || r.number == t.router()))
                         .forEach(r -> later(5 * MILLI, () -> handle(r, new PeerNote(router.number, t.text()))));
             }
         }
@@ -154,13 +163,17 @@
         int attempt = attemptsOf.merge(id, 1, Integer::sum) - 1;
         boolean pastGrace = drainedAt > 0 && now > drainedAt + 2 * SECOND;
         afterDrain += (member == DRAINING || source == DRAINING) && pastGrace ? 1 : 0;
-        long warmAt = coldFrom + oldShape.settings().rules().cache().warmAfter();  // the rule ends there
+        long warmAt = coldFrom + oldShape.settings().rules().cache().warmAfter(); // the rule ends there
         if ((member == COLD || source == COLD) && now >= coldFrom && now < warmAt) {
             bookCold();
         }
         if (busy.getOrDefault(member, 0) >= WIDTH) {
-            later(MILLI, () -> handle(router, new AttemptEnded(id, attempt, member, Outcome.FULL, MILLI, false,
-                    FillNote.NONE, 0, Map.of())));
+            later(
+                    MILLI,
+                    () -> handle(
+                            router,
+                            new AttemptEnded(
+                                    id, attempt, member, Outcome.FULL, MILLI, false, FillNote.NONE, 0, Map.of())));
             return;
         }
         busy.merge(member, 1, Integer::sum);
@@ -168,8 +181,7 @@
             busy.merge(member, -1, Integer::sum);
             served[router.kind]++;
             answered(id);
-            handle(router, new AttemptEnded(id, attempt, member, Outcome.OK, WORK, true, FillNote.HIT, 0,
-                    Map.of()));
+            handle(router, new AttemptEnded(id, attempt, member, Outcome.OK, WORK, true, FillNote.HIT, 0, Map.of()));
         });
     }
 
@@ -181,8 +193,8 @@
             toCold.removeFirst();
         }
         double share = start.share() + (1 - start.share()) * (now - coldFrom) / start.warmAfter();
-        worstCold = Math.max(worstCold, toCold.size() * WORK / (start.multiple() * share * WIDTH
-                * rules.overloadSpan()));
+        worstCold =
+                Math.max(worstCold, toCold.size() * WORK / (start.multiple() * share * WIDTH * rules.overloadSpan()));
     }
 
     @Test
--- a/src/test/java/pumicemoor/RandomDaysTest.java
+++ b/src/test/java/pumicemoor/RandomDaysTest.java
@@ -60,11 +60,10 @@
         final Set<Integer> open = new HashSet<>();
     }
 
-    private record Later(long at, long order, Runnable what) {
-    }
+    private record Later(long at, long order, Runnable what) {}
 
-    private final PriorityQueue<Later> agenda = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Later> agenda =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<Long, Long> leftAt = new HashMap<>();
     private final Map<Long, List<Long>> coldWork = new HashMap<>();
@@ -79,8 +78,7 @@
     private int asked;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23,
-            24})
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
     void allRulesAreKept(long seed) {
         random = new Random(seed);
         now = 1_000 * SECOND;
@@ -103,8 +101,7 @@
             setup.members.add(new Member(50 + i, Role.CACHE, RouterHarness.HUB, i, WIDTH, 0, State.READY));
         }
         for (int i = 1; i <= 3; i++) {
-            setup.members.add(new Member(100 + i, Role.PARENT, RouterHarness.HUB, 0, 4 * WIDTH, 0,
-                    State.READY));
+            setup.members.add(new Member(100 + i, Role.PARENT, RouterHarness.HUB, 0, 4 * WIDTH, 0, State.READY));
         }
         setup.members.add(new Member(900, Role.ORIGIN, RouterHarness.HUB, 0, WIDTH, 0, State.READY));
         start();
@@ -158,19 +155,24 @@
     private void ask() {
         Request q = new Request();
         int type = random.nextInt(10) == 0 ? RouterHarness.WRITE : RouterHarness.PAGE;
-        long left = random.nextInt(20) == 0 ? 10 * MILLI : (long) ((0.5 + random.nextDouble() / 2) * 5 *
-                SECOND);
-        q.arrived = new RequestArrived("r" + asked++, type, "o" + (int) (60 * Math.pow(random.nextDouble(),
-                2)), 0,
-                random.nextInt(3), 1_000, left, false);
+        long left = random.nextInt(20) == 0 ? 10 * MILLI : (long) ((0.5 + random.nextDouble() / 2) * 5 * SECOND);
+        q.arrived = new RequestArrived(
+                "r" + asked++,
+                type,
+                "o" + (int) (60 * Math.pow(random.nextDouble(), 2)),
+                0,
+                random.nextInt(3),
+                1_000,
+                left,
+                false);
         q.effect = type == RouterHarness.WRITE ? Effect.UNSAFE : setup.effect;
         q.group = setup.group;
         q.deadline = now + left;
         requests.put(q.arrived.id(), q);
         handle(q.arrived);
-        later(left + settings.rules().answerSlack(), () -> assertTrue(q.over
-                || requests.get(q.arrived.id()) != q,
-                "unanswered in time: " + q.arrived));
+        later(
+                left + settings.rules().answerSlack(),
+                () -> assertTrue(q.over || requests.get(q.arrived.id()) != q, "unanswered in time: " + q.arrived));
         if (random.nextInt(30) == 0) {
             later((long) (random.nextDouble() * left), () -> leave(q));
         }
@@ -191,8 +193,7 @@
         }
         State state = old.state() == State.READY ? State.values()[1 + random.nextInt(2)] : State.READY;
         long started = state == State.READY && random.nextBoolean() ? now : old.started();
-        Member changed = new Member(old.id(), old.role(), old.zone(), old.cell(), old.weight(), started,
-                state);
+        Member changed = new Member(old.id(), old.role(), old.zone(), old.cell(), old.weight(), started, state);
         setup.members.set(at, changed);
         boolean whole = random.nextInt(4) == 0;
         leftAt.remove(old.id());
@@ -202,8 +203,8 @@
         if (started == now) {
             coldWork.put(old.id(), new ArrayList<>());
         }
-        handle(new MembersListed(whole ? ListKind.WHOLE : ListKind.CHANGES, 2,
-                whole ? List.copyOf(setup.members) : List.of(changed)));
+        handle(new MembersListed(
+                whole ? ListKind.WHOLE : ListKind.CHANGES, 2, whole ? List.copyOf(setup.members) : List.of(changed)));
     }
 
     private void purge() {
@@ -227,12 +228,13 @@
             checkPurges(f);
         } else if (action instanceof Lookup l) {
             sent(l.id(), l.member(), l.member());
-            assertTrue(member(l.member()).role() == Role.ORIGIN,
-                    "only the origin can bound the age of a lookup");
+            assertTrue(member(l.member()).role() == Role.ORIGIN, "only the origin can bound the age of a lookup");
         } else if (action instanceof Refuse a) {
             Request q = last(a.id());
-            assertTrue(!q.mayHaveRun && q.open.isEmpty() || q.effect == Effect.SAFE
-                    || q.effect == Effect.KEYED && q.group == RepeatGroup.ALL,
+            assertTrue(
+                    !q.mayHaveRun && q.open.isEmpty()
+                            || q.effect == Effect.SAFE
+                            || q.effect == Effect.KEYED && q.group == RepeatGroup.ALL,
                     "refused what may have run " + q.arrived);
         } else if (action instanceof Fail a) {
             last(a.id());
@@ -264,16 +266,14 @@
     private void sent(String id, long target, long source) {
         Request q = requests.get(id);
         assertTrue(q != null && !q.over, "sent for a request that is over");
-        assertTrue(q.effect == Effect.SAFE || !q.mayHaveRun && q.open.isEmpty(),
-                "may run twice: " + q.arrived);
+        assertTrue(q.effect == Effect.SAFE || !q.mayHaveRun && q.open.isEmpty(), "may run twice: " + q.arrived);
         assertTrue(setup.secondCopies || q.open.isEmpty(), "two attempts at once");
         assertTrue(q.attempts < settings.limits().attempts());
         Member m = member(target);
         assertTrue(m.role() == Role.CACHE ? m.zone() == RouterHarness.HOME : setup.direct, "no way to " + m);
         for (long id2 : new long[] {target, source}) {
             Long left = leftAt.get(id2);
-            assertTrue(left == null || now - left <= settings.rules().drainGrace(),
-                    "sent to one that left " + id2);
+            assertTrue(left == null || now - left <= settings.rules().drainGrace(), "sent to one that left " + id2);
         }
         checkCold(member(target));
         if (source != target && member(source).role() == Role.PARENT) {
@@ -287,10 +287,15 @@
         Outcome outcome = draw < 0.8 ? Outcome.OK : outcomes[1 + random.nextInt(outcomes.length - 3)];
         FillNote[] notes = FillNote.values();
         FillNote note = outcome == Outcome.OK ? notes[random.nextInt(6)] : notes[6 + random.nextInt(5)];
-        long takes = draw > 0.97 ? 10 * SECOND : (long) (random.nextDouble() * random.nextDouble() * 900 *
-                MILLI);
-        later(Math.min(takes, q.deadline - now), () -> end(q, attempt, now >= q.deadline ? Outcome.TIMEOUT
-                : outcome == Outcome.TIMEOUT ? Outcome.MISS : outcome, note, alive));
+        long takes = draw > 0.97 ? 10 * SECOND : (long) (random.nextDouble() * random.nextDouble() * 900 * MILLI);
+        later(
+                Math.min(takes, q.deadline - now),
+                () -> end(
+                        q,
+                        attempt,
+                        now >= q.deadline ? Outcome.TIMEOUT : outcome == Outcome.TIMEOUT ? Outcome.MISS : outcome,
+                        note,
+                        alive));
     }
 
     private void end(Request q, int attempt, Outcome outcome, FillNote note, int alive) {
@@ -303,8 +308,11 @@
         if (outcome == Outcome.OK) {
             q.over = true;
         }
-        FillNote told = settings.fills().notes() == Notes.ALL || settings.fills().notes() == Notes.HIT_ONLY
-                && note.ordinal() < FillNote.SOURCE_REFUSED.ordinal() ? note : FillNote.NONE;
+        FillNote told = settings.fills().notes() == Notes.ALL
+                        || settings.fills().notes() == Notes.HIT_ONLY
+                                && note.ordinal() < FillNote.SOURCE_REFUSED.ordinal()
+                ? note
+                : FillNote.NONE;
         handle(new AttemptEnded(q.arrived.id(), attempt, 1, outcome, 50 * MILLI, q.over, told, 0, Map.of()));
     }
 
@@ -312,11 +320,9 @@
         RequestArrived q = requests.get(f.id()).arrived;
         for (String key : List.of(q.object(), "group " + q.group())) {
             long[] at = purges.get(key);
-            if (at != null && now - at[0] < settings.rules().purgeDone()
-                    && q.requestClass() == RouterHarness.PAGE) {
+            if (at != null && now - at[0] < settings.rules().purgeDone() && q.requestClass() == RouterHarness.PAGE) {
                 long oldest = f.oldest() > 0 ? f.oldest() : setup.fresh > 0 ? setup.fresh : Long.MAX_VALUE;
-                assertTrue(oldest <= Math.max(1, now - at[0]),
-                        "may be answered from before the purge of " + key);
+                assertTrue(oldest <= Math.max(1, now - at[0]), "may be answered from before the purge of " + key);
             }
         }
     }
@@ -333,8 +339,7 @@
         sent.removeIf(at -> at <= now - span);
         sent.add(now);
         double share = cold.share() + (1 - cold.share()) * (now - m.started()) / cold.warmAfter();
-        double budget = cold.multiple() * share * m.weight() * span
-                / (parent ? settings.routers() : setup.routersHere);
+        double budget = cold.multiple() * share * m.weight() * span / (parent ? settings.routers() : setup.routersHere);
         assertTrue(sent.size() * WORK <= budget + WORK, "pushed over " + m + ": " + sent.size());
     }
 }
--- a/src/test/java/pumicemoor/RecordedChoicesTest.java
+++ b/src/test/java/pumicemoor/RecordedChoicesTest.java
@@ -39,8 +39,7 @@
 
     private static final String RECORDED = "24472 actions, 58fad6f757983b4a19615ae1";
 
-    private record Out(String id, int attempt, long member, long at) {
-    }
+    private record Out(String id, int attempt, long member, long at) {}
 
     @Test
     void choicesWithoutAHierarchyAreThoseRecorded() throws Exception {
@@ -74,11 +73,16 @@
             lines.add(now[0] + " " + text(a) + "\n");
             String id = a instanceof Fetch f ? f.id() : a instanceof Lookup l ? l.id() : null;
             if (id != null) {
-                out.add(new Out(id, attempts.merge(id, 1, Integer::sum) - 1,
-                        a instanceof Fetch f ? f.member() : ((Lookup) a).member(), now[0]));
+                out.add(new Out(
+                        id,
+                        attempts.merge(id, 1, Integer::sum) - 1,
+                        a instanceof Fetch f ? f.member() : ((Lookup) a).member(),
+                        now[0]));
             }
             if (a instanceof Cancel c) {
-                out.stream().filter(o -> o.id().equals(c.id()) && o.attempt() == c.attempt()).toList()
+                out.stream()
+                        .filter(o -> o.id().equals(c.id()) && o.attempt() == c.attempt())
+                        .toList()
                         .forEach(o -> out.set(out.indexOf(o), new Out(o.id(), o.attempt(), o.member(), -1)));
             }
         });
@@ -87,17 +91,35 @@
             now[0] += 1_000 + random.nextInt(10_000);
             int what = random.nextInt(100);
             if (what < 50) {
-                handle.accept(new RequestArrived("q" + step, random.nextInt(10) == 0 ? 1 : 0,
-                        "o" + (int) (60 * Math.pow(random.nextDouble(), 2)), 0, 4,
-                        random.nextInt(4) == 0 ? 0 : 200 + random.nextInt(3_000), 3_000_000, false));
+                handle.accept(new RequestArrived(
+                        "q" + step,
+                        random.nextInt(10) == 0 ? 1 : 0,
+                        "o" + (int) (60 * Math.pow(random.nextDouble(), 2)),
+                        0,
+                        4,
+                        random.nextInt(4) == 0 ? 0 : 200 + random.nextInt(3_000),
+                        3_000_000,
+                        false));
             } else if (what < 90 && !out.isEmpty()) {
                 Out o = out.remove(random.nextInt(out.size()));
-                Outcome outcome = o.at() < 0 ? Outcome.CANCELLED : random.nextInt(8) > 0 ? Outcome.OK
-                        : Outcome.values()[random.nextInt(Outcome.values().length)];
-                FillNote note = outcome == Outcome.OK ? FillNote.values()[random.nextInt(5)]
+                Outcome outcome = o.at() < 0
+                        ? Outcome.CANCELLED
+                        : random.nextInt(8) > 0
+                                ? Outcome.OK
+                                : Outcome.values()[random.nextInt(Outcome.values().length)];
+                FillNote note = outcome == Outcome.OK
+                        ? FillNote.values()[random.nextInt(5)]
                         : random.nextBoolean() ? FillNote.NONE : FillNote.SOURCE_FAILED;
-                handle.accept(new AttemptEnded(o.id(), o.attempt(), o.member(), outcome,
-                        Math.max(1, now[0] - Math.max(0, o.at())), outcome == Outcome.OK, note, 0, Map.of()));
+                handle.accept(new AttemptEnded(
+                        o.id(),
+                        o.attempt(),
+                        o.member(),
+                        outcome,
+                        Math.max(1, now[0] - Math.max(0, o.at())),
+                        outcome == Outcome.OK,
+                        note,
+                        0,
+                        Map.of()));
             } else if (what < 98) {
                 handle.accept(new TimerDue(0));
             } else if (what < 99) {
@@ -106,9 +128,14 @@
                 int at = random.nextInt(setup.members.size() - 1);
                 Member m = setup.members.get(at);
                 boolean restart = random.nextBoolean();
-                Member changed = new Member(m.id(), m.role(), m.zone(), m.cell(), m.weight(),
-                        restart ? now[0] : m.started(), restart || m.state() == State.DRAINING ? State.READY
-                        : State.DRAINING);
+                Member changed = new Member(
+                        m.id(),
+                        m.role(),
+                        m.zone(),
+                        m.cell(),
+                        m.weight(),
+                        restart ? now[0] : m.started(),
+                        restart || m.state() == State.DRAINING ? State.READY : State.DRAINING);
                 setup.members.set(at, changed);
                 handle.accept(new MembersListed(ListKind.CHANGES, step, List.of(changed)));
             }
@@ -118,9 +145,17 @@
 
     /** The action without what the recorded version did not have. */
     private static String text(Action action) {
-        return action instanceof Fetch f ? String.join(" ", "Fetch", f.id(), Long.toString(f.member()),
-                Long.toString(f.source()), Integer.toString(f.keepRank()), Long.toString(f.oldest()),
-                "" + f.join() + f.onlyIfHeld() + f.passParent() + f.renew(), Long.toString(f.timeout()))
+        return action instanceof Fetch f
+                ? String.join(
+                        " ",
+                        "Fetch",
+                        f.id(),
+                        Long.toString(f.member()),
+                        Long.toString(f.source()),
+                        Integer.toString(f.keepRank()),
+                        Long.toString(f.oldest()),
+                        "" + f.join() + f.onlyIfHeld() + f.passParent() + f.renew(),
+                        Long.toString(f.timeout()))
                 : action.toString();
     }
 }
--- a/src/test/java/pumicemoor/RouterHarness.java
+++ b/src/test/java/pumicemoor/RouterHarness.java
@@ -44,6 +44,7 @@
 
     /** Settings that a test may vary before it starts the router. */
     Effect effect = Effect.SAFE;
+
     RepeatGroup group = RepeatGroup.ALL;
     boolean direct;
     boolean joins = true;
@@ -66,20 +67,62 @@
 
     Settings settings() {
         List<RequestClass> classes = List.of(
-                new RequestClass("page", 500 * MILLI, 2, 5 * SECOND, 1, 0.2, effect, group, 5 * SECOND,
-                false, false,
-                        false, fresh, grace, 0.5),
-                new RequestClass("write", 700 * MILLI, 0, 3 * SECOND, 3, 0, Effect.UNSAFE, RepeatGroup.ALL,
-                0, false,
-                        true, false, 0, 0, 0));
-        return new Settings(0, 2 * routersHere, HOME, List.of(routersHere, 0), List.of(HUB, HUB), classes,
-                new Limits(attempts, 1000, probes, peerNotes, cancel, secondCopies, retryAfter, 500 * MILLI,
-                400 * MILLI),
-                new Rules(8 * MILLI, 2 * SECOND, new ColdStart(0.2, 10 * SECOND, 2.5),
-                        new ColdStart(0.1, 20 * SECOND, 2), SECOND, SECOND, 6 * SECOND, 10 * SECOND),
+                new RequestClass(
+                        "page",
+                        500 * MILLI,
+                        2,
+                        5 * SECOND,
+                        1,
+                        0.2,
+                        effect,
+                        group,
+                        5 * SECOND,
+                        false,
+                        false,
+                        false,
+                        fresh,
+                        grace,
+                        0.5),
+                new RequestClass(
+                        "write",
+                        700 * MILLI,
+                        0,
+                        3 * SECOND,
+                        3,
+                        0,
+                        Effect.UNSAFE,
+                        RepeatGroup.ALL,
+                        0,
+                        false,
+                        true,
+                        false,
+                        0,
+                        0,
+                        0));
+        return new Settings(
+                0,
+                2 * routersHere,
+                HOME,
+                List.of(routersHere, 0),
+                List.of(HUB, HUB),
+                classes,
+                new Limits(
+                        attempts, 1000, probes, peerNotes, cancel, secondCopies, retryAfter, 500 * MILLI, 400 * MILLI),
+                new Rules(
+                        8 * MILLI,
+                        2 * SECOND,
+                        new ColdStart(0.2, 10 * SECOND, 2.5),
+                        new ColdStart(0.1, 20 * SECOND, 2),
+                        SECOND,
+                        SECOND,
+                        6 * SECOND,
+                        10 * SECOND),
                 new Prices(0.01, 0.1, 0.01, 0, 0.03, 0.1, 0.05),
                 new Fills(direct, joins, SiblingSources.LOCATION, notes, 10_000, 0, 0, List.of(0.0, 0.0)),
-                new LoadReports(ReportBy.NONE, List.of()), false, weights, false);
+                new LoadReports(ReportBy.NONE, List.of()),
+                false,
+                weights,
+                false);
     }
 
     /** A router with the members added so far on its remembered list. */
@@ -148,9 +191,8 @@
     }
 
     List<Action> end(String id, int attempt, long member, Outcome outcome, FillNote note) {
-        return handle(new AttemptEnded(id, attempt, member, outcome, 100 * MILLI, outcome == Outcome.OK,
-                note, 0,
-                Map.of()));
+        return handle(
+                new AttemptEnded(id, attempt, member, outcome, 100 * MILLI, outcome == Outcome.OK, note, 0, Map.of()));
     }
 
     /** Asks for an object and serves it; returns how it was sent. */
--- a/src/test/java/pumicemoor/RulesTest.java
+++ b/src/test/java/pumicemoor/RulesTest.java
@@ -20,8 +20,8 @@
 import pumicemoor.RouterApi.Fetch;
 import pumicemoor.RouterApi.FillNote;
 import pumicemoor.RouterApi.Lookup;
-import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.NewsHeard;
+import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.Purged;
 import pumicemoor.RouterApi.Refuse;
 import pumicemoor.RouterApi.RepeatGroup;
@@ -54,7 +54,8 @@
         actions.addAll(r.pass(4_900 * MILLI));
         assertTrue(sent < 60);
         int answered = finals(actions);
-        int out = (int) only(Fetch.class, actions).stream().map(Fetch::id).distinct().count();
+        int out = (int)
+                only(Fetch.class, actions).stream().map(Fetch::id).distinct().count();
         assertTrue(answered + out >= 60, "held without an answer: " + (60 - answered - out));
     }
 
@@ -70,7 +71,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"OK", "MOOT"}, mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            value = Outcome.class,
+            names = {"OK", "MOOT"},
+            mode = EnumSource.Mode.EXCLUDE)
     void unsafeRequestGoesOnOnlyIfItNeverRan(Outcome outcome) {
         RouterHarness r = new RouterHarness();
         r.direct = true;
@@ -81,7 +85,8 @@
         if (outcome.provesNotRun) {
             assertEquals(0, only(Fail.class, next).size());
         } else {
-            assertEquals(0, only(Lookup.class, next).size() + only(Fetch.class, next).size());
+            assertEquals(
+                    0, only(Lookup.class, next).size() + only(Fetch.class, next).size());
             assertEquals(0, only(Refuse.class, next).size());
             assertEquals(1, only(Fail.class, next).size());
         }
@@ -170,7 +175,8 @@
         r.now += 5 * SECOND;
         assertEquals(0, fetch(r.ask("a")).oldest(), "a copy is good until it is purged");
         r.now += 4 * SECOND;
-        assertEquals(7 * SECOND, fetch(r.ask("b")).oldest(), "a purge of 8.5 s ago counts as told, one of 6 s ago does not");
+        assertEquals(
+                7 * SECOND, fetch(r.ask("b")).oldest(), "a purge of 8.5 s ago counts as told, one of 6 s ago does not");
         r.handle(new Purged("c", 4, 2 * SECOND));
         assertEquals(2 * SECOND, fetch(r.ask("c")).oldest());
         r.handle(new NewsHeard());
--- a/src/test/java/pumicemoor/ShrunkenFleetTest.java
+++ b/src/test/java/pumicemoor/ShrunkenFleetTest.java
@@ -26,7 +26,8 @@
         List<Action> all = new ArrayList<>(actions);
         int attempts = 0;
         for (int step = 0; step < 60; step++) {
-            for (Fetch fetch : only(Fetch.class, all).subList(attempts, only(Fetch.class, all).size())) {
+            for (Fetch fetch : only(Fetch.class, all)
+                    .subList(attempts, only(Fetch.class, all).size())) {
                 all.addAll(r.end(fetch.id(), attempts++, fetch.member(), Outcome.MISS, FillNote.SOURCE_LACKS));
             }
             all.addAll(r.pass(100 * MILLI));
--- a/src/test/java/pumicemoor/SourcesBenchmark.java
+++ b/src/test/java/pumicemoor/SourcesBenchmark.java
@@ -21,7 +21,6 @@
 import pumicemoor.RouterApi.Fetch;
 import pumicemoor.RouterApi.FillNote;
 import pumicemoor.RouterApi.ListKind;
-import pumicemoor.RouterApi.Member;
 import pumicemoor.RouterApi.MembersListed;
 import pumicemoor.RouterApi.Outcome;
 import pumicemoor.RouterApi.RequestArrived;
@@ -55,7 +54,9 @@
     private Fetch sent;
 
     private static List<Source> sources(long first, long opensAt) {
-        return LongStream.range(first, first + 4).mapToObj(m -> new Source(m, 1, 0, opensAt, opensAt + (1L << 40))).toList();
+        return LongStream.range(first, first + 4)
+                .mapToObj(m -> new Source(m, 1, 0, opensAt, opensAt + (1L << 40)))
+                .toList();
     }
 
     @Setup(Level.Trial)
@@ -70,16 +71,22 @@
         setup.add(900, Role.ORIGIN, RouterHarness.HUB);
         logic = new Logic(setup.settings(), 7);
         now = setup.now;
-        logic.handle(now, new MembersListed(ListKind.WHOLE, 1, List.copyOf(setup.members)), a -> { });
+        logic.handle(now, new MembersListed(ListKind.WHOLE, 1, List.copyOf(setup.members)), a -> {});
         if (!given.equals("none")) {
             Map<Long, SourceList> lists = new HashMap<>();
             List<Source> before = given.equals("moving") ? sources(1_004, 0) : List.of();
             lists.put(SourcesGiven.LOCATION, new SourceList(sources(1_000, now), before, before, false, List.of()));
             for (int i = 0; i < hubs; i++) {
-                lists.put(1_000L + i, new SourceList(i < 4 ? sources(1_004, 0) : List.of(new Source(900, 1, 0, 0, 0)),
-                        List.of(), List.of(), false, List.of()));
+                lists.put(
+                        1_000L + i,
+                        new SourceList(
+                                i < 4 ? sources(1_004, 0) : List.of(new Source(900, 1, 0, 0, 0)),
+                                List.of(),
+                                List.of(),
+                                false,
+                                List.of()));
             }
-            logic.handle(now, new SourcesGiven(1, lists), a -> { });
+            logic.handle(now, new SourcesGiven(1, lists), a -> {});
         }
     }
 
@@ -94,8 +101,19 @@
             }
         });
         if (sent != null) {
-            logic.handle(now + 500, new AttemptEnded(id, 0, sent.member(), Outcome.OK, 500, true,
-                    number % 3 == 0 ? FillNote.FILLED : FillNote.HIT, 0, Map.of()), a -> { });
+            logic.handle(
+                    now + 500,
+                    new AttemptEnded(
+                            id,
+                            0,
+                            sent.member(),
+                            Outcome.OK,
+                            500,
+                            true,
+                            number % 3 == 0 ? FillNote.FILLED : FillNote.HIT,
+                            0,
+                            Map.of()),
+                    a -> {});
         }
         return sent;
     }
--- a/src/test/java/pumicemoor/SourcesTest.java
+++ b/src/test/java/pumicemoor/SourcesTest.java
@@ -24,7 +24,9 @@
     private static final long SECOND = RouterHarness.SECOND;
 
     private static List<Source> all(long... members) {
-        return java.util.Arrays.stream(members).mapToObj(m -> new Source(m, 1, 0, 0, 0)).toList();
+        return java.util.Arrays.stream(members)
+                .mapToObj(m -> new Source(m, 1, 0, 0, 0))
+                .toList();
     }
 
     private static SourceList only(long... members) {
@@ -72,8 +74,8 @@
         RouterHarness r = new RouterHarness().fleet(4, 4).start();
         long start = r.now;
         List<Source> now = List.of(new Source(101, 1, from, start, start + 100 * SECOND));
-        r.handle(new SourcesGiven(1, Map.of(SourcesGiven.LOCATION, new SourceList(now, all(102), all(102), back,
-                List.of()))));
+        r.handle(new SourcesGiven(
+                1, Map.of(SourcesGiven.LOCATION, new SourceList(now, all(102), all(102), back, List.of()))));
         List<Set<Integer>> moved = new java.util.ArrayList<>();
         for (int tenth = 0; tenth <= 10; tenth++) {
             Set<Integer> there = new HashSet<>();
--- a/src/test/java/pumicemoor/calls/AdmissionTest.java
+++ b/src/test/java/pumicemoor/calls/AdmissionTest.java
@@ -84,11 +84,19 @@
 
     @Test
     void rulesTakeTheirPartsFromPathAndHeaders() {
-        CallRules rules = new CallRules(List.of(
-                new Rule("GET", Rule.pattern("/v/(?P<object>[^/]+)/(?P<part>\\d+)"), Map.of("x-kind", "film"), "film", "x-lot"),
-                new Rule("GET", Rule.pattern("/v/(?P<object>[^/]+)/(?P<part>\\d+)"), Map.of(), "video", null),
-                new Rule(null, Rule.pattern("/any/.*"), Map.of(), "page", null)), NoRule.REFUSE);
-        assertEquals(Optional.of(new About("film", "a", 2, 9)),
+        CallRules rules = new CallRules(
+                List.of(
+                        new Rule(
+                                "GET",
+                                Rule.pattern("/v/(?P<object>[^/]+)/(?P<part>\\d+)"),
+                                Map.of("x-kind", "film"),
+                                "film",
+                                "x-lot"),
+                        new Rule("GET", Rule.pattern("/v/(?P<object>[^/]+)/(?P<part>\\d+)"), Map.of(), "video", null),
+                        new Rule(null, Rule.pattern("/any/.*"), Map.of(), "page", null)),
+                NoRule.REFUSE);
+        assertEquals(
+                Optional.of(new About("film", "a", 2, 9)),
                 rules.fit("GET", "/v/a/2?q", Map.of("x-kind", "film", "x-lot", "9")));
         assertEquals(Optional.of(new About("video", "a", 2, -1)), rules.fit("GET", "/v/a/2", Map.of("x-lot", "9")));
         assertEquals(Optional.of(new About("page", "/any/x", 0, -1)), rules.fit("PUT", "/any/x", Map.of()));
--- a/src/test/java/pumicemoor/calls/CallStateTest.java
+++ b/src/test/java/pumicemoor/calls/CallStateTest.java
@@ -25,7 +25,7 @@
         final Style style;
         final List<Act> acts = new ArrayList<>();
         boolean held;
-        boolean named;  // an attempt is out, as the decisions see it
+        boolean named; // an attempt is out, as the decisions see it
         int attempts;
         int tolds;
         int finals;
@@ -83,7 +83,7 @@
                     }
                 }
                 case 12 -> {
-                    if (held && named) {  // they call the attempt off for another
+                    if (held && named) { // they call the attempt off for another
                         take(state.named(attempts++));
                     }
                 }
@@ -99,8 +99,8 @@
     }
 
     @Property(seed = "20261201", tries = 30_000)
-    void anyOrderLeavesOneFinalAnswerAndNothingBehind(@ForAll boolean reporter,
-            @ForAll @Size(max = 14) List<@IntRange(max = 15) Integer> steps) {
+    void anyOrderLeavesOneFinalAnswerAndNothingBehind(
+            @ForAll boolean reporter, @ForAll @Size(max = 14) List<@IntRange(max = 15) Integer> steps) {
         Play play = new Play(reporter ? Style.REPORTER : Style.PROXY);
         steps.forEach(play::step);
         assertEquals(play.held, play.state.held(), () -> play.acts.toString());
@@ -133,7 +133,8 @@
     void refusedInTimeItIsNotNamedAfterwards() {
         CallState state = new CallState(Style.PROXY);
         state.request();
-        assertEquals(List.of(new Act.TellFinal(Code.REFUSED, 9), new Act.Withdraw(), new Act.Complete()),
+        assertEquals(
+                List.of(new Act.TellFinal(Code.REFUSED, 9), new Act.Withdraw(), new Act.Complete()),
                 state.messageTimeUp(9));
         assertEquals(List.of(), state.named(0));
         assertFalse(state.mayHaveRun());
@@ -145,6 +146,7 @@
         state.request();
         state.named(0);
         assertEquals(List.of(), state.decided(Code.FAILED, 0));
-        assertEquals(List.of(new Act.GoOn()), state.response(-1, false), "the response goes on, the decisions are over it");
+        assertEquals(
+                List.of(new Act.GoOn()), state.response(-1, false), "the response goes on, the decisions are over it");
     }
 }
--- a/src/test/java/pumicemoor/ci/KnownRedTest.java
+++ b/src/test/java/pumicemoor/ci/KnownRedTest.java
@@ -15,7 +15,8 @@
 class KnownRedTest {
 
     /** Fails where a test of $FAILING is among those that it is asked to run: all but the excluded, or the one that is named. */
-    private static final String MAVEN = """
+    private static final String MAVEN =
+            """
             #!/bin/bash
             asked=
             for a in "$@"; do case "$a" in -Dtest=*) asked=${a#-Dtest=};; esac; done
@@ -31,6 +32,7 @@
 
     @TempDir
     private Path folder;
+
     private String said;
 
     @BeforeEach
@@ -49,7 +51,8 @@
     }
 
     private int run(String failing) throws IOException, InterruptedException {
-        ProcessBuilder builder = new ProcessBuilder("bash", ".ci/run").directory(folder.toFile()).redirectErrorStream(true);
+        ProcessBuilder builder =
+                new ProcessBuilder("bash", ".ci/run").directory(folder.toFile()).redirectErrorStream(true);
         builder.environment().put("PATH", folder.resolve("bin") + ":" + System.getenv("PATH"));
         builder.environment().put("FAILING", failing);
         Process process = builder.start();
@@ -90,8 +93,13 @@
 
     @Test
     void moreThanThreeOrAnUnknownTestOrNoCauseFailTheRun() throws Exception {
-        String[] lists = {"a.b.OneTest#red: x, 1\na.b.OneTest#green: x, 1\na.b.OneTest#c: x, 1\na.b.OneTest#d: x, 1\n",
-            "a.b.OneTest#blue: x, 1\n", "a.b.TwoTest#red: x, 1\n", "a.b.OneTest: x, 1\n", "a.b.OneTest#red\n"};
+        String[] lists = {
+            "a.b.OneTest#red: x, 1\na.b.OneTest#green: x, 1\na.b.OneTest#c: x, 1\na.b.OneTest#d: x, 1\n",
+            "a.b.OneTest#blue: x, 1\n",
+            "a.b.TwoTest#red: x, 1\n",
+            "a.b.OneTest: x, 1\n",
+            "a.b.OneTest#red\n"
+        };
         for (String list : lists) {
             put("KNOWN-RED.txt", list);
             assertTrue(run("a.b.OneTest#red a.b.OneTest#green a.b.OneTest#c a.b.OneTest#d") != 0, list + said);
--- a/src/test/java/pumicemoor/cli/FleetRowsTest.java
+++ b/src/test/java/pumicemoor/cli/FleetRowsTest.java
@@ -20,16 +20,20 @@
 
     @Test
     void rowsOfOneLevelHaveTheColumnsOfTheFirst() {
-        assertEquals("name  standing\na     alive\nbcd   dead\n",
-                FleetRows.table(List.of(row("name", "a", "standing", "alive"), row("name", "bcd", "standing", "dead"))));
+        assertEquals(
+                "name  standing\na     alive\nbcd   dead\n",
+                FleetRows.table(
+                        List.of(row("name", "a", "standing", "alive"), row("name", "bcd", "standing", "dead"))));
         assertEquals("(none)\n", FleetRows.table(List.of()));
     }
 
     /** On a delegate rows of the upper level come after those of its cell, and only they name a level. */
     @Test
     void theLevelIsShownWhereARowHasOne() {
-        assertEquals("name  standing  level\na     alive     -\na     alive     upper\n",
-                FleetRows.table(List.of(row("name", "a", "standing", "alive"),
+        assertEquals(
+                "name  standing  level\na     alive     -\na     alive     upper\n",
+                FleetRows.table(List.of(
+                        row("name", "a", "standing", "alive"),
                         row("name", "a", "standing", "alive", "level", "upper"))));
     }
 }
--- a/src/test/java/pumicemoor/cli/MainTest.java
+++ b/src/test/java/pumicemoor/cli/MainTest.java
@@ -24,28 +24,37 @@
     @TempDir
     Path folder;
 
-    private record Ended(int code, String out, String err) {
-    }
+    private record Ended(int code, String out, String err) {}
 
     private Ended run(String config, String... words) throws IOException, InterruptedException {
         int code = start(config, words).waitFor();
-        return new Ended(code, Files.readString(folder.resolve("out"), StandardCharsets.UTF_8),
+        return new Ended(
+                code,
+                Files.readString(folder.resolve("out"), StandardCharsets.UTF_8),
                 Files.readString(folder.resolve("err"), StandardCharsets.UTF_8));
     }
 
     private Process start(String config, String... words) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
                 Main.class.getName()));
         command.addAll(List.of(words));
         Path out = folder.resolve("out");
         Path err = folder.resolve("err");
-        ProcessBuilder builder = new ProcessBuilder(command).redirectOutput(out.toFile())
-                .redirectError(err.toFile()).redirectInput(Files.writeString(folder.resolve("in"), "").toFile());
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectOutput(out.toFile())
+                .redirectError(err.toFile())
+                .redirectInput(Files.writeString(folder.resolve("in"), "").toFile());
         builder.environment().remove("RELAY_CONFIG");
         if (config != null) {
-            builder.environment().put("RELAY_CONFIG",
-                    Files.writeString(folder.resolve("config.json"), config).toString());
+            builder.environment()
+                    .put(
+                            "RELAY_CONFIG",
+                            Files.writeString(folder.resolve("config.json"), config)
+                                    .toString());
         }
         return builder.start();
     }
@@ -63,7 +72,7 @@
                 try (FrameClient client = new FrameClient("127.0.0.1", port)) {
                     state = client.ask(1, Map.of(), 2);
                 } catch (ConnectException e) {
-                    Thread.sleep(20);  // it does not listen yet
+                    Thread.sleep(20); // it does not listen yet
                 }
             }
             assertEquals(0, state.code(), "without members it is not ready");
@@ -79,7 +88,8 @@
 
     @Test
     void theLogIsJsonWhereTheOperatorSaysSo() throws Exception {
-        String operator = Files.writeString(folder.resolve("operator.yaml"), "log: {format: json}\n").toString();
+        String operator = Files.writeString(folder.resolve("operator.yaml"), "log: {format: json}\n")
+                .toString();
         Process router = start(NodeTestConfig.json("127.0.0.1:0", ""), "serve", "--operator", operator);
         try {
             while (router.isAlive() && !Files.readString(folder.resolve("err")).contains("listens on")) {
@@ -96,7 +106,11 @@
 
     /** Sends SIGHUP and waits for the counter that must grow by it; fails when the router ends instead. */
     private void reload(Process router, int port, String counter, String count) throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + router.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + router.pid())
+                        .start()
+                        .waitFor());
         String seen = "";
         while (!seen.equals(count)) {
             assertTrue(router.isAlive(), "ended by SIGHUP");
@@ -128,16 +142,20 @@
                         Thread.sleep(20);
                     }
                 }
-                String[] bad = {"", before.substring(0, 200), before.replace("\"listen\":\"127.0.0.1:" + port,
-                        "\"listen\":\"127.0.0.1:1"), before.replace("\"max-open\":1000", "\"max-open\":9")};
+                String[] bad = {
+                    "",
+                    before.substring(0, 200),
+                    before.replace("\"listen\":\"127.0.0.1:" + port, "\"listen\":\"127.0.0.1:1"),
+                    before.replace("\"max-open\":1000", "\"max-open\":9")
+                };
                 for (int i = 0; i < bad.length; i++) {
                     Files.writeString(config, bad[i]);
                     reload(router, port, "reloads-refused", Integer.toString(i + 1));
                 }
                 Files.delete(config);
                 reload(router, port, "reloads-refused", "5");
-                Files.writeString(config, NodeTestConfig.json("127.0.0.1:" + port,
-                        "127.0.0.1:" + second.getLocalPort()));
+                Files.writeString(
+                        config, NodeTestConfig.json("127.0.0.1:" + port, "127.0.0.1:" + second.getLocalPort()));
                 reload(router, port, "reloads", "1");
                 second.setSoTimeout(20_000);
                 assertEquals('G', second.accept().getInputStream().read(), "the new coordinator is asked");
@@ -189,7 +207,8 @@
 
     @Test
     void theExamplesThatAreShippedAreUsable() throws Exception {
-        Ended ended = run(null, "check-config", "deploy/serve.example.json", "--operator", "deploy/operator.example.yaml");
+        Ended ended =
+                run(null, "check-config", "deploy/serve.example.json", "--operator", "deploy/operator.example.yaml");
         assertEquals(0, ended.code(), ended.err());
         assertTrue(ended.out().contains("router 'router-1' on 127.0.0.1:9090, 2 classes"), ended.out());
     }
@@ -204,8 +223,12 @@
     @Test
     void aConfigurationThatCannotBeUsedIsNamedInOneLine() throws Exception {
         String good = NodeTestConfig.json("127.0.0.1:9090", "127.0.0.1:7070");
-        String[][] bad = {{good.replace("127.0.0.1:9090", "here"), "listen"}, {good.replace("8c1f", "zz"), "seed"},
-            {good.replace("policy-limits", "limits"), "policy-limits"}, {good.substring(1), "JSON"}};
+        String[][] bad = {
+            {good.replace("127.0.0.1:9090", "here"), "listen"},
+            {good.replace("8c1f", "zz"), "seed"},
+            {good.replace("policy-limits", "limits"), "policy-limits"},
+            {good.substring(1), "JSON"}
+        };
         for (String[] each : bad) {
             for (String command : new String[] {"check-config", "serve"}) {
                 Ended ended = run(each[0], command);
@@ -216,7 +239,8 @@
         assertEquals(1, run(null, "serve").code());
     }
 
-    private static final String SHAPE = """
+    private static final String SHAPE =
+            """
             hierarchy:
               shape:
                 version: %d
@@ -226,7 +250,8 @@
             """;
 
     private String file(String name, int version, String aboveA, String aboveB) throws IOException {
-        return Files.writeString(folder.resolve(name), SHAPE.formatted(version, aboveA, aboveB)).toString();
+        return Files.writeString(folder.resolve(name), SHAPE.formatted(version, aboveA, aboveB))
+                .toString();
     }
 
     @Test
@@ -247,8 +272,19 @@
 
     @Test
     void everyCommandTellsItsUsage() throws Exception {
-        for (String words : List.of("serve", "drill", "status", "self-check", "check-config", "version", "hierarchy",
-                "hierarchy check", "hierarchy plan", "lab", "lab run", "lab processes")) {
+        for (String words : List.of(
+                "serve",
+                "drill",
+                "status",
+                "self-check",
+                "check-config",
+                "version",
+                "hierarchy",
+                "hierarchy check",
+                "hierarchy plan",
+                "lab",
+                "lab run",
+                "lab processes")) {
             Ended ended = run(null, (words + " --help").split(" "));
             assertEquals(0, ended.code(), words + ended.err());
             assertTrue(ended.out().contains("--help"), words);
@@ -258,10 +294,13 @@
 
     @Test
     void labScaleRefusesABadFileInOneLineThatNamesTheKey() throws Exception {
-        String file = Files.writeString(folder.resolve("scale.yaml"), "routers: [30]\nzones: many\n").toString();
-        Ended ended = run(null, "lab", "scale", file, "--out", folder.resolve("scale").toString());
+        String file = Files.writeString(folder.resolve("scale.yaml"), "routers: [30]\nzones: many\n")
+                .toString();
+        Ended ended =
+                run(null, "lab", "scale", file, "--out", folder.resolve("scale").toString());
         assertEquals(1, ended.code(), ended.err());
-        List<String> said = ended.err().lines().filter(l -> !l.startsWith("Picked up ")).toList();  // of the JVM itself
+        List<String> said =
+                ended.err().lines().filter(l -> !l.startsWith("Picked up ")).toList(); // of the JVM itself
         assertEquals(1, said.size(), ended.err());
         assertTrue(said.get(0).startsWith("pumicemoor: " + file + ": zones: "), ended.err());
         assertEquals("", ended.out());
--- a/src/test/java/pumicemoor/extproc/ProcessorFrontTest.java
+++ b/src/test/java/pumicemoor/extproc/ProcessorFrontTest.java
@@ -47,7 +47,8 @@
 /** The front on a socket of loopback, called as a proxy calls it, round the real reducer and decisions. */
 class ProcessorFrontTest {
 
-    private static final String OPERATOR = """
+    private static final String OPERATOR =
+            """
             processor:
               listen: 127.0.0.1:0
               message-timeout-ms: 400
@@ -61,6 +62,7 @@
 
     @TempDir
     Path folder;
+
     private NodeServer server;
     private ProcessorFront front;
     private ManagedChannel channel;
@@ -72,16 +74,23 @@
 
     private void start(int retryWait) throws Exception {
         OperatorConfig operator = operator(OPERATOR.formatted(retryWait));
-        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "", NodeTestConfig.list(1, true,
-                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
-                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
-                NodeTestConfig.member("p-1", "127.0.0.1:13", "shield", "active", 0),
-                NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json(
+                "127.0.0.1:0",
+                "",
+                NodeTestConfig.list(
+                        1,
+                        true,
+                        NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                        NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
+                        NodeTestConfig.member("p-1", "127.0.0.1:13", "shield", "active", 0),
+                        NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
         server = new NodeServer(config, operator);
         front = new ProcessorFront(operator.processor().orElseThrow(), config.words());
         server.attach(front);
         server.start(false);
-        channel = NettyChannelBuilder.forAddress("127.0.0.1", front.port()).usePlaintext().build();
+        channel = NettyChannelBuilder.forAddress("127.0.0.1", front.port())
+                .usePlaintext()
+                .build();
     }
 
     private OperatorConfig operator(String yaml) throws Exception {
@@ -99,7 +108,8 @@
     private final class Call implements StreamObserver<ProcessingResponse> {
         final BlockingQueue<ProcessingResponse> answers = new LinkedBlockingQueue<>();
         final CompletableFuture<Status> end = new CompletableFuture<>();
-        final StreamObserver<ProcessingRequest> out = ExternalProcessorGrpc.newStub(channel).process(this);
+        final StreamObserver<ProcessingRequest> out =
+                ExternalProcessorGrpc.newStub(channel).process(this);
 
         @Override
         public void onNext(ProcessingResponse answer) {
@@ -122,12 +132,16 @@
             headers.put(":path", path);
             headers.put("x-request-id", id);
             headers.put("x-envoy-attempt-count", Integer.toString(attempt));
-            out.onNext(ProcessingRequest.newBuilder().setRequestHeaders(http(headers)).build());
+            out.onNext(ProcessingRequest.newBuilder()
+                    .setRequestHeaders(http(headers))
+                    .build());
             return this;
         }
 
         Call response(String status) {
-            out.onNext(ProcessingRequest.newBuilder().setResponseHeaders(http(Map.of(":status", status))).build());
+            out.onNext(ProcessingRequest.newBuilder()
+                    .setResponseHeaders(http(Map.of(":status", status)))
+                    .build());
             return this;
         }
 
@@ -142,8 +156,8 @@
 
     private static HttpHeaders http(Map<String, String> headers) {
         HeaderMap.Builder map = HeaderMap.newBuilder();
-        headers.forEach((k, v) -> map.addHeaders(HeaderValue.newBuilder().setKey(k)
-                .setRawValue(ByteString.copyFromUtf8(v))));
+        headers.forEach(
+                (k, v) -> map.addHeaders(HeaderValue.newBuilder().setKey(k).setRawValue(ByteString.copyFromUtf8(v))));
         return HttpHeaders.newBuilder().setHeaders(map).build();
     }
 
@@ -151,8 +165,12 @@
         assertNotNull(answer);
         assertEquals(ResponseCase.REQUEST_HEADERS, answer.getResponseCase(), answer.toString());
         Map<String, String> told = new LinkedHashMap<>();
-        answer.getRequestHeaders().getResponse().getHeaderMutation().getSetHeadersList()
-                .forEach(h -> told.put(h.getHeader().getKey(), h.getHeader().getRawValue().toStringUtf8()));
+        answer.getRequestHeaders()
+                .getResponse()
+                .getHeaderMutation()
+                .getSetHeadersList()
+                .forEach(h -> told.put(
+                        h.getHeader().getKey(), h.getHeader().getRawValue().toStringUtf8()));
         return told;
     }
 
@@ -219,17 +237,31 @@
         assertEquals(502, second.next().getImmediateResponse().getStatus().getCode(), "while it is open");
         call.out.onError(Status.CANCELLED.asRuntimeException());
         awaitNothingOpen();
-        assertEquals(502, new Call().request("POST", "/book/7", "b-1", 2).next().getImmediateResponse().getStatus()
-                .getCode(), "its end is unknown");
-        assertEquals(502, new Call().request("POST", "/book/8", "b-2", 2).next().getImmediateResponse().getStatus()
-                .getCode(), "a repeat of which nothing is known, as after a start");
+        assertEquals(
+                502,
+                new Call()
+                        .request("POST", "/book/7", "b-1", 2)
+                        .next()
+                        .getImmediateResponse()
+                        .getStatus()
+                        .getCode(),
+                "its end is unknown");
+        assertEquals(
+                502,
+                new Call()
+                        .request("POST", "/book/8", "b-2", 2)
+                        .next()
+                        .getImmediateResponse()
+                        .getStatus()
+                        .getCode(),
+                "a repeat of which nothing is known, as after a start");
         Call turnedAway = new Call().request("POST", "/book/9", "b-3", 1);
         told(turnedAway.next());
         turnedAway.response("429");
         turnedAway.next();
         turnedAway.out.onCompleted();
         turnedAway.endCode();
-        told(new Call().request("POST", "/book/9", "b-3", 2).next());  // it never ran
+        told(new Call().request("POST", "/book/9", "b-3", 2).next()); // it never ran
     }
 
     @Test
@@ -285,22 +317,34 @@
         nothing.out.onNext(ProcessingRequest.getDefaultInstance());
         assertEquals(Status.Code.INVALID_ARGUMENT, nothing.endCode());
         Call empty = new Call();
-        empty.out.onNext(ProcessingRequest.newBuilder().setRequestHeaders(HttpHeaders.getDefaultInstance()).build());
+        empty.out.onNext(ProcessingRequest.newBuilder()
+                .setRequestHeaders(HttpHeaders.getDefaultInstance())
+                .build());
         assertEquals(Status.Code.INVALID_ARGUMENT, empty.endCode());
         Call bytes = new Call();
-        bytes.out.onNext(ProcessingRequest.newBuilder().setRequestHeaders(HttpHeaders.newBuilder().setHeaders(
-                HeaderMap.newBuilder().addHeaders(HeaderValue.newBuilder().setKey(":path")
-                        .setRawValue(ByteString.copyFrom(new byte[] {(byte) 0xff, (byte) 0xfe}))))).build());
+        bytes.out.onNext(ProcessingRequest.newBuilder()
+                .setRequestHeaders(HttpHeaders.newBuilder()
+                        .setHeaders(HeaderMap.newBuilder()
+                                .addHeaders(HeaderValue.newBuilder()
+                                        .setKey(":path")
+                                        .setRawValue(ByteString.copyFrom(new byte[] {(byte) 0xff, (byte) 0xfe})))))
+                .build());
         assertEquals(Status.Code.INVALID_ARGUMENT, bytes.endCode());
         Call large = new Call();
-        large.out.onNext(ProcessingRequest.newBuilder().setRequestBody(HttpBody.newBuilder()
-                .setBody(ByteString.copyFrom(new byte[20_000]))).build());
+        large.out.onNext(ProcessingRequest.newBuilder()
+                .setRequestBody(HttpBody.newBuilder().setBody(ByteString.copyFrom(new byte[20_000])))
+                .build());
         assertEquals(Status.Code.RESOURCE_EXHAUSTED, large.endCode());
-        StatusRuntimeException unknown = org.junit.jupiter.api.Assertions.assertThrows(StatusRuntimeException.class,
-                () -> io.grpc.stub.ClientCalls.blockingUnaryCall(channel, ExternalProcessorGrpc.getProcessMethod()
-                        .toBuilder().setType(io.grpc.MethodDescriptor.MethodType.UNARY)
-                        .setFullMethodName("envoy.service.ext_proc.v3.ExternalProcessor/Nothing").build(),
-                        io.grpc.CallOptions.DEFAULT, ProcessingRequest.getDefaultInstance()));
+        StatusRuntimeException unknown = org.junit.jupiter.api.Assertions.assertThrows(
+                StatusRuntimeException.class,
+                () -> io.grpc.stub.ClientCalls.blockingUnaryCall(
+                        channel,
+                        ExternalProcessorGrpc.getProcessMethod().toBuilder()
+                                .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+                                .setFullMethodName("envoy.service.ext_proc.v3.ExternalProcessor/Nothing")
+                                .build(),
+                        io.grpc.CallOptions.DEFAULT,
+                        ProcessingRequest.getDefaultInstance()));
         assertEquals(Status.Code.UNIMPLEMENTED, unknown.getStatus().getCode());
         good.response("200");
         assertEquals(ResponseCase.RESPONSE_HEADERS, good.next().getResponseCase());
@@ -313,9 +357,12 @@
     @Test
     void pastTheBoundOnOpenCallsTheAnswerIsARefusalAtOnceWithATimeToStayAway() throws Exception {
         for (int i = 0; i < 5; i++) {
-            told(new Call().request("GET", "/video/" + Integer.toHexString(i) + "/0", "r-" + i, 1).next());
+            told(new Call()
+                    .request("GET", "/video/" + Integer.toHexString(i) + "/0", "r-" + i, 1)
+                    .next());
         }
-        ProcessingResponse answer = new Call().request("GET", "/video/aa/0", "r-x", 1).next();
+        ProcessingResponse answer =
+                new Call().request("GET", "/video/aa/0", "r-x", 1).next();
         assertEquals(503, answer.getImmediateResponse().getStatus().getCode());
         assertTrue(answer.getImmediateResponse().getHeaders().getSetHeadersList().stream()
                 .anyMatch(h -> h.getHeader().getKey().equals("retry-after")));
@@ -355,17 +402,27 @@
                 ended.complete(true);
             }
         });
-        out.onNext(FromCaller.newBuilder().setAsk(Ask.newBuilder().setId("q").setRequestClass("segment").setObject("x")
-                .setGroup(-1)).build());
+        out.onNext(FromCaller.newBuilder()
+                .setAsk(Ask.newBuilder()
+                        .setId("q")
+                        .setRequestClass("segment")
+                        .setObject("x")
+                        .setGroup(-1))
+                .build());
         ToCaller first = answers.poll(10, TimeUnit.SECONDS);
-        out.onNext(FromCaller.newBuilder().setEnd(End.newBuilder().setAttempt(first.getNamed().getAttempt())
-                .setHow(End.How.UNREACHED)).build());
+        out.onNext(FromCaller.newBuilder()
+                .setEnd(End.newBuilder()
+                        .setAttempt(first.getNamed().getAttempt())
+                        .setHow(End.How.UNREACHED))
+                .build());
         ToCaller second = answers.poll(10, TimeUnit.SECONDS);
         assertEquals(1, second.getNamed().getAttempt());
         assertFalse(second.getNamed().getCache().equals(first.getNamed().getCache()));
-        out.onNext(FromCaller.newBuilder().setEnd(End.newBuilder().setAttempt(1).setHow(End.How.OK).setNote("parent"))
+        out.onNext(FromCaller.newBuilder()
+                .setEnd(End.newBuilder().setAttempt(1).setHow(End.How.OK).setNote("parent"))
                 .build());
-        assertEquals(Final.Code.SERVED, answers.poll(10, TimeUnit.SECONDS).getFinal().getCode());
+        assertEquals(
+                Final.Code.SERVED, answers.poll(10, TimeUnit.SECONDS).getFinal().getCode());
         assertTrue(ended.get(10, TimeUnit.SECONDS));
         assertNull(answers.poll());
     }
--- a/src/test/java/pumicemoor/extproc/TlsTest.java
+++ b/src/test/java/pumicemoor/extproc/TlsTest.java
@@ -45,25 +45,36 @@
 
     @TempDir
     Path folder;
+
     private long serial = 1;
 
-    private record Pair(X509Certificate certificate, KeyPair keys) {
-    }
+    private record Pair(X509Certificate certificate, KeyPair keys) {}
 
     private Pair issue(String name, Pair by) throws Exception {
         KeyPairGenerator generator = KeyPairGenerator.getInstance("EC");
         generator.initialize(256);
         KeyPair keys = generator.generateKeyPair();
-        X500Name issuer = new X500Name("CN=" + (by == null ? name : by.certificate().getSubjectX500Principal().getName()
-                .substring(3)));
-        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(issuer, BigInteger.valueOf(serial++),
-                new Date(System.currentTimeMillis() - 60_000), new Date(System.currentTimeMillis() + 3_600_000),
-                new X500Name("CN=" + name), keys.getPublic());
+        X500Name issuer = new X500Name("CN="
+                + (by == null
+                        ? name
+                        : by.certificate().getSubjectX500Principal().getName().substring(3)));
+        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(
+                issuer,
+                BigInteger.valueOf(serial++),
+                new Date(System.currentTimeMillis() - 60_000),
+                new Date(System.currentTimeMillis() + 3_600_000),
+                new X500Name("CN=" + name),
+                keys.getPublic());
         builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(by == null));
-        builder.addExtension(Extension.subjectAlternativeName, false,
+        builder.addExtension(
+                Extension.subjectAlternativeName,
+                false,
                 new GeneralNames(new GeneralName(GeneralName.iPAddress, "127.0.0.1")));
-        return new Pair(new JcaX509CertificateConverter().getCertificate(builder.build(new JcaContentSignerBuilder(
-                "SHA256withECDSA").build((by == null ? keys : by.keys()).getPrivate()))), keys);
+        return new Pair(
+                new JcaX509CertificateConverter()
+                        .getCertificate(builder.build(new JcaContentSignerBuilder("SHA256withECDSA")
+                                .build((by == null ? keys : by.keys()).getPrivate()))),
+                keys);
     }
 
     private void write(Pair pair, String name) throws Exception {
@@ -83,17 +94,28 @@
         TlsChannelCredentials.Builder credentials = TlsChannelCredentials.newBuilder()
                 .trustManager(folder.resolve(trusted + ".pem").toFile());
         if (shown != null) {
-            credentials.keyManager(folder.resolve(shown + ".pem").toFile(), folder.resolve(shown + "-key.pem").toFile());
+            credentials.keyManager(
+                    folder.resolve(shown + ".pem").toFile(),
+                    folder.resolve(shown + "-key.pem").toFile());
         }
-        return NettyChannelBuilder.forAddress("127.0.0.1", port, credentials.build()).build();
+        return NettyChannelBuilder.forAddress("127.0.0.1", port, credentials.build())
+                .build();
     }
 
     private static ToCaller ask(ManagedChannel channel) {
-        Iterator<ToCaller> answers = ClientCalls.blockingServerStreamingCall(channel, DecisionsGrpc.getDecideMethod()
-                .toBuilder().setType(io.grpc.MethodDescriptor.MethodType.SERVER_STREAMING).build(),
+        Iterator<ToCaller> answers = ClientCalls.blockingServerStreamingCall(
+                channel,
+                DecisionsGrpc.getDecideMethod().toBuilder()
+                        .setType(io.grpc.MethodDescriptor.MethodType.SERVER_STREAMING)
+                        .build(),
                 io.grpc.CallOptions.DEFAULT.withDeadlineAfter(10, java.util.concurrent.TimeUnit.SECONDS),
-                FromCaller.newBuilder().setAsk(Ask.newBuilder().setId("q").setRequestClass("segment").setObject("x")
-                        .setGroup(-1)).build());
+                FromCaller.newBuilder()
+                        .setAsk(Ask.newBuilder()
+                                .setId("q")
+                                .setRequestClass("segment")
+                                .setObject("x")
+                                .setGroup(-1))
+                        .build());
         return answers.next();
     }
 
@@ -106,14 +128,19 @@
         write(issue("router", authority), "router");
         write(issue("proxy-1", authority), "proxy");
         write(issue("stranger", other), "stranger");
-        OperatorConfig operator = OperatorFile.read(Files.writeString(folder.resolve("operator.yaml"), """
+        OperatorConfig operator = OperatorFile.read(Files.writeString(
+                folder.resolve("operator.yaml"),
+                """
                 processor:
                   listen: 127.0.0.1:0
                   tls: {certificate: "%1$s/router.pem", key: "%1$s/router-key.pem", callers: "%1$s/authority.pem"}
                   rules: [{path: "/(?P<object>.+)", class: segment}]
-                """.formatted(folder)));
-        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "", NodeTestConfig.list(1, true,
-                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0))));
+                """
+                        .formatted(folder)));
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json(
+                "127.0.0.1:0",
+                "",
+                NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0))));
         NodeServer server = new NodeServer(config, operator);
         ProcessorFront front = new ProcessorFront(operator.processor().orElseThrow(), config.words());
         server.attach(front);
@@ -123,10 +150,16 @@
         ManagedChannel stranger = channel(front.port(), "authority", "stranger");
         try {
             assertEquals("s-1", ask(first).getNamed().getCache());
-            assertEquals(Status.Code.UNAVAILABLE,
-                    assertThrows(StatusRuntimeException.class, () -> ask(none)).getStatus().getCode());
-            assertEquals(Status.Code.UNAVAILABLE,
-                    assertThrows(StatusRuntimeException.class, () -> ask(stranger)).getStatus().getCode());
+            assertEquals(
+                    Status.Code.UNAVAILABLE,
+                    assertThrows(StatusRuntimeException.class, () -> ask(none))
+                            .getStatus()
+                            .getCode());
+            assertEquals(
+                    Status.Code.UNAVAILABLE,
+                    assertThrows(StatusRuntimeException.class, () -> ask(stranger))
+                            .getStatus()
+                            .getCode());
             write(issue("router", other), "router");
             java.util.concurrent.CompletableFuture<Void> read = new java.util.concurrent.CompletableFuture<>();
             server.execute(() -> {
--- a/src/test/java/pumicemoor/fleet/CellVotesTest.java
+++ b/src/test/java/pumicemoor/fleet/CellVotesTest.java
@@ -19,8 +19,8 @@
 class CellVotesTest {
 
     private static final long LEASE = 1_000;
-    private static final long BOUND = 3 * LEASE;  // a router, to its cell's grantor
-    private static final long UPPER = 2 * LEASE;  // a cell's grantor, to the keeper
+    private static final long BOUND = 3 * LEASE; // a router, to its cell's grantor
+    private static final long UPPER = 2 * LEASE; // a cell's grantor, to the keeper
 
     @Test
     void aVoteCountsWithItsWeightAndOnesOwnWithWhatStandsBehindIt() {
@@ -29,7 +29,8 @@
         assertTrue(keeper.vote(2_000, "k", 1));
         keeper.reported("a", 1, true, 1, 0, 4);
         assertFalse(keeper.inOffice(2_100, 10, new Votes.Backing(1, 9)), "five of ten are not more than half");
-        assertTrue(keeper.inOffice(2_100, 9, Votes.Backing.ONE) || keeper.ownTerm() == 1, "five of nine are, for a term");
+        assertTrue(
+                keeper.inOffice(2_100, 9, Votes.Backing.ONE) || keeper.ownTerm() == 1, "five of nine are, for a term");
         assertEquals(1, keeper.ownTerm());
         keeper.reported("a", 1, true, 1, 1, 4);
         assertTrue(keeper.inOffice(2_100, 9, new Votes.Backing(1, 1)), "now more than half know the term");
@@ -44,7 +45,7 @@
         keeper.sent(2_000, "a", 1);
         keeper.sent(3_000, "a", 2);
         keeper.reported("a", 1, true, 2, 0, 3);
-        keeper.reported("a", 1, true, 1, 0, 9);  // an older one that comes late, for more routers
+        keeper.reported("a", 1, true, 1, 0, 9); // an older one that comes late, for more routers
         assertFalse(keeper.inOffice(3_100, 10, Votes.Backing.ONE), "at most three are bound until the later end");
         keeper.reported("a", 1, true, 1, 0, 2);
         keeper.inOffice(3_100, 6, Votes.Backing.ONE);
@@ -60,7 +61,7 @@
         grantor.sent(4_000, "b", 2);
         grantor.reported("a", 1, true, 1, 7);
         grantor.reported("b", 1, true, 2, 5);
-        grantor.reported("c", 1, true, 1, 9);  // has seen nothing of this grantor
+        grantor.reported("c", 1, true, 1, 9); // has seen nothing of this grantor
         grantor.reported("d", 1, false, 1, 9);
         assertEquals(new Votes.Backing(2, 5), grantor.backing(5_999));
         assertEquals(new Votes.Backing(1, 5), grantor.backing(6_000), "a is bound until then and no longer");
@@ -87,7 +88,7 @@
     @Test
     void whoLostTheOfficeUnseenComesBackInANewTerm() {
         Votes keeper = keeperInTermOne();
-        keeper.heard(2);  // another's time in office has begun, and may be over
+        keeper.heard(2); // another's time in office has begun, and may be over
         keeper.vote(9_000, "k", 1);
         keeper.sent(9_000, "a", 2);
         keeper.reported("a", 1, true, 2, 2, 4);
@@ -112,8 +113,8 @@
         final String name;
         long instance;
         int cell;
-        int view;  // whom it takes for its cell's grantor
-        int above;  // whom it takes for the keeper
+        int view; // whom it takes for its cell's grantor
+        int above; // whom it takes for the keeper
         Votes inCell;
         Votes upper;
 
@@ -191,8 +192,18 @@
                 vote = p.upper.vote(now, to.name, to.instance);
                 Votes.Backing backing = p.inCell.backing(now + UPPER);
                 if (to != p) {
-                    send(flying, random, now, ++number, p, p.upper, to, to.upper, vote,
-                            Math.min(backing.term(), p.upper.term()), backing.routers());
+                    send(
+                            flying,
+                            random,
+                            now,
+                            ++number,
+                            p,
+                            p.upper,
+                            to,
+                            to.upper,
+                            vote,
+                            Math.min(backing.term(), p.upper.term()),
+                            backing.routers());
                 }
             }
             for (int k = random.nextInt(6); k > 0 && !flying.isEmpty(); k--) {
@@ -201,7 +212,7 @@
             int keepers = 0;
             for (Process k : all) {
                 if (unseen && k.above != all.indexOf(k)) {
-                    continue;  // who takes another for the grantor of all cells does not look whether it is in office
+                    continue; // who takes another for the grantor of all cells does not look whether it is in office
                 }
                 if (k.upper.inOffice(now, all.size(), k.inCell.backing(now))) {
                     keepers++;
@@ -223,8 +234,18 @@
         p.view = all.indexOf(mates.get(random.nextInt(4) == 0 ? random.nextInt(mates.size()) : 0));
     }
 
-    private static void send(List<Runnable> flying, Random random, long now, long number, Process from, Votes giver,
-            Process to, Votes keeper, boolean vote, long known, int weight) {
+    private static void send(
+            List<Runnable> flying,
+            Random random,
+            long now,
+            long number,
+            Process from,
+            Votes giver,
+            Process to,
+            Votes keeper,
+            boolean vote,
+            long known,
+            int weight) {
         if (random.nextInt(5) == 0) {
             return;
         }
--- a/src/test/java/pumicemoor/fleet/DrainRun.java
+++ b/src/test/java/pumicemoor/fleet/DrainRun.java
@@ -25,19 +25,18 @@
 
     static final long MILLI = VirtualFleet.MILLI;
     static final long SECOND = VirtualFleet.SECOND;
-    static final long LONGEST = 2 * SECOND;  // an attempt
+    static final long LONGEST = 2 * SECOND; // an attempt
     static final long WARM = SECOND;
 
     /** The physical side: since when a member is out for work, under which fence. */
-    private record Work(long since, long fence) {
-    }
+    private record Work(long since, long fence) {}
 
     final VirtualFleet fleet;
     final int caches;
     final int mostOut;
     final int leastServing;
     final Map<Long, Work> down = new LinkedHashMap<>();
-    final Map<Long, Long> worked = new LinkedHashMap<>();  // members done, by their fence
+    final Map<Long, Long> worked = new LinkedHashMap<>(); // members done, by their fence
     final Set<Long> fencesSeen = new HashSet<>();
     final Set<Long> everOut = new HashSet<>();
     final Random random;
@@ -64,7 +63,9 @@
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("drain", "request");
         fields.put("id", Long.toHexString(id));
-        fields.put("members", VirtualFleet.upTo(to).skip(from).mapToObj(i -> "box-" + i).collect(Collectors.joining(",")));
+        fields.put(
+                "members",
+                VirtualFleet.upTo(to).skip(from).mapToObj(i -> "box-" + i).collect(Collectors.joining(",")));
         fields.put("max-at-once", Integer.toString(mostOut));
         fields.put("min-serving", Integer.toString(leastServing));
         return r.fleet.command(fleet.now, fields);
@@ -80,15 +81,24 @@
         while (fleet.now - from < longest && !ended()) {
             run(SECOND);
         }
-        assertTrue(ended(), () -> "not ended after " + longest / SECOND + " s: " + fleet.routers.stream().map(r -> r.running
-                + " " + r.fleet.rows("drains").orElseThrow() + r.fleet.rows("drain-requests").orElseThrow()).toList());
+        assertTrue(
+                ended(),
+                () -> "not ended after " + longest / SECOND + " s: "
+                        + fleet.routers.stream()
+                                .map(r ->
+                                        r.running + " " + r.fleet.rows("drains").orElseThrow()
+                                                + r.fleet.rows("drain-requests").orElseThrow())
+                                .toList());
         return fleet.now - from;
     }
 
     boolean ended() {
-        return down.isEmpty() && everOut.size() > 0 && fleet.routers.stream().filter(r -> r.running)
-                .allMatch(r -> r.fleet.plan().orElseThrow().requests().isEmpty()
-                        && !r.fleet.plan().orElseThrow().closed().isEmpty());
+        return down.isEmpty()
+                && everOut.size() > 0
+                && fleet.routers.stream()
+                        .filter(r -> r.running)
+                        .allMatch(r -> r.fleet.plan().orElseThrow().requests().isEmpty()
+                                && !r.fleet.plan().orElseThrow().closed().isEmpty());
     }
 
     private void step() {
@@ -108,10 +118,12 @@
         for (Router r : fleet.routers) {
             Plan plan = r.fleet.plan().orElseThrow();
             assertTrue(plan.out() <= mostOut, () -> r.name + ": " + plan);
-            boolean knew = plan.stamp() > 0;  // a process started anew that has reached nobody promises nothing
-            down.keySet().forEach(m -> assertTrue(!r.running || !knew || r.open(m) == 0,
-                    () -> r.name + " has " + r.open(m) + " under way at " + m + ", which is out; " + plan + " "
-                            + r.fleet.rows("members") + r.fleet.fields()));
+            boolean knew = plan.stamp() > 0; // a process started anew that has reached nobody promises nothing
+            down.keySet()
+                    .forEach(m -> assertTrue(
+                            !r.running || !knew || r.open(m) == 0,
+                            () -> r.name + " has " + r.open(m) + " under way at " + m + ", which is out; " + plan + " "
+                                    + r.fleet.rows("members") + r.fleet.fields()));
         }
         mostEverOut = Math.max(mostEverOut, down.size());
         assertTrue(down.size() <= mostOut, () -> "out at once: " + down);
@@ -135,7 +147,7 @@
         List<Router> there = fleet.routers.stream().filter(fleet::acts).toList();
         down.forEach((m, w) -> {
             if (fleet.now - w.since() >= work) {
-                worked.put(m, w.fence());  // it runs again; now the routers are to be told
+                worked.put(m, w.fence()); // it runs again; now the routers are to be told
             }
         });
         down.keySet().removeAll(worked.keySet());
@@ -146,11 +158,21 @@
             Router r = there.get(random.nextInt(there.size()));
             Plan plan = r.fleet.plan().orElseThrow();
             // the operator goes by what is shown: all is told once the member is no longer out under that fence
-            if (plan.stamp() > w.getValue() && plan.of(w.getKey()).map(o -> o.fence() > w.getValue()).orElse(true)) {
+            if (plan.stamp() > w.getValue()
+                    && plan.of(w.getKey()).map(o -> o.fence() > w.getValue()).orElse(true)) {
                 worked.remove(w.getKey());
             } else {
-                String said = r.fleet.command(fleet.now, Map.of("drain", "done", "id", Long.toHexString(w.getValue()),
-                        "members", "box-" + (w.getKey() - 1_000), "fence", Long.toString(w.getValue())));
+                String said = r.fleet.command(
+                        fleet.now,
+                        Map.of(
+                                "drain",
+                                "done",
+                                "id",
+                                Long.toHexString(w.getValue()),
+                                "members",
+                                "box-" + (w.getKey() - 1_000),
+                                "fence",
+                                Long.toString(w.getValue())));
                 assertTrue(said.startsWith("waits") || said.startsWith("refused: members"), said);
             }
         }
--- a/src/test/java/pumicemoor/fleet/DrainSchedulesTest.java
+++ b/src/test/java/pumicemoor/fleet/DrainSchedulesTest.java
@@ -65,7 +65,7 @@
             }
         }
         run.run(10 * SECOND);
-        run.request(fleet.routers.get(0), 99, 0, caches);  // in case that the first was lost with its router
+        run.request(fleet.routers.get(0), 99, 0, caches); // in case that the first was lost with its router
         run.runToEnd(400 * SECOND);
         assertEquals(caches, run.everOut.size(), () -> "seed " + seed);
     }
@@ -74,10 +74,12 @@
         VirtualFleet fleet = run.fleet;
         List<Router> routers = fleet.routers;
         Router one = routers.get(random.nextInt(n));
-        long dead = routers.stream().filter(r -> !r.running || fleet.now - r.startedAt < 10 * SECOND).count();
+        long dead = routers.stream()
+                .filter(r -> !r.running || fleet.now - r.startedAt < 10 * SECOND)
+                .count();
         switch (random.nextInt(8)) {
             case 0, 1 -> {
-                if (one.running && 2 * (dead + 1) < n) {  // a minority, those that have not learned again included
+                if (one.running && 2 * (dead + 1) < n) { // a minority, those that have not learned again included
                     fleet.kill(one);
                 }
             }
--- a/src/test/java/pumicemoor/fleet/DrainTables.java
+++ b/src/test/java/pumicemoor/fleet/DrainTables.java
@@ -10,16 +10,23 @@
  */
 final class DrainTables {
 
-    private DrainTables() {
-    }
+    private DrainTables() {}
 
     public static void main(String[] args) {
-        System.out.println("| routers | caches | at once | whole tier (s) | one at a time (s) | packets a member, beyond those without a drain |");
+        System.out.println(
+                "| routers | caches | at once | whole tier (s) | one at a time (s) | packets a member, beyond those without a drain |");
         for (int[] c : new int[][] {{5, 10, 2}, {5, 100, 10}, {100, 10, 2}, {100, 100, 10}}) {
             double[] rolling = run(c[0], c[1], c[2]);
             double[] single = run(c[0], c[1], 1);
-            System.out.println(String.format(Locale.ROOT, "| %d | %d | %d | %.0f | %.0f | %.0f |", c[0], c[1], c[2],
-                    rolling[0], single[0], rolling[1]));
+            System.out.println(String.format(
+                    Locale.ROOT,
+                    "| %d | %d | %d | %.0f | %.0f | %.0f |",
+                    c[0],
+                    c[1],
+                    c[2],
+                    rolling[0],
+                    single[0],
+                    rolling[1]));
         }
     }
 
--- a/src/test/java/pumicemoor/fleet/FlatPacketsTest.java
+++ b/src/test/java/pumicemoor/fleet/FlatPacketsTest.java
@@ -25,8 +25,7 @@
     private static final long BYTES = 4_693_871;
     private static final String DIGEST = "08035b20ad578e00c2839a9ceb97e1c227e41d8de3355f0f3f4a4fd58603b207";
 
-    private record Sent(long packets, long bytes, String digest) {
-    }
+    private record Sent(long packets, long bytes, String digest) {}
 
     @Test
     void aFlatFleetSendsWhatItSentBeforeThereWereCells() {
@@ -47,7 +46,7 @@
         };
         fleet.routers.subList(0, 4).forEach(r -> r.wanted = 400);
         fleet.startAll();
-        fleet.run(8 * SECOND, () -> { });
+        fleet.run(8 * SECOND, () -> {});
         for (int i = 0; i < 12; i++) {
             int round = i;
             fleet.loss = i % 3 == 0 ? 0.2 : 0;
@@ -60,12 +59,12 @@
             } else if (i == 5) {
                 fleet.routers.get(20).wanted = 800;
             }
-            fleet.run(SECOND + 500 * MILLI, () -> { });
+            fleet.run(SECOND + 500 * MILLI, () -> {});
             if (i == 6) {
                 assertEquals(Set.of(1_003L, 1_005L), fleet.outAnywhere(), "verdicts are told in this run");
             }
         }
-        fleet.run(4 * SECOND, () -> { });
+        fleet.run(4 * SECOND, () -> {});
         assertEquals(30 * SECOND, fleet.now - began);
         assertTrue(fleet.spent() > 500, "leases are told in this run");
         return new Sent(fleet.packets, fleet.bytes, HexFormat.of().formatHex(digest.digest()));
--- a/src/test/java/pumicemoor/fleet/FleetSchedulesTest.java
+++ b/src/test/java/pumicemoor/fleet/FleetSchedulesTest.java
@@ -50,11 +50,15 @@
         Map<Router, Long> restarted = new HashMap<>();
         Runnable watch = () -> {
             // a process that was just restarted may not yet be in its grantor's book as its old one was
-            long fresh = restarted.values().stream().filter(at -> fleet.now - at < 2 * TIMES.shrink()).count();
+            long fresh = restarted.values().stream()
+                    .filter(at -> fleet.now - at < 2 * TIMES.shrink())
+                    .count();
             double bound = LIMIT + fresh * LIMIT / n;
             assertTrue(fleet.spent() <= bound * (1 + 1e-9), () -> "the fleet spends " + fleet.spent() + " of " + LIMIT);
             assertTrue(fleet.outAnywhere().size() <= 2, () -> "out " + fleet.outAnywhere());
-            fleet.routers.stream().filter(r -> r.running).forEach(r -> assertTrue(r.part() > 0, r.name + " is at zero"));
+            fleet.routers.stream()
+                    .filter(r -> r.running)
+                    .forEach(r -> assertTrue(r.part() > 0, r.name + " is at zero"));
         };
         fleet.startAll();
         for (int i = 0; i < changes; i++) {
@@ -115,9 +119,9 @@
     void verdictsSpreadWithinTheBoundUnderLoss(@ForAll long seed, @ForAll @IntRange(min = 3, max = 60) int n) {
         VirtualFleet fleet = new VirtualFleet(n, n, 10, Measure.PER_SECOND, LIMIT, seed);
         fleet.startAll();
-        fleet.run(15 * SECOND, () -> { });
+        fleet.run(15 * SECOND, () -> {});
         fleet.loss = 0.3;
-        fleet.run(3 * SECOND, () -> { });
+        fleet.run(3 * SECOND, () -> {});
         long[] given = {Long.MAX_VALUE};
         fleet.routers.subList(0, 2).forEach(r -> fleet.judge(r, 1_003, true));
         for (int i = 0; i < 20; i++) {
@@ -127,8 +131,12 @@
             });
             fleet.routers.subList(0, 2).forEach(r -> fleet.judge(r, 1_003, true));
         }
-        long last = fleet.routers.stream().mapToLong(r -> r.heardOut.getOrDefault(1_003L, Long.MAX_VALUE)).max().orElse(0);
-        assertTrue(last - given[0] <= Bounds.spread(n) * PERIOD,
+        long last = fleet.routers.stream()
+                .mapToLong(r -> r.heardOut.getOrDefault(1_003L, Long.MAX_VALUE))
+                .max()
+                .orElse(0);
+        assertTrue(
+                last - given[0] <= Bounds.spread(n) * PERIOD,
                 () -> n + " routers, " + (last - given[0]) / MILLI + " ms to spread");
     }
 }
--- a/src/test/java/pumicemoor/fleet/PacketCodecTest.java
+++ b/src/test/java/pumicemoor/fleet/PacketCodecTest.java
@@ -34,86 +34,155 @@
 
     private static final long NOW = 1_790_000_000_000_000L;
     private static final long LAST = Membership.lastIncarnation(NOW);
-    private static final RouterNews FROM = new RouterNews("router-1", "127.0.0.1:7001", 9, 1_790_000_000_000L, Standing.ALIVE);
+    private static final RouterNews FROM =
+            new RouterNews("router-1", "127.0.0.1:7001", 9, 1_790_000_000_000L, Standing.ALIVE);
     private final PacketCodec codec = new PacketCodec("west");
 
     private static Packet random(Random r) {
-        Packet.Body body = switch (r.nextInt(15)) {
-            case 0 -> new Packet.Ping();
-            case 1 -> new Packet.Ack(r.nextLong());
-            case 2 -> new Packet.Relay("127.0.0.1:" + (1 + r.nextInt(65_535)));
-            case 3 -> new Packet.Compare(r.nextLong(), r.nextBoolean());
-            case 4 -> new Packet.News();
-            case 5 -> {
-                List<Want> wants = new ArrayList<>();
-                for (int i = r.nextInt(PacketCodec.WANTS + 1); i > 0; i--) {
-                    wants.add(new Want(r.nextLong(), r.nextLong(), r.nextInt(1_000), r.nextInt(50)));
-                }
-                List<Accusation> accusations = new ArrayList<>();
-                for (int i = r.nextInt(PacketCodec.ACCUSATIONS + 1); i > 0; i--) {
-                    accusations.add(new Accusation(r.nextLong(), r.nextLong(), Cause.values()[r.nextInt(2)],
-                            r.nextInt(100), 0.5));
-                }
-                yield new Packet.Ask(r.nextBoolean(), r.nextLong(), r.nextLong(), wants, accusations);
-            }
-            case 6 -> new Packet.PlanReport(r.nextInt(900), 700, r.nextInt(700), r.nextBoolean(),
-                    r.longs(r.nextInt(20)).mapToObj(m -> new Packet.Use(m, r.nextInt(90), r.nextInt(90))).toList());
-            case 7 -> new Packet.PlanGrant(r.nextLong(), r.nextLong(), r.nextInt(900), r.nextBoolean(), r.nextInt(99), 5);
-            case 8 -> {
-                byte[] piece = new byte[r.nextInt(300)];
-                r.nextBytes(piece);
-                yield new Packet.Piece(r.nextInt(99), r.nextInt(9), 9, piece);
-            }
-            case 9 -> new Packet.DrainAsk(new DrainCommand(DrainCommand.Kind.values()[r.nextInt(3)], r.nextLong(),
-                    1 + r.nextInt(50), r.nextInt(99), r.nextInt(99),
-                    r.longs(1 + r.nextInt(40)).boxed().toList()));
-            case 10 -> {
-                List<Packet.CellWant> wants = new ArrayList<>();
-                for (int i = r.nextInt(PacketCodec.CELL_WANTS + 1); i > 0; i--) {
-                    wants.add(new Packet.CellWant(r.nextLong(), r.nextLong(), r.nextInt(512), r.nextDouble() * 1e9,
-                            r.nextDouble() * 1e9));
-                }
-                List<Accusation> accusations = new ArrayList<>();
-                for (int i = r.nextInt(PacketCodec.ACCUSATIONS + 1); i > 0; i--) {
-                    accusations.add(new Accusation(r.nextLong(), r.nextLong(), Cause.values()[r.nextInt(2)],
-                            r.nextInt(100), 0.5, r.nextInt(500)));
-                }
-                yield new Packet.CellAsk(r.nextBoolean(), r.nextLong(), r.nextInt(900), r.nextInt(512), r.nextInt(900), wants,
-                        accusations);
-            }
-            case 11 -> new Packet.Join("zone-" + r.nextInt(130), r.nextInt(PacketCodec.MOST_DEPTH + 1),
-                    r.nextInt(PacketCodec.MOST_HOPS + 1));
-            case 12 -> new Packet.Place(r.nextInt(9_999), r.nextInt(PacketCodec.MOST_DEPTH + 2) - 1, addresses(r), addresses(r));
-            case 13 -> new Packet.Sums(r.longs(1L << r.nextInt(7)).boxed().toList(), r.nextBoolean());
-            default -> new Packet.Grant(r.nextLong(), r.nextLong(), List.of(new Part(r.nextLong(), r.nextInt(500))));
-        };
+        Packet.Body body =
+                switch (r.nextInt(15)) {
+                    case 0 -> new Packet.Ping();
+                    case 1 -> new Packet.Ack(r.nextLong());
+                    case 2 -> new Packet.Relay("127.0.0.1:" + (1 + r.nextInt(65_535)));
+                    case 3 -> new Packet.Compare(r.nextLong(), r.nextBoolean());
+                    case 4 -> new Packet.News();
+                    case 5 -> {
+                        List<Want> wants = new ArrayList<>();
+                        for (int i = r.nextInt(PacketCodec.WANTS + 1); i > 0; i--) {
+                            wants.add(new Want(r.nextLong(), r.nextLong(), r.nextInt(1_000), r.nextInt(50)));
+                        }
+                        List<Accusation> accusations = new ArrayList<>();
+                        for (int i = r.nextInt(PacketCodec.ACCUSATIONS + 1); i > 0; i--) {
+                            accusations.add(new Accusation(
+                                    r.nextLong(), r.nextLong(), Cause.values()[r.nextInt(2)], r.nextInt(100), 0.5));
+                        }
+                        yield new Packet.Ask(r.nextBoolean(), r.nextLong(), r.nextLong(), wants, accusations);
+                    }
+                    case 6 ->
+                        new Packet.PlanReport(
+                                r.nextInt(900),
+                                700,
+                                r.nextInt(700),
+                                r.nextBoolean(),
+                                r.longs(r.nextInt(20))
+                                        .mapToObj(m -> new Packet.Use(m, r.nextInt(90), r.nextInt(90)))
+                                        .toList());
+                    case 7 ->
+                        new Packet.PlanGrant(
+                                r.nextLong(), r.nextLong(), r.nextInt(900), r.nextBoolean(), r.nextInt(99), 5);
+                    case 8 -> {
+                        byte[] piece = new byte[r.nextInt(300)];
+                        r.nextBytes(piece);
+                        yield new Packet.Piece(r.nextInt(99), r.nextInt(9), 9, piece);
+                    }
+                    case 9 ->
+                        new Packet.DrainAsk(new DrainCommand(
+                                DrainCommand.Kind.values()[r.nextInt(3)],
+                                r.nextLong(),
+                                1 + r.nextInt(50),
+                                r.nextInt(99),
+                                r.nextInt(99),
+                                r.longs(1 + r.nextInt(40)).boxed().toList()));
+                    case 10 -> {
+                        List<Packet.CellWant> wants = new ArrayList<>();
+                        for (int i = r.nextInt(PacketCodec.CELL_WANTS + 1); i > 0; i--) {
+                            wants.add(new Packet.CellWant(
+                                    r.nextLong(),
+                                    r.nextLong(),
+                                    r.nextInt(512),
+                                    r.nextDouble() * 1e9,
+                                    r.nextDouble() * 1e9));
+                        }
+                        List<Accusation> accusations = new ArrayList<>();
+                        for (int i = r.nextInt(PacketCodec.ACCUSATIONS + 1); i > 0; i--) {
+                            accusations.add(new Accusation(
+                                    r.nextLong(),
+                                    r.nextLong(),
+                                    Cause.values()[r.nextInt(2)],
+                                    r.nextInt(100),
+                                    0.5,
+                                    r.nextInt(500)));
+                        }
+                        yield new Packet.CellAsk(
+                                r.nextBoolean(),
+                                r.nextLong(),
+                                r.nextInt(900),
+                                r.nextInt(512),
+                                r.nextInt(900),
+                                wants,
+                                accusations);
+                    }
+                    case 11 ->
+                        new Packet.Join(
+                                "zone-" + r.nextInt(130),
+                                r.nextInt(PacketCodec.MOST_DEPTH + 1),
+                                r.nextInt(PacketCodec.MOST_HOPS + 1));
+                    case 12 ->
+                        new Packet.Place(
+                                r.nextInt(9_999),
+                                r.nextInt(PacketCodec.MOST_DEPTH + 2) - 1,
+                                addresses(r),
+                                addresses(r));
+                    case 13 ->
+                        new Packet.Sums(r.longs(1L << r.nextInt(7)).boxed().toList(), r.nextBoolean());
+                    default ->
+                        new Packet.Grant(r.nextLong(), r.nextLong(), List.of(new Part(r.nextLong(), r.nextInt(500))));
+                };
         List<RouterNews> routers = new ArrayList<>();
         for (int i = r.nextInt(4); i > 0; i--) {
-            routers.add(new RouterNews("r" + r.nextInt(99), "127.0.0.1:" + (1 + r.nextInt(65_535)), 1 + r.nextInt(99),
-                    1 + r.nextInt(99), Standing.values()[r.nextInt(4)]));
+            routers.add(new RouterNews(
+                    "r" + r.nextInt(99),
+                    "127.0.0.1:" + (1 + r.nextInt(65_535)),
+                    1 + r.nextInt(99),
+                    1 + r.nextInt(99),
+                    Standing.values()[r.nextInt(4)]));
         }
-        List<Verdict> verdicts = r.nextBoolean() ? List.of() : List.of(new Verdict(r.nextLong(), r.nextLong(),
-                1 + r.nextInt(999), r.nextBoolean(), r.nextInt(9_999), r.nextInt(99), Cause.SILENT, 3, 0.25, "router-7"));
+        List<Verdict> verdicts = r.nextBoolean()
+                ? List.of()
+                : List.of(new Verdict(
+                        r.nextLong(),
+                        r.nextLong(),
+                        1 + r.nextInt(999),
+                        r.nextBoolean(),
+                        r.nextInt(9_999),
+                        r.nextInt(99),
+                        Cause.SILENT,
+                        3,
+                        0.25,
+                        "router-7"));
         return new Packet(FROM, 1 + r.nextInt(9_999), body, routers, verdicts);
     }
 
     private static List<String> addresses(Random r) {
-        return r.ints(r.nextInt(PacketCodec.PLACES + 1), 1, 65_536).mapToObj(port -> "127.0.0.1:" + port).toList();
+        return r.ints(r.nextInt(PacketCodec.PLACES + 1), 1, 65_536)
+                .mapToObj(port -> "127.0.0.1:" + port)
+                .toList();
     }
 
     /** What no router of cells can mean: too deep, too often passed on, more routers than there are. */
     @Test
     void whatCellsCantMeanIsNotRead() {
-        for (Packet.Body body : List.of(new Packet.Join("zone-a", PacketCodec.MOST_DEPTH + 1, 0),
-                new Packet.Join("zone-a", 0, PacketCodec.MOST_HOPS + 1), new Packet.Place(1, -2, List.of(), List.of()),
+        for (Packet.Body body : List.of(
+                new Packet.Join("zone-a", PacketCodec.MOST_DEPTH + 1, 0),
+                new Packet.Join("zone-a", 0, PacketCodec.MOST_HOPS + 1),
+                new Packet.Place(1, -2, List.of(), List.of()),
                 new Packet.Place(-1, 0, List.of(), List.of()),
-                new Packet.Sums(List.of(), true), new Packet.Sums(List.of(1L, 2L, 3L), true),
+                new Packet.Sums(List.of(), true),
+                new Packet.Sums(List.of(1L, 2L, 3L), true),
                 new Packet.Sums(java.util.Collections.nCopies(2 * Membership.MOST_PARTS, 1L), true),
-                new Packet.Place(1, 0, java.util.Collections.nCopies(PacketCodec.PLACES + 1, "127.0.0.1:7000"), List.of()),
+                new Packet.Place(
+                        1, 0, java.util.Collections.nCopies(PacketCodec.PLACES + 1, "127.0.0.1:7000"), List.of()),
                 new Packet.CellAsk(true, 1, 1, -1, 1, List.of(), List.of()),
-                new Packet.CellAsk(true, 1, 1, 1, 1, List.of(new Packet.CellWant(1, 0, PacketCodec.MOST_ROUTERS + 1, 1, 1)),
+                new Packet.CellAsk(
+                        true,
+                        1,
+                        1,
+                        1,
+                        1,
+                        List.of(new Packet.CellWant(1, 0, PacketCodec.MOST_ROUTERS + 1, 1, 1)),
                         List.of()),
-                new Packet.CellAsk(true, 1, 1, 1, 1, List.of(new Packet.CellWant(1, 0, 1, Double.NaN, 1)), List.of()))) {
+                new Packet.CellAsk(
+                        true, 1, 1, 1, 1, List.of(new Packet.CellWant(1, 0, 1, Double.NaN, 1)), List.of()))) {
             byte[] bytes = codec.write(new Packet(FROM, 1, body, List.of(), List.of()));
             assertThrows(BadPacketException.class, () -> codec.read(bytes, LAST), body.toString());
         }
@@ -152,9 +221,16 @@
     }
 
     private static Fleet fleet() {
-        Fleet fleet = new Fleet(new FleetSetup("west", new Membership.Setup("router-0", "127.0.0.1:7000", List.of(),
-                200_000, 3, 2, 600_000_000, 50), 4, new LeaseTimes(3_000_000, 300_000), List.of(new LimitRule("origin",
-                Scope.ORIGIN, "", Measure.PER_SECOND, 100)), Optional.of(VirtualFleet.VERDICTS)), NOW, 5);
+        Fleet fleet = new Fleet(
+                new FleetSetup(
+                        "west",
+                        new Membership.Setup("router-0", "127.0.0.1:7000", List.of(), 200_000, 3, 2, 600_000_000, 50),
+                        4,
+                        new LeaseTimes(3_000_000, 300_000),
+                        List.of(new LimitRule("origin", Scope.ORIGIN, "", Measure.PER_SECOND, 100)),
+                        Optional.of(VirtualFleet.VERDICTS)),
+                NOW,
+                5);
         fleet.members(NOW, Map.of(99L, new Fleet.Listed("origin", Role.ORIGIN, 0)));
         return fleet;
     }
@@ -189,7 +265,7 @@
     @Test
     void aCountThatThePacketDoesNotHoldIsNotBelieved() {
         byte[] bytes = codec.write(new Packet(FROM, 1, new Packet.News(), List.of(), List.of()));
-        bytes[bytes.length - 2] = (byte) 255;  // 255 routers, and no byte of them
+        bytes[bytes.length - 2] = (byte) 255; // 255 routers, and no byte of them
         assertThrows(BadPacketException.class, () -> codec.read(bytes, LAST));
         assertThrows(BadPacketException.class, () -> codec.read(new byte[1_000_000], LAST));
     }
@@ -198,8 +274,14 @@
     void theTableOfRoutersIsBounded() {
         Fleet fleet = fleet();
         for (int i = 0; i < 1_000; i++) {
-            fleet.heard(NOW, codec.write(new Packet(FROM, 1 + i, new Packet.News(), List.of(new RouterNews("x" + i,
-                    "127.0.0.1:9000", 1, 5, Standing.ALIVE)), List.of())));
+            fleet.heard(
+                    NOW,
+                    codec.write(new Packet(
+                            FROM,
+                            1 + i,
+                            new Packet.News(),
+                            List.of(new RouterNews("x" + i, "127.0.0.1:9000", 1, 5, Standing.ALIVE)),
+                            List.of())));
         }
         assertEquals(51, fleet.rows("members").orElseThrow().size());
         assertEquals("951", fleet.fields().get("fleet-dropped-too-many-routers"));
@@ -210,16 +292,25 @@
         Fleet fleet = fleet();
         List<byte[]> all = new ArrayList<>();
         for (Standing s : new Standing[] {Standing.ALIVE, Standing.SUSPECT, Standing.DEAD}) {
-            all.add(codec.write(new Packet(FROM, 1, new Packet.News(), List.of(new RouterNews("router-3", "127.0.0.1:7003",
-                    1, 7, s)), List.of())));
+            all.add(codec.write(new Packet(
+                    FROM,
+                    1,
+                    new Packet.News(),
+                    List.of(new RouterNews("router-3", "127.0.0.1:7003", 1, 7, s)),
+                    List.of())));
         }
-        all.add(codec.write(new Packet(FROM, 1, new Packet.News(), List.of(new RouterNews("router-3", "127.0.0.1:7003", 1,
-                8, Standing.ALIVE)), List.of())));
+        all.add(codec.write(new Packet(
+                FROM,
+                1,
+                new Packet.News(),
+                List.of(new RouterNews("router-3", "127.0.0.1:7003", 1, 8, Standing.ALIVE)),
+                List.of())));
         all.forEach(b -> fleet.heard(NOW, b));
         for (int i = 0; i < 100; i++) {
             fleet.heard(NOW, all.get(new Random(i).nextInt(all.size())));
         }
-        assertTrue(members(fleet).contains("name=router-3, address=127.0.0.1:7003, standing=alive, incarnation=8"),
+        assertTrue(
+                members(fleet).contains("name=router-3, address=127.0.0.1:7003, standing=alive, incarnation=8"),
                 members(fleet));
     }
 
@@ -230,8 +321,14 @@
         String grantor = "router-1";
         for (int i = 1; !fleet.fields().get("fleet-grantor").equals(grantor); i++) {
             grantor = "router-" + i;
-            fleet.heard(NOW, codec.write(new Packet(new RouterNews(grantor, "127.0.0.1:7001", 9, 5, Standing.ALIVE), 1,
-                    new Packet.News(), List.of(), List.of())));
+            fleet.heard(
+                    NOW,
+                    codec.write(new Packet(
+                            new RouterNews(grantor, "127.0.0.1:7001", 9, 5, Standing.ALIVE),
+                            1,
+                            new Packet.News(),
+                            List.of(),
+                            List.of())));
         }
         fleet.takePackets();
         fleet.advance(NOW + 700_000);
@@ -248,23 +345,48 @@
         }
         assertTrue(limitAndAsk[1] > 0, "it asks");
         RouterNews from = new RouterNews(grantor, "127.0.0.1:7001", 9, 5, Standing.ALIVE);
-        fleet.heard(NOW + 700_001, codec.write(new Packet(from, 2, new Packet.Grant(limitAndAsk[1], 1,
-                List.of(new Part(limitAndAsk[0], 101))), List.of(), List.of())));
+        fleet.heard(
+                NOW + 700_001,
+                codec.write(new Packet(
+                        from,
+                        2,
+                        new Packet.Grant(limitAndAsk[1], 1, List.of(new Part(limitAndAsk[0], 101))),
+                        List.of(),
+                        List.of())));
         assertEquals("1", fleet.fields().get("fleet-dropped-oversized-lease"));
         assertEquals("alone", fleet.rows("limits").orElseThrow().get(0).get("state"));
-        fleet.heard(NOW + 700_002, codec.write(new Packet(from, 3, new Packet.Grant(limitAndAsk[1], 1,
-                List.of(new Part(limitAndAsk[0], 30))), List.of(), List.of())));
+        fleet.heard(
+                NOW + 700_002,
+                codec.write(new Packet(
+                        from,
+                        3,
+                        new Packet.Grant(limitAndAsk[1], 1, List.of(new Part(limitAndAsk[0], 30))),
+                        List.of(),
+                        List.of())));
         assertEquals("leased", fleet.rows("limits").orElseThrow().get(0).get("state"));
     }
 
     /** The longest name, and bodies as full as they get: they leave room for themselves at least. */
     @Test
     void theFullestBodiesFitAPacket() {
-        RouterNews longest = new RouterNews("r".repeat(PacketCodec.LONGEST_NAME), "127.255.255.255:65535", 1, 1, Standing.ALIVE);
+        RouterNews longest =
+                new RouterNews("r".repeat(PacketCodec.LONGEST_NAME), "127.255.255.255:65535", 1, 1, Standing.ALIVE);
         Random r = new Random(4);
-        for (Packet.Body body : List.of(new Packet.PlanReport(1, 1, 1, true,
-                r.longs(60).mapToObj(m -> new Packet.Use(m, 1, 1)).toList()), new Packet.Piece(1, 0, 1, new byte[900]),
-                new Packet.DrainAsk(new DrainCommand(DrainCommand.Kind.REQUEST, 1, 1, 1, 0, r.longs(120).boxed().toList())),
+        for (Packet.Body body : List.of(
+                new Packet.PlanReport(
+                        1,
+                        1,
+                        1,
+                        true,
+                        r.longs(60).mapToObj(m -> new Packet.Use(m, 1, 1)).toList()),
+                new Packet.Piece(1, 0, 1, new byte[900]),
+                new Packet.DrainAsk(new DrainCommand(
+                        DrainCommand.Kind.REQUEST,
+                        1,
+                        1,
+                        1,
+                        0,
+                        r.longs(120).boxed().toList())),
                 new Packet.Sums(r.longs(Membership.MOST_PARTS).boxed().toList(), true))) {
             assertTrue(codec.room(longest, body) >= 0, body.getClass()::getSimpleName);
             assertTrue(codec.write(new Packet(longest, 1, body, List.of(), List.of())).length <= PacketCodec.LONGEST);
--- a/src/test/java/pumicemoor/fleet/VirtualFleet.java
+++ b/src/test/java/pumicemoor/fleet/VirtualFleet.java
@@ -48,13 +48,13 @@
         long nextAt;
         List<Allowance> allowances = List.of();
         List<MemberOut> out = List.of();
-        final Map<Long, Long> heardOut = new LinkedHashMap<>();  // when each member was first told out
+        final Map<Long, Long> heardOut = new LinkedHashMap<>(); // when each member was first told out
         final List<Notice> notices = new ArrayList<>();
-        final List<byte[]> waiting = new ArrayList<>();  // packets that came while it was paused
+        final List<byte[]> waiting = new ArrayList<>(); // packets that came while it was paused
         double wanted;
         long startedAt;
         Drains.View view = new Drains.View(false, Set.of(), Map.of());
-        final Map<Long, List<Long>> underWay = new LinkedHashMap<>();  // when attempts at a member end
+        final Map<Long, List<Long>> underWay = new LinkedHashMap<>(); // when attempts at a member end
         final Drains.Usage usage = new Drains.Usage() {
             @Override
             public int underWay(long member) {
@@ -82,7 +82,8 @@
                 fleet.advance(now);
                 fetch(this);
             }
-            boolean knowsNothing = fleet.plan().orElseThrow().stamp() == 0;  // and has reached nobody: nothing is promised
+            boolean knowsNothing =
+                    fleet.plan().orElseThrow().stamp() == 0; // and has reached nobody: nothing is promised
             if (!view.settled() || view.alone().contains(member) || knowsNothing) {
                 return false;
             }
@@ -102,8 +103,10 @@
             if (!running) {
                 return 0;
             }
-            return allowances.stream().filter(a -> a.member() == ORIGIN)
-                    .mapToDouble(a -> now < a.until() ? a.share() : a.after()).sum();
+            return allowances.stream()
+                    .filter(a -> a.member() == ORIGIN)
+                    .mapToDouble(a -> now < a.until() ? a.share() : a.after())
+                    .sum();
         }
     }
 
@@ -129,7 +132,7 @@
     long leastDelay = 500;
     long mostDelay = 2 * MILLI;
     BiPredicate<Router, Router> cut = (a, b) -> false;
-    BiConsumer<Router, Datagram> sends = (from, packet) -> { };  // is shown each packet as it leaves
+    BiConsumer<Router, Datagram> sends = (from, packet) -> {}; // is shown each packet as it leaves
     long packets;
     long bytes;
     private long order;
@@ -160,9 +163,18 @@
 
     void start(Router r, String name, String address) {
         List<String> seeds = routers.stream().limit(3).map(x -> x.address).toList();
-        r.fleet = new Fleet(new FleetSetup("test", new Membership.Setup(name, address, seeds, PERIOD, 3, 2,
-                600 * SECOND, 2_000), size, TIMES, List.of(new LimitRule("origin", FleetSetup.Scope.ORIGIN, "", measure,
-                limit)), Optional.of(VERDICTS), drains), now, random.nextLong(), r.usage);
+        r.fleet = new Fleet(
+                new FleetSetup(
+                        "test",
+                        new Membership.Setup(name, address, seeds, PERIOD, 3, 2, 600 * SECOND, 2_000),
+                        size,
+                        TIMES,
+                        List.of(new LimitRule("origin", FleetSetup.Scope.ORIGIN, "", measure, limit)),
+                        Optional.of(VERDICTS),
+                        drains),
+                now,
+                random.nextLong(),
+                r.usage);
         r.running = true;
         r.startedAt = now;
         r.underWay.clear();
@@ -200,7 +212,8 @@
         long began = packets;
         while (true) {
             if (packets - began > 2_000L * routers.size() * (1 + time / SECOND)) {
-                throw new AssertionError("a storm of packets: " + packets + " " + routers.stream().map(r -> r.fleet.fields()).toList());
+                throw new AssertionError("a storm of packets: " + packets + " "
+                        + routers.stream().map(r -> r.fleet.fields()).toList());
             }
             long next = flying.isEmpty() ? Long.MAX_VALUE : flying.peek().at();
             for (Router r : routers) {
@@ -226,7 +239,7 @@
             for (Router r : routers) {
                 if (acts(r) && (!r.waiting.isEmpty() || r.nextAt <= now)) {
                     if (r.pausedUntil > 0 && random.nextBoolean()) {
-                        r.fleet.advance(now);  // after a pause timers may come before or after what waits
+                        r.fleet.advance(now); // after a pause timers may come before or after what waits
                     }
                     r.waiting.forEach(b -> r.fleet.heard(now, b));
                     r.waiting.clear();
@@ -278,8 +291,9 @@
     /** The members that any running router keeps out now. */
     Set<Long> outAnywhere() {
         Set<Long> out = new HashSet<>();
-        routers.stream().filter(r -> r.running).forEach(r -> r.out.stream().filter(o -> now < o.until())
-                .forEach(o -> out.add(o.member())));
+        routers.stream()
+                .filter(r -> r.running)
+                .forEach(r -> r.out.stream().filter(o -> now < o.until()).forEach(o -> out.add(o.member())));
         return out;
     }
 
@@ -300,7 +314,8 @@
         running.forEach(r -> names.add(r.name));
         return running.stream().allMatch(r -> {
             Set<String> living = new HashSet<>();
-            r.fleet.rows("members").orElseThrow().stream().filter(m -> m.get("standing").equals("alive"))
+            r.fleet.rows("members").orElseThrow().stream()
+                    .filter(m -> m.get("standing").equals("alive"))
                     .forEach(m -> living.add((String) m.get("name")));
             return living.equals(names);
         });
--- a/src/test/java/pumicemoor/fleet/cells/CellBackingTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/CellBackingTest.java
@@ -28,8 +28,7 @@
     private static final long BOUND = 3 * TIMES.lease();
     private static final long UPPER = 2 * TIMES.lease();
 
-    private record Promise(Router to, long toStarted, long at) {
-    }
+    private record Promise(Router to, long toStarted, long at) {}
 
     private static final class Wire {
         final VirtualCells fleet;
@@ -45,7 +44,10 @@
         void sent(Router from, Datagram d) {
             PacketCodec cell = new PacketCodec(CLUSTER + "/" + from.cell());
             long cluster = PacketCodec.cluster(d.bytes());
-            Router to = fleet.routers.stream().filter(r -> r.address.equals(d.address())).findFirst().orElse(null);
+            Router to = fleet.routers.stream()
+                    .filter(r -> r.address.equals(d.address()))
+                    .findFirst()
+                    .orElse(null);
             if (to != null && cluster == cell.cluster()) {
                 if (read(cell, d).body() instanceof Packet.Ask a && a.vote()) {
                     promise(from, to);
@@ -53,19 +55,27 @@
             } else if (cluster == above.cluster() && read(above, d).body() instanceof Packet.CellAsk a && a.vote()) {
                 asks++;
                 most = Math.max(most, a.backing());
-                long bound = promises.entrySet().stream().filter(e -> e.getKey() != from && e.getValue().to() == from
-                        && e.getValue().toStarted() == from.startedAt && e.getValue().at() + BOUND > fleet.now + UPPER)
+                long bound = promises.entrySet().stream()
+                        .filter(e -> e.getKey() != from
+                                && e.getValue().to() == from
+                                && e.getValue().toStarted() == from.startedAt
+                                && e.getValue().at() + BOUND > fleet.now + UPPER)
                         .count();
-                assertTrue(a.backing() <= bound + 1, () -> from + " speaks for " + a.backing() + " routers, " + bound
-                        + " and itself are bound to it for long enough");
+                assertTrue(
+                        a.backing() <= bound + 1,
+                        () -> from + " speaks for " + a.backing() + " routers, " + bound
+                                + " and itself are bound to it for long enough");
             }
         }
 
         private void promise(Router from, Router to) {
             Promise before = promises.put(from, new Promise(to, to.startedAt, fleet.now));
-            assertTrue(before == null || before.to() == to || fleet.now >= before.at() + BOUND,
+            assertTrue(
+                    before == null || before.to() == to || fleet.now >= before.at() + BOUND,
                     () -> from + " promises itself to " + to + " while bound to " + before.to());
-            assertTrue(fleet.now >= from.startedAt + BOUND, () -> from + " votes though it may not know whom it voted for");
+            assertTrue(
+                    fleet.now >= from.startedAt + BOUND,
+                    () -> from + " votes though it may not know whom it voted for");
         }
 
         private Packet read(PacketCodec codec, Datagram d) {
--- a/src/test/java/pumicemoor/fleet/cells/CellFaultsTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/CellFaultsTest.java
@@ -43,7 +43,8 @@
 
     /** All demand is in one root from now on. */
     private static void want(VirtualCells fleet, String root) {
-        fleet.routers.forEach(r -> fleet.want(r, r.root.equals(root) ? 2 * LIMIT / fleet.of(root).size() : 0));
+        fleet.routers.forEach(r ->
+                fleet.want(r, r.root.equals(root) ? 2 * LIMIT / fleet.of(root).size() : 0));
     }
 
     private static String root(long seed) {
@@ -61,7 +62,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Measure.class, names = {"PER_SECOND", "IN_FLIGHT"})
+    @EnumSource(
+            value = Measure.class,
+            names = {"PER_SECOND", "IN_FLIGHT"})
     void whatOneCellDoesNotWantTheOthersGet(Measure measure) {
         VirtualCells fleet = fleet(7, measure, "b");
         assertSettled(fleet);
@@ -96,7 +99,8 @@
         VirtualCells fleet = fleet(seed, Measure.PER_SECOND, root(seed));
         for (int i = 0; i < 5; i++) {
             String root = i == 0 ? root(seed) : root(random.nextInt(3));
-            fleet.kill(fleet.grantorOf(fleet.of(root).stream().filter(r -> r.running).findFirst().orElseThrow()));
+            fleet.kill(fleet.grantorOf(
+                    fleet.of(root).stream().filter(r -> r.running).findFirst().orElseThrow()));
             if (i == 2) {
                 want(fleet, root(random.nextInt(3)));
             }
@@ -125,7 +129,9 @@
         Random random = new Random(seed);
         VirtualCells fleet = fleet(seed, Measure.PER_SECOND, root(seed));
         for (int i = 0; i < 6; i++) {
-            Router one = i % 2 == 0 ? fleet.upperGrantor() : fleet.grantorOf(fleet.of(root(random.nextInt(3))).get(0));
+            Router one = i % 2 == 0
+                    ? fleet.upperGrantor()
+                    : fleet.grantorOf(fleet.of(root(random.nextInt(3))).get(0));
             long time = (long) (random.nextDouble() * 40 * SECOND);
             if (random.nextBoolean()) {
                 fleet.pause(one, time);
@@ -182,8 +188,9 @@
             double far = fleet.spent(fleet.of("c"));
             double near = fleet.spent() - far;
             assertTrue(far <= LIMIT * 9 / SIZE * (1 + 1e-9) && far > 0.85 * LIMIT * 9 / SIZE, () -> "cut off: " + far);
-            assertTrue(near <= LIMIT * 15 / SIZE * (1 + 1e-9) && near > 0.85 * LIMIT * 15 / SIZE, () ->
-                    "the rest: " + near);
+            assertTrue(
+                    near <= LIMIT * 15 / SIZE * (1 + 1e-9) && near > 0.85 * LIMIT * 15 / SIZE,
+                    () -> "the rest: " + near);
         }
         fleet.cut = (a, b) -> false;
         assertSettledAfter(fleet, 90 * SECOND);
@@ -195,7 +202,9 @@
     void allRoutersOfACellAreRestarted(@ForAll long seed) {
         Random random = new Random(seed);
         VirtualCells fleet = fleet(seed, Measure.PER_SECOND, root(seed));
-        List<Router> cell = fleet.cells().values().stream().filter(c -> c.get(0).root.equals(root(seed))).findFirst()
+        List<Router> cell = fleet.cells().values().stream()
+                .filter(c -> c.get(0).root.equals(root(seed)))
+                .findFirst()
                 .orElseThrow();
         cell.forEach(fleet::start);
         fleet.run((long) ((20 + random.nextDouble() * 30) * SECOND));
@@ -245,7 +254,10 @@
     @Test
     void whoIsCutOffAloneFallsBackToTheEvenPart() {
         VirtualCells fleet = fleet(13, Measure.PER_SECOND, "b");
-        Router one = fleet.of("b").stream().filter(r -> fleet.grantorOf(r) != r).findFirst().orElseThrow();
+        Router one = fleet.of("b").stream()
+                .filter(r -> fleet.grantorOf(r) != r)
+                .findFirst()
+                .orElseThrow();
         assertTrue(one.share() > 2 * LIMIT / SIZE, () -> "has " + one.share());
         fleet.cut = (a, b) -> a == one || b == one;
         fleet.run(TIMES.lease() + VirtualCells.shrink());
--- a/src/test/java/pumicemoor/fleet/cells/CellSchedulesTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/CellSchedulesTest.java
@@ -44,11 +44,11 @@
     private static void play(long seed, Measure measure, boolean restarts) {
         Random random = new Random(seed);
         int regions = 1 + random.nextInt(3);
-        List<Integer> zones = new ArrayList<>();  // routers in each; the region is the index modulo regions
+        List<Integer> zones = new ArrayList<>(); // routers in each; the region is the index modulo regions
         for (int i = 0; i < regions + random.nextInt(2); i++) {
             zones.add(2 + random.nextInt(8));
         }
-        int spare = random.nextInt(5);  // that join later
+        int spare = random.nextInt(5); // that join later
         int n = zones.stream().mapToInt(z -> z).sum() + spare;
         VirtualCells fleet = new VirtualCells(n, 4 + random.nextInt(3), 1 + random.nextInt(3), measure, LIMIT, seed);
         for (int i = 0; i < zones.size(); i++) {
@@ -135,7 +135,9 @@
         fleet.loss = 0;
         fleet.upperLoss = 0;
         fleet.jitter = 5 * MILLI;
-        fleet.routers.stream().filter(r -> !r.running && (restarts || r.startedAt == 0)).forEach(fleet::start);
+        fleet.routers.stream()
+                .filter(r -> !r.running && (restarts || r.startedAt == 0))
+                .forEach(fleet::start);
         fleet.run(120 * SECOND);
     }
 
@@ -144,6 +146,7 @@
         assertEquals(List.of(), fleet.disagreements());
         double most = fleet.limit * fleet.running().size() / fleet.size;
         assertTrue(fleet.spent() > 0.85 * most, () -> "they may spend only " + fleet.spent() + " of " + most);
-        assertEquals(2 * fleet.running().size() > fleet.size ? 1 : 0, fleet.keepers().size(), "keepers");
+        assertEquals(
+                2 * fleet.running().size() > fleet.size ? 1 : 0, fleet.keepers().size(), "keepers");
     }
 }
--- a/src/test/java/pumicemoor/fleet/cells/CellVerdictsTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/CellVerdictsTest.java
@@ -51,12 +51,20 @@
 
     /** Microseconds from when the first router knew that a member is out until all did that run. */
     private static long spread(VirtualCells fleet, long member) {
-        long first = fleet.running().stream().mapToLong(r -> r.heardOut.getOrDefault(member, Long.MAX_VALUE)).min()
+        long first = fleet.running().stream()
+                .mapToLong(r -> r.heardOut.getOrDefault(member, Long.MAX_VALUE))
+                .min()
                 .orElseThrow();
-        long last = fleet.running().stream().mapToLong(r -> r.heardOut.getOrDefault(member, Long.MAX_VALUE)).max()
+        long last = fleet.running().stream()
+                .mapToLong(r -> r.heardOut.getOrDefault(member, Long.MAX_VALUE))
+                .max()
                 .orElseThrow();
-        assertTrue(last < Long.MAX_VALUE, () -> "never told: " + fleet.running().stream()
-                .filter(r -> !r.heardOut.containsKey(member)).toList());
+        assertTrue(
+                last < Long.MAX_VALUE,
+                () -> "never told: "
+                        + fleet.running().stream()
+                                .filter(r -> !r.heardOut.containsKey(member))
+                                .toList());
         return last - first;
     }
 
@@ -74,7 +82,8 @@
             long member = CACHES + (loss == 0 ? 3 : 4);
             fleet.loss = loss;
             fleet.run(3 * SECOND);
-            List<Router> accusers = List.of(fleet.of("a").get(random.nextInt(10)), fleet.of("c").get(random.nextInt(9)));
+            List<Router> accusers =
+                    List.of(fleet.of("a").get(random.nextInt(10)), fleet.of("c").get(random.nextInt(9)));
             for (int i = 0; i < 30; i++) {
                 accuse(fleet, accusers, member);
                 fleet.run(SECOND);
@@ -99,7 +108,8 @@
             fleet.run(SECOND);
         }
         assertEquals(Set.of(CACHES + 3), fleet.outAnywhere());
-        assertTrue(fleet.running().stream().allMatch(r -> r.out.stream().anyMatch(o -> o.member() == CACHES + 3)),
+        assertTrue(
+                fleet.running().stream().allMatch(r -> r.out.stream().anyMatch(o -> o.member() == CACHES + 3)),
                 "at all");
         fleet.judge(one, CACHES + 3, false);
         fleet.run(bound(fleet) + 6 * SECOND);
@@ -129,8 +139,12 @@
         accuse(fleet, List.of(fleet.of("b").get(0)), CACHES + 3);
         accuse(fleet, List.of(one), CACHES + 3);
         fleet.run(10 * SECOND);
-        assertEquals(Set.of(CACHES + 3), fleet.running().stream().flatMap(r -> r.heardOut.keySet().stream())
-                .collect(Collectors.toCollection(TreeSet::new)), "with a second it is out");
+        assertEquals(
+                Set.of(CACHES + 3),
+                fleet.running().stream()
+                        .flatMap(r -> r.heardOut.keySet().stream())
+                        .collect(Collectors.toCollection(TreeSet::new)),
+                "with a second it is out");
     }
 
     /** Six of ten are accused by all, two may be out: keepers and delegates die, fall silent, and regions lose each other. */
@@ -141,18 +155,25 @@
         boolean restarts = random.nextBoolean();
         for (int i = 0; i < 60; i++) {
             int round = i;
-            fleet.running().stream().filter(fleet::acts).filter(r -> random.nextInt(3) > 0).forEach(r ->
-                    fleet.judge(r, CACHES + (round / 4 + random.nextInt(6)) % 10, random.nextInt(5) > 0));
+            fleet.running().stream()
+                    .filter(fleet::acts)
+                    .filter(r -> random.nextInt(3) > 0)
+                    .forEach(r -> fleet.judge(r, CACHES + (round / 4 + random.nextInt(6)) % 10, random.nextInt(5) > 0));
             if (i % 6 == 5) {
-                Router keeper = fleet.keepers().isEmpty() ? fleet.upperGrantor() : fleet.keepers().get(0);
+                Router keeper = fleet.keepers().isEmpty()
+                        ? fleet.upperGrantor()
+                        : fleet.keepers().get(0);
                 switch (random.nextInt(6)) {
                     case 0 -> fleet.kill(keeper);
                     case 1 -> fleet.pause(keeper, (long) (random.nextDouble() * 15 * SECOND));
                     case 2 -> fleet.cut = (a, b) -> a == keeper || b == keeper;
                     case 3 -> fleet.cut = (a, b) -> a.region != b.region;
                     case 4 -> fleet.cut = (a, b) -> false;
-                    default -> fleet.kill(fleet.grantorOf(fleet.running().stream().filter(fleet::acts).findFirst()
-                            .orElseThrow()));
+                    default ->
+                        fleet.kill(fleet.grantorOf(fleet.running().stream()
+                                .filter(fleet::acts)
+                                .findFirst()
+                                .orElseThrow()));
                 }
             }
             if (restarts && random.nextInt(8) == 0) {
@@ -175,7 +196,7 @@
     @Test
     void onlyASideWithAMajorityOfRoutersGivesVerdicts() {
         VirtualCells fleet = fleet(19);
-        fleet.cut = (a, b) -> a.region != b.region;  // 15 and 9
+        fleet.cut = (a, b) -> a.region != b.region; // 15 and 9
         fleet.run(30 * SECOND);
         for (int i = 0; i < 30; i++) {
             accuse(fleet, fleet.of("c"), CACHES + 7);
--- a/src/test/java/pumicemoor/fleet/cells/DiscoveryTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/DiscoveryTest.java
@@ -51,15 +51,21 @@
 
     @Test
     void aSeedOfAnotherRootThatIsNoDelegateLeadsToTheCell() {
-        Router seed = fleet.of("b").stream().filter(r -> !r.delegate()).findFirst().orElseThrow();
+        Router seed =
+                fleet.of("b").stream().filter(r -> !r.delegate()).findFirst().orElseThrow();
         fleet.seeds = List.of(seed.address);
         for (String root : List.of("c", "a")) {
             Router one = fleet.add(root, root.equals("c") ? 1 : 0);
             fleet.start(one);
             fleet.run(15 * SECOND);
             assertTrue(one.cell().startsWith(root + "/"), one.cell());
-            assertEquals(one.cellMates(), fleet.of(root).stream().filter(r -> r != one && r.cell().equals(one.cell()))
-                    .findFirst().orElseThrow().cellMates());
+            assertEquals(
+                    one.cellMates(),
+                    fleet.of(root).stream()
+                            .filter(r -> r != one && r.cell().equals(one.cell()))
+                            .findFirst()
+                            .orElseThrow()
+                            .cellMates());
         }
         fleet.run(20 * SECOND);
         assertEquals(List.of(), fleet.disagreements());
@@ -82,7 +88,10 @@
 
     @Test
     void oneLivingSeedIsEnough() {
-        fleet.seeds = List.of(fleet.of("a").get(0).address, fleet.of("a").get(1).address, fleet.of("c").get(5).address);
+        fleet.seeds = List.of(
+                fleet.of("a").get(0).address,
+                fleet.of("a").get(1).address,
+                fleet.of("c").get(5).address);
         fleet.kill(fleet.of("a").get(0));
         fleet.kill(fleet.of("a").get(1));
         Router one = fleet.add("b", 0);
@@ -101,7 +110,8 @@
         assertEquals("b", one.cell(), "only its grantor splits a cell");
         Router grantor = fleet.grantorOf(one);
         RouterNews older = new RouterNews(grantor.name, grantor.address, 5, 5, Standing.ALIVE);
-        fleet.deliver(one, JOINS.write(new Packet(older, 3, new Place(0, 1, List.of(), List.of()), List.of(), List.of())));
+        fleet.deliver(
+                one, JOINS.write(new Packet(older, 3, new Place(0, 1, List.of(), List.of()), List.of(), List.of())));
         assertEquals("b", one.cell(), "and that by the process that is known");
         fleet.run(10 * SECOND);
         assertEquals(List.of(), fleet.disagreements());
@@ -109,7 +119,8 @@
 
     @Test
     void aJoinIsPassedOnSoOftenAndNotOftener() {
-        Router one = fleet.of("b").stream().filter(r -> !r.delegate()).findFirst().orElseThrow();
+        Router one =
+                fleet.of("b").stream().filter(r -> !r.delegate()).findFirst().orElseThrow();
         List<Packet> sent = new ArrayList<>();
         fleet.sends = (from, d) -> {
             if (from == one && PacketCodec.cluster(d.bytes()) == JOINS.cluster()) {
@@ -140,7 +151,8 @@
         assertEquals(11, place.join());
         assertEquals(0, place.depth());
         assertTrue(place.cell().contains(one.address) && place.cell().size() == 5, place::toString);
-        assertTrue(place.cell().containsAll(place.delegates()) && place.delegates().size() == 2, place::toString);
+        assertTrue(
+                place.cell().containsAll(place.delegates()) && place.delegates().size() == 2, place::toString);
         assertTrue(fleet.of("b").stream().allMatch(r -> place.cell().contains(r.address)));
     }
 
@@ -173,8 +185,9 @@
         Router one = fleet.add("b", 0);
         fleet.start(one);
         fleet.run(10 * SECOND);
-        fleet.sends = (from, d) -> { };
-        Router victim = fleet.of("a").stream().filter(Router::delegate).findFirst().orElseThrow();
+        fleet.sends = (from, d) -> {};
+        Router victim =
+                fleet.of("a").stream().filter(Router::delegate).findFirst().orElseThrow();
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = seen.get(random.nextInt(seen.size())).clone();
             if (random.nextInt(4) == 0) {
--- a/src/test/java/pumicemoor/fleet/cells/MixedFleetTest.java
+++ b/src/test/java/pumicemoor/fleet/cells/MixedFleetTest.java
@@ -47,7 +47,8 @@
         double flat = fleet.spent(fleet.of("flat"));
         assertTrue(flat <= LIMIT * 8 / SIZE * (1 + 1e-9) && flat > 0.85 * LIMIT * 8 / SIZE, () -> "flat " + flat);
         double cells = fleet.spent() - flat;
-        assertTrue(cells <= LIMIT * 16 / SIZE * (1 + 1e-9) && cells > 0.85 * LIMIT * 16 / SIZE, () -> "in cells " + cells);
+        assertTrue(
+                cells <= LIMIT * 16 / SIZE * (1 + 1e-9) && cells > 0.85 * LIMIT * 16 / SIZE, () -> "in cells " + cells);
         for (int i = 0; i < 20; i++) {
             fleet.of("flat").forEach(r -> fleet.judge(r, CACHES + 1, true));
             fleet.of("a").forEach(r -> fleet.judge(r, CACHES + 2, true));
@@ -55,8 +56,10 @@
         }
         assertTrue(fleet.of("flat").stream().allMatch(r -> r.heardOut.isEmpty()), "eight of 24 are no majority");
         assertTrue(fleet.of("b").stream().allMatch(r -> r.heardOut.keySet().equals(Set.of(CACHES + 2))));
-        long foreign = fleet.of("flat").stream().map(r -> r.part.fields().get("fleet-dropped-foreign"))
-                .filter(n -> n != null).count();
+        long foreign = fleet.of("flat").stream()
+                .map(r -> r.part.fields().get("fleet-dropped-foreign"))
+                .filter(n -> n != null)
+                .count();
         assertTrue(foreign > 0, "some were heard and dropped");
     }
 
--- a/src/test/java/pumicemoor/fleet/cells/VirtualCells.java
+++ b/src/test/java/pumicemoor/fleet/cells/VirtualCells.java
@@ -52,12 +52,12 @@
     static final LeaseTimes TIMES = new LeaseTimes(3 * SECOND, 300 * MILLI);
     static final Bench.Rules VERDICTS = new Bench.Rules(0.2, 2, 4 * SECOND, 2 * SECOND);
     static final long ORIGIN = 99;
-    static final long CACHES = 1_000;  // the first cache's number
-    static final int TEN = 10;  // caches
-    static final int MOST_OUT = 2;  // of them, by the share in VERDICTS
+    static final long CACHES = 1_000; // the first cache's number
+    static final int TEN = 10; // caches
+    static final int MOST_OUT = 2; // of them, by the share in VERDICTS
     static final String CLUSTER = "test";
 
-    private static final int EXACT_EVERY = 10_000;  // instants; between them the sum is kept by its changes
+    private static final int EXACT_EVERY = 10_000; // instants; between them the sum is kept by its changes
     private static final int SEEDS = 3;
     private static final double ROUNDING = 1e-9;
 
@@ -67,7 +67,7 @@
         final String address;
         final String root;
         final int region;
-        boolean flat;  // not in cells, though in this cluster
+        boolean flat; // not in cells, though in this cluster
         FleetPart part;
         boolean running;
         long pausedUntil;
@@ -75,9 +75,9 @@
         double wanted;
         List<Allowance> allowances = List.of();
         List<MemberOut> out = List.of();
-        final Map<Long, Long> heardOut = new LinkedHashMap<>();  // when each member was first told out
+        final Map<Long, Long> heardOut = new LinkedHashMap<>(); // when each member was first told out
         final List<Notice> notices = new ArrayList<>();
-        private final List<byte[]> waiting = new ArrayList<>();  // packets that came while it was paused
+        private final List<byte[]> waiting = new ArrayList<>(); // packets that came while it was paused
         private long wakeAt = Long.MAX_VALUE;
         private double counted;
         private Set<Long> countedOut = Set.of();
@@ -91,8 +91,12 @@
 
         /** What it may spend of the origin's limit now. */
         double share() {
-            return !running ? 0 : allowances.stream().filter(a -> a.member() == ORIGIN)
-                    .mapToDouble(a -> now < a.until() ? a.share() : a.after()).sum();
+            return !running
+                    ? 0
+                    : allowances.stream()
+                            .filter(a -> a.member() == ORIGIN)
+                            .mapToDouble(a -> now < a.until() ? a.share() : a.after())
+                            .sum();
         }
 
         /** The cell that it takes itself to be in. */
@@ -107,16 +111,21 @@
 
         /** The routers that it takes to be alive in its cell. */
         Set<String> cellMates() {
-            return part.rows("members").orElseThrow().stream().filter(m -> !"upper".equals(m.get("level")))
-                    .filter(m -> m.get("standing").equals("alive")).map(m -> (String) m.get("name"))
+            return part.rows("members").orElseThrow().stream()
+                    .filter(m -> !"upper".equals(m.get("level")))
+                    .filter(m -> m.get("standing").equals("alive"))
+                    .map(m -> (String) m.get("name"))
                     .collect(Collectors.toCollection(TreeSet::new));
         }
 
         /** The routers that it takes to be alive in the level above, by their own names; none where it isn't there. */
         Set<String> upperMates() {
-            return part.rows("members").orElseThrow().stream().filter(m -> "upper".equals(m.get("level")))
-                    .filter(m -> m.get("standing").equals("alive")).map(m -> (String) m.get("name"))
-                    .map(n -> n.substring(n.indexOf('.') + 1)).collect(Collectors.toCollection(TreeSet::new));
+            return part.rows("members").orElseThrow().stream()
+                    .filter(m -> "upper".equals(m.get("level")))
+                    .filter(m -> m.get("standing").equals("alive"))
+                    .map(m -> (String) m.get("name"))
+                    .map(n -> n.substring(n.indexOf('.') + 1))
+                    .collect(Collectors.toCollection(TreeSet::new));
         }
 
         @Override
@@ -125,7 +134,11 @@
         }
     }
 
-    private enum Kind { LOOK, PACKET, WAKE }
+    private enum Kind {
+        LOOK,
+        PACKET,
+        WAKE
+    }
 
     private record Due(long at, long order, Kind kind, Router router, byte[] bytes) implements Comparable<Due> {
         @Override
@@ -143,21 +156,22 @@
     final int delegates;
     long now = 1_790_000_000L * SECOND;
     double loss;
-    double upperLoss;  // of packets between delegates of the level above
+    double upperLoss; // of packets between delegates of the level above
     double doubled;
     long jitter = 2 * MILLI;
     BiPredicate<Router, Router> cut = (a, b) -> false;
-    BiConsumer<Router, Datagram> sends = (from, packet) -> { };  // is shown each packet as it leaves
-    List<String> seeds = List.of();  // addresses that routers are started with; the first of each root where there are none
+    BiConsumer<Router, Datagram> sends = (from, packet) -> {}; // is shown each packet as it leaves
+    List<String> seeds =
+            List.of(); // addresses that routers are started with; the first of each root where there are none
     long packets;
     long bytes;
-    int offices;  // times that a router took office as keeper
-    double highest;  // sum of all parts seen at any instant
+    int offices; // times that a router took office as keeper
+    double highest; // sum of all parts seen at any instant
     private final Map<String, Router> byAddress = new HashMap<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private final Map<Long, Fleet.Listed> members = new LinkedHashMap<>();
     private final Deque<Long> startedAnew = new ArrayDeque<>();
-    private final Map<Long, Integer> outAt = new TreeMap<>();  // at how many routers each member is out
+    private final Map<Long, Integer> outAt = new TreeMap<>(); // at how many routers each member is out
     private final long above = Hashes.of(CLUSTER + "/^");
     private double total;
     private long lastTerm;
@@ -208,9 +222,16 @@
             startedAnew.add(now);
         }
         startedSinceOffice++;
-        Membership.Setup membership = new Membership.Setup(r.name, r.address, seeds(), PERIOD, 3, 2, 600 * SECOND, 2_000);
-        FleetSetup setup = new FleetSetup(CLUSTER, membership, size, TIMES, List.of(new LimitRule("origin",
-                FleetSetup.Scope.ORIGIN, "", measure, limit)), Optional.of(VERDICTS), Optional.empty(),
+        Membership.Setup membership =
+                new Membership.Setup(r.name, r.address, seeds(), PERIOD, 3, 2, 600 * SECOND, 2_000);
+        FleetSetup setup = new FleetSetup(
+                CLUSTER,
+                membership,
+                size,
+                TIMES,
+                List.of(new LimitRule("origin", FleetSetup.Scope.ORIGIN, "", measure, limit)),
+                Optional.of(VERDICTS),
+                Optional.empty(),
                 r.flat ? Optional.empty() : Optional.of(new CellSetup(r.root, most, delegates)));
         r.part = r.flat ? new Fleet(setup, now, random.nextLong()) : new CellFleet(setup, now, random.nextLong());
         r.running = true;
@@ -292,7 +313,7 @@
 
     /** Lives on, watching the bounds at every instant. */
     void run(long time) {
-        run(time, () -> { });
+        run(time, () -> {});
     }
 
     /** Lives on, watching the bounds at every instant and calling back at each. */
@@ -330,10 +351,10 @@
             }
             case WAKE -> {
                 if (due.at() != r.wakeAt) {
-                    return;  // it is due at another time by now
+                    return; // it is due at another time by now
                 }
                 if (r.pausedUntil > 0 && !r.waiting.isEmpty() && random.nextBoolean()) {
-                    r.part.advance(now);  // after a pause timers may come before or after what waits
+                    r.part.advance(now); // after a pause timers may come before or after what waits
                 }
                 r.waiting.forEach(b -> r.part.heard(now, b));
                 r.waiting.clear();
@@ -422,8 +443,12 @@
         double share = r.share();
         total += share - r.counted;
         r.counted = share;
-        Set<Long> out = !r.running ? Set.of() : r.out.stream().filter(o -> now < o.until()).map(MemberOut::member)
-                .collect(Collectors.toSet());
+        Set<Long> out = !r.running
+                ? Set.of()
+                : r.out.stream()
+                        .filter(o -> now < o.until())
+                        .map(MemberOut::member)
+                        .collect(Collectors.toSet());
         if (!out.equals(r.countedOut)) {
             r.countedOut.forEach(m -> outAt.merge(m, -1, (a, b) -> a + b == 0 ? null : a + b));
             out.forEach(m -> outAt.merge(m, 1, Integer::sum));
@@ -449,16 +474,23 @@
 
     /** The router that all cells' grantors report to, as most delegates see it. */
     Router upperGrantor() {
-        Map<String, Long> seen = running().stream().filter(r -> !r.flat && r.delegate()).collect(Collectors.groupingBy(
-                r -> r.part.fields().get("fleet-upper-grantor"), TreeMap::new, Collectors.counting()));
-        String first = seen.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
+        Map<String, Long> seen = running().stream()
+                .filter(r -> !r.flat && r.delegate())
+                .collect(Collectors.groupingBy(
+                        r -> r.part.fields().get("fleet-upper-grantor"), TreeMap::new, Collectors.counting()));
+        String first = seen.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .orElseThrow()
+                .getKey();
         String name = first.substring(first.indexOf('.') + 1);
         return routers.stream().filter(o -> o.name.equals(name)).findFirst().orElseThrow();
     }
 
     /** Routers that say of themselves that they are the keeper. */
     List<Router> keepers() {
-        return running().stream().filter(r -> "yes".equals(r.part.fields().get("fleet-keeper"))).toList();
+        return running().stream()
+                .filter(r -> "yes".equals(r.part.fields().get("fleet-keeper")))
+                .toList();
     }
 
     /** A packet for a router, from nowhere. */
@@ -520,8 +552,9 @@
 
     /** The running routers by the cell that each takes itself to be in. */
     Map<String, List<Router>> cells() {
-        return running().stream().filter(r -> !r.flat).collect(Collectors.groupingBy(Router::cell, TreeMap::new,
-                Collectors.toList()));
+        return running().stream()
+                .filter(r -> !r.flat)
+                .collect(Collectors.groupingBy(Router::cell, TreeMap::new, Collectors.toList()));
     }
 
     /** What is wrong with the cells; empty where all have one, all of a cell agree on it and none is over its bound. */
@@ -539,16 +572,21 @@
             if (all.stream().map(r -> r.root).distinct().count() != 1) {
                 wrong.add(cell + " has routers of several roots: " + names);
             }
-            all.stream().filter(r -> !r.cellMates().equals(names)).forEach(r -> wrong.add(r.name + " sees "
-                    + r.cellMates() + " in " + cell + ", where are " + names));
+            all.stream()
+                    .filter(r -> !r.cellMates().equals(names))
+                    .forEach(
+                            r -> wrong.add(r.name + " sees " + r.cellMates() + " in " + cell + ", where are " + names));
             long told = all.stream().filter(Router::delegate).count();
             if (told != Math.min(delegates, all.size())) {
                 wrong.add(cell + " has " + told + " delegates of " + delegates);
             }
         });
-        Set<String> above = running().stream().filter(r -> !r.flat && r.delegate()).map(r -> r.name)
+        Set<String> above = running().stream()
+                .filter(r -> !r.flat && r.delegate())
+                .map(r -> r.name)
                 .collect(Collectors.toCollection(TreeSet::new));
-        running().stream().filter(r -> !r.flat && r.delegate() && !r.upperMates().equals(above))
+        running().stream()
+                .filter(r -> !r.flat && r.delegate() && !r.upperMates().equals(above))
                 .forEach(r -> wrong.add(r.name + " sees " + r.upperMates() + " above, where are " + above));
         return wrong;
     }
--- a/src/test/java/pumicemoor/fleet/drains/DrainRulesTest.java
+++ b/src/test/java/pumicemoor/fleet/drains/DrainRulesTest.java
@@ -46,7 +46,9 @@
 
         @Override
         public int serving(Tier tier) {
-            return (int) tiers.entrySet().stream().filter(t -> t.getValue() == tier && !failing.contains(t.getKey())).count();
+            return (int) tiers.entrySet().stream()
+                    .filter(t -> t.getValue() == tier && !failing.contains(t.getKey()))
+                    .count();
         }
 
         @Override
@@ -90,13 +92,29 @@
     private final List<Long> wentOut = new ArrayList<>();
 
     private void ask(long id, int most, int least, Long... members) {
-        plan = Steps.told(plan, new DrainCommand(DrainCommand.Kind.REQUEST, id, most, least, 0, List.of(members)),
-                known.tiers, plan.stamp() + 1, 0).plan();
+        plan = Steps.told(
+                        plan,
+                        new DrainCommand(DrainCommand.Kind.REQUEST, id, most, least, 0, List.of(members)),
+                        known.tiers,
+                        plan.stamp() + 1,
+                        0)
+                .plan();
     }
 
     private void done(long member) {
-        plan = Steps.told(plan, new DrainCommand(DrainCommand.Kind.DONE, 1, 0, 0, plan.of(member).orElseThrow().fence(),
-                List.of(member)), known.tiers, plan.stamp() + 1, 0).plan();
+        plan = Steps.told(
+                        plan,
+                        new DrainCommand(
+                                DrainCommand.Kind.DONE,
+                                1,
+                                0,
+                                0,
+                                plan.of(member).orElseThrow().fence(),
+                                List.of(member)),
+                        known.tiers,
+                        plan.stamp() + 1,
+                        0)
+                .plan();
     }
 
     private boolean step() {
@@ -116,7 +134,11 @@
     private void workThrough() {
         settle();
         for (int i = 0; i < 100 && !plan.requests().isEmpty(); i++) {
-            plan.orders().stream().filter(o -> o.phase() == Phase.OUT).map(Order::member).toList().forEach(this::done);
+            plan.orders().stream()
+                    .filter(o -> o.phase() == Phase.OUT)
+                    .map(Order::member)
+                    .toList()
+                    .forEach(this::done);
             settle();
         }
         assertTrue(plan.requests().isEmpty(), () -> "not ended: " + plan);
@@ -148,10 +170,18 @@
         assertEquals(2, plan.out(), "eight of ten serve");
         known.failing.addAll(List.of(8L, 9L));
         wentOut.clear();
-        done(plan.orders().stream().filter(o -> o.phase() == Phase.OUT).findFirst().orElseThrow().member());
+        done(plan.orders().stream()
+                .filter(o -> o.phase() == Phase.OUT)
+                .findFirst()
+                .orElseThrow()
+                .member());
         settle();
         assertEquals(1, plan.out(), "two fail: nobody else may go");
-        long waits = plan.orders().stream().filter(o -> o.phase() == Phase.NAMED).findFirst().orElseThrow().member();
+        long waits = plan.orders().stream()
+                .filter(o -> o.phase() == Phase.NAMED)
+                .findFirst()
+                .orElseThrow()
+                .member();
         assertTrue(Steps.heldUp(plan, plan.of(waits).orElseThrow(), 0, 3, known).contains("would serve, 8 must"));
         known.failing.add(waits);
         settle();
@@ -185,7 +215,10 @@
         ask(1, 1, 1, 1L, 2L);
         settle();
         assertEquals(0, plan.out());
-        Order named = plan.orders().stream().filter(o -> o.phase() == Phase.NAMED).findFirst().orElseThrow();
+        Order named = plan.orders().stream()
+                .filter(o -> o.phase() == Phase.NAMED)
+                .findFirst()
+                .orElseThrow();
         assertEquals("router router-7 has not been told", Steps.heldUp(plan, named, 0, 3, known));
         known.tiers.remove(named.member());
         settle();
@@ -196,10 +229,16 @@
     void whoNeverComesBackStopsTheQueueAtTheBudget() {
         ask(1, 2, 1, 1L, 2L, 3L, 4L);
         settle();
-        List<Long> out = plan.orders().stream().filter(o -> o.phase() == Phase.OUT).map(Order::member).toList();
+        List<Long> out = plan.orders().stream()
+                .filter(o -> o.phase() == Phase.OUT)
+                .map(Order::member)
+                .toList();
         done(out.get(0));
         settle();
-        done(plan.orders().stream().filter(o -> o.phase() == Phase.OUT && !out.contains(o.member())).findFirst().orElseThrow()
+        done(plan.orders().stream()
+                .filter(o -> o.phase() == Phase.OUT && !out.contains(o.member()))
+                .findFirst()
+                .orElseThrow()
                 .member());
         settle();
         assertEquals(2, plan.out());
@@ -210,14 +249,33 @@
     void doneNamesItsFenceAndCancelLeavesAloneWhoIsOut() {
         ask(1, 1, 1, 1L, 2L, 3L);
         settle();
-        Order out = plan.orders().stream().filter(o -> o.phase() == Phase.OUT).findFirst().orElseThrow();
+        Order out = plan.orders().stream()
+                .filter(o -> o.phase() == Phase.OUT)
+                .findFirst()
+                .orElseThrow();
         Plan before = plan;
-        assertSame(before, Steps.told(plan, new DrainCommand(DrainCommand.Kind.DONE, 5, 0, 0, out.fence() - 1,
-                List.of(out.member())), known.tiers, plan.stamp() + 1, 0).plan(), "an old fence");
-        plan = Steps.told(plan, new DrainCommand(DrainCommand.Kind.CANCEL, 6, 0, 0, 0, List.of(1L, 2L, 3L)), known.tiers,
-                plan.stamp() + 1, 0).plan();
+        assertSame(
+                before,
+                Steps.told(
+                                plan,
+                                new DrainCommand(
+                                        DrainCommand.Kind.DONE, 5, 0, 0, out.fence() - 1, List.of(out.member())),
+                                known.tiers,
+                                plan.stamp() + 1,
+                                0)
+                        .plan(),
+                "an old fence");
+        plan = Steps.told(
+                        plan,
+                        new DrainCommand(DrainCommand.Kind.CANCEL, 6, 0, 0, 0, List.of(1L, 2L, 3L)),
+                        known.tiers,
+                        plan.stamp() + 1,
+                        0)
+                .plan();
         assertEquals(Phase.OUT, plan.of(out.member()).orElseThrow().phase());
-        assertEquals(2, plan.orders().stream().filter(o -> o.phase() == Phase.FINISHED).count());
+        assertEquals(
+                2,
+                plan.orders().stream().filter(o -> o.phase() == Phase.FINISHED).count());
         done(out.member());
         settle();
         assertEquals(List.of(1L), plan.closed());
@@ -228,28 +286,38 @@
         for (int i = 0; i < 5; i++) {
             targets.put(Hashes.fnv("box-" + i), new Target("box-" + i, Tier.CACHE, true, 0));
         }
-        return new World(0, 0, 0, 3, List.of(new Peer(Hashes.of("router/r1"), "r1", "127.0.0.1:1", 1, Standing.ALIVE, 0),
-                new Peer(Hashes.of("router/r2"), "r2", "127.0.0.1:2", 1, Standing.ALIVE, 0)), targets, Set.of());
+        return new World(
+                0,
+                0,
+                0,
+                3,
+                List.of(
+                        new Peer(Hashes.of("router/r1"), "r1", "127.0.0.1:1", 1, Standing.ALIVE, 0),
+                        new Peer(Hashes.of("router/r2"), "r2", "127.0.0.1:2", 1, Standing.ALIVE, 0)),
+                targets,
+                Set.of());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "members|box-1,box-9|members: 'box-9' is not known here",
-        "members||members: a name is empty",
-        "max-at-once|0|max-at-once: 0 is out of range",
-        "max-at-once|6|max-at-once: 6 is over the tier: 5 of kind cache",
-        "max-at-once|two|max-at-once: it is missing or no whole number",
-        "min-serving|6|min-serving: 6 is over the tier: 5 of kind cache",
-        "min-serving|5|min-serving: 5 leaves none to go out",
-        "min-serving|-1|min-serving: -1 is under 0",
-        "cluster|east|cluster: this is a router of 'west', not of 'east'",
-        "id|xyz|id: it is not of 1 to 16 hexadecimal digits",
-        "drain|now|drain: it is none of request, done, cancel",
-        "drain|done|members: the work is done on one member at a time",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "members|box-1,box-9|members: 'box-9' is not known here",
+                "members||members: a name is empty",
+                "max-at-once|0|max-at-once: 0 is out of range",
+                "max-at-once|6|max-at-once: 6 is over the tier: 5 of kind cache",
+                "max-at-once|two|max-at-once: it is missing or no whole number",
+                "min-serving|6|min-serving: 6 is over the tier: 5 of kind cache",
+                "min-serving|5|min-serving: 5 leaves none to go out",
+                "min-serving|-1|min-serving: -1 is under 0",
+                "cluster|east|cluster: this is a router of 'west', not of 'east'",
+                "id|xyz|id: it is not of 1 to 16 hexadecimal digits",
+                "drain|now|drain: it is none of request, done, cancel",
+                "drain|done|members: the work is done on one member at a time",
+            })
     void aCommandThatCannotBeNamesItsField(String field, String value, String words) {
-        Map<String, String> fields = new HashMap<>(Map.of("drain", "request", "id", "7f", "members", "box-1,box-2",
-                "max-at-once", "1", "min-serving", "3"));
+        Map<String, String> fields = new HashMap<>(Map.of(
+                "drain", "request", "id", "7f", "members", "box-1,box-2", "max-at-once", "1", "min-serving", "3"));
         assertEquals(2, read(fields).members().size());
         fields.put(field, value == null ? "" : value);
         String said = "";
@@ -271,11 +339,14 @@
 
     @Test
     void aRouterIsNamedWithItsKindAndDoneIsAboutWhoIsOut() throws Exception {
-        Map<String, String> fields = Map.of("drain", "request", "id", "1", "members", "router/r1", "max-at-once", "1",
-                "min-serving", "1");
+        Map<String, String> fields =
+                Map.of("drain", "request", "id", "1", "members", "router/r1", "max-at-once", "1", "min-serving", "1");
         DrainCommand c = DrainWords.command(fields, "west", world(), Plan.NONE);
-        Plan out = new Plan(9, List.of(new DrainRequest(1, 0, 1, 1)),
-                List.of(new Order(c.members().get(0), Tier.ROUTER, 1, Phase.OUT, 8, 0)), List.of());
+        Plan out = new Plan(
+                9,
+                List.of(new DrainRequest(1, 0, 1, 1)),
+                List.of(new Order(c.members().get(0), Tier.ROUTER, 1, Phase.OUT, 8, 0)),
+                List.of());
         Map<String, String> done = new HashMap<>(Map.of("drain", "done", "id", "2", "members", "router/r1"));
         assertEquals(8, DrainWords.command(done, "west", world(), out).fence());
         done.put("fence", "7");
@@ -295,10 +366,19 @@
         }
         List<Order> orders = new ArrayList<>();
         for (int i = r.nextInt(Plan.MOST_ORDERS + 1); i > 0; i--) {
-            orders.add(new Order(i, Tier.values()[r.nextInt(3)], r.nextInt(), Phase.values()[r.nextInt(6)],
-                    1 + r.nextInt(900), r.nextLong()));
+            orders.add(new Order(
+                    i,
+                    Tier.values()[r.nextInt(3)],
+                    r.nextInt(),
+                    Phase.values()[r.nextInt(6)],
+                    1 + r.nextInt(900),
+                    r.nextLong()));
         }
-        return new Plan(1_000 + r.nextInt(1_000), requests, orders, r.longs(r.nextInt(Plan.MOST_CLOSED + 1)).boxed().toList());
+        return new Plan(
+                1_000 + r.nextInt(1_000),
+                requests,
+                orders,
+                r.longs(r.nextInt(Plan.MOST_CLOSED + 1)).boxed().toList());
     }
 
     @Property(tries = 300, seed = "21")
@@ -311,13 +391,14 @@
         assertNull(PlanCodec.read(Arrays.copyOf(bytes, bytes.length + 1)), "longer");
         byte[] spoilt = bytes.clone();
         spoilt[r.nextInt(spoilt.length)] ^= (byte) (1 + r.nextInt(255));
-        Plan other = PlanCodec.read(spoilt);  // another plan, or none; never a fault
+        Plan other = PlanCodec.read(spoilt); // another plan, or none; never a fault
         assertTrue(other == null || !other.equals(plan) || Arrays.equals(bytes, spoilt));
         PlanBook sender = new PlanBook();
         assertTrue(sender.hold(plan));
         List<byte[]> pieces = sender.pieces();
         PlanBook book = new PlanBook();
-        List<Integer> order = new ArrayList<>(java.util.stream.IntStream.range(0, pieces.size()).boxed().toList());
+        List<Integer> order = new ArrayList<>(
+                java.util.stream.IntStream.range(0, pieces.size()).boxed().toList());
         java.util.Collections.shuffle(order, r);
         for (int i : order) {
             assertFalse(book.take(plan.stamp(), i, pieces.size() + 20, pieces.get(i)), "so many pieces no plan has");
--- a/src/test/java/pumicemoor/fleet/drains/DrainsTest.java
+++ b/src/test/java/pumicemoor/fleet/drains/DrainsTest.java
@@ -22,12 +22,17 @@
 
     private static final long LEASE = 1_000;
     private static final long GUARD = 100;
-    private static final long ME = 77;  // this process
+    private static final long ME = 77; // this process
     private static final String KEEPER = "127.0.0.1:9";
 
     private final List<Body> sent = new ArrayList<>();
     private final List<String> dropped = new ArrayList<>();
-    private final Drains drains = new Drains(new DrainTimes(10, 500, 9_000, 9_000, 50, 50), new LeaseTimes(LEASE, GUARD), "me", ME, 0,
+    private final Drains drains = new Drains(
+            new DrainTimes(10, 500, 9_000, 9_000, 50, 50),
+            new LeaseTimes(LEASE, GUARD),
+            "me",
+            ME,
+            0,
             new Drains.Usage() {
                 @Override
                 public int underWay(long member) {
@@ -38,7 +43,8 @@
                 public double hits(long member) {
                     return 2;
                 }
-            }, new Drains.Outlet() {
+            },
+            new Drains.Outlet() {
                 @Override
                 public long send(String address, Body body) {
                     sent.add(body);
@@ -62,13 +68,22 @@
             });
 
     private static World world(long now) {
-        return new World(now, 0, 0, 3, List.of(), Map.of(1L, new Target("box-1", Tier.CACHE, true, 0),
-                2L, new Target("box-2", Tier.CACHE, true, 0)), Set.of());
+        return new World(
+                now,
+                0,
+                0,
+                3,
+                List.of(),
+                Map.of(1L, new Target("box-1", Tier.CACHE, true, 0), 2L, new Target("box-2", Tier.CACHE, true, 0)),
+                Set.of());
     }
 
     private static Plan plan(long stamp, Phase one, Phase two) {
-        return new Plan(stamp, List.of(new DrainRequest(5, 0, 1, 1)), List.of(new Order(1, Tier.CACHE, 1, one, stamp, 40),
-                new Order(2, Tier.CACHE, 1, two, stamp, 40)), List.of());
+        return new Plan(
+                stamp,
+                List.of(new DrainRequest(5, 0, 1, 1)),
+                List.of(new Order(1, Tier.CACHE, 1, one, stamp, 40), new Order(2, Tier.CACHE, 1, two, stamp, 40)),
+                List.of());
     }
 
     private void give(Plan plan) {
@@ -83,7 +98,8 @@
     /** Reports at a time and is answered at another. */
     private void answer(long asked, long at, long instance, boolean office, long inForce) {
         drains.report(asked, KEEPER, 1);
-        long report = sent.size() - (sent.get(sent.size() - 1) instanceof PlanReport ? 0 : 1);  // a command may follow it
+        long report =
+                sent.size() - (sent.get(sent.size() - 1) instanceof PlanReport ? 0 : 1); // a command may follow it
         drains.answered(at, KEEPER, new PlanGrant(report, instance, 1, office, inForce, inForce));
     }
 
--- a/src/test/java/pumicemoor/fleet/drains/PlanModelTest.java
+++ b/src/test/java/pumicemoor/fleet/drains/PlanModelTest.java
@@ -22,12 +22,12 @@
 
     private static final int ROUTERS = 3;
     private static final int MEMBERS = 4;
-    private static final int MOST_STATES = Integer.getInteger("model.states", 5_000);  // of each exploration, the nearest first
-    private static final int LATE = 2;  // packets that may be on their way
+    private static final int MOST_STATES =
+            Integer.getInteger("model.states", 5_000); // of each exploration, the nearest first
+    private static final int LATE = 2; // packets that may be on their way
 
     /** A packet that comes late: an answer where plan is null, else a plan in pieces; in time where a lease has not passed. */
-    private record Flying(int to, int instance, boolean office, long inForce, Plan plan, boolean intime) {
-    }
+    private record Flying(int to, int instance, boolean office, long inForce, Plan plan, boolean intime) {}
 
     private static final class Router {
         PlanBook book = new PlanBook();
@@ -37,14 +37,14 @@
         boolean alive = true;
         boolean touched;
         boolean inTouch;
-        boolean mayBeInTouch;  // as far as a keeper can know
+        boolean mayBeInTouch; // as far as a keeper can know
     }
 
     /** One state, reached by a list of actions. */
     private static final class Model implements Evidence {
         final Router[] routers = new Router[ROUTERS];
         final List<Flying> flying = new ArrayList<>();
-        final Map<Long, Long> out = new TreeMap<>();  // members that an operator works on, by the fence of their way out
+        final Map<Long, Long> out = new TreeMap<>(); // members that an operator works on, by the fence of their way out
         final Set<Long> fences = new HashSet<>();
         final Map<Long, Long> done = new TreeMap<>();
         int keeper = -1;
@@ -80,7 +80,9 @@
         @Override
         public String stillUsed(Order order) {
             for (int r = 0; r < ROUTERS; r++) {
-                if (routers[r].alive && applied(r) < order.fence() && (routers[r].mayBeInTouch || !routers[r].touched)) {
+                if (routers[r].alive
+                        && applied(r) < order.fence()
+                        && (routers[r].mayBeInTouch || !routers[r].touched)) {
                     return "r" + r;
                 }
             }
@@ -121,7 +123,9 @@
 
         List<String> actions() {
             List<String> all = new ArrayList<>();
-            long weak = java.util.Arrays.stream(routers).filter(r -> !r.alive || !r.book.seasoned()).count();
+            long weak = java.util.Arrays.stream(routers)
+                    .filter(r -> !r.alive || !r.book.seasoned())
+                    .count();
             for (int r = 0; r < ROUTERS; r++) {
                 Router x = routers[r];
                 if (!x.alive) {
@@ -137,7 +141,7 @@
                         all.add("late " + r);
                     }
                 }
-                if (weak == 0) {  // a minority at most is dead, or has not learned again
+                if (weak == 0) { // a minority at most is dead, or has not learned again
                     all.add("kill " + r);
                 }
                 if (x.mayBeInTouch && r != keeper) {
@@ -164,7 +168,7 @@
                     term++;
                     routers[n].term = term;
                     for (Router r : routers) {
-                        r.mayBeInTouch = true;  // whoever was keeper may just have answered it
+                        r.mayBeInTouch = true; // whoever was keeper may just have answered it
                     }
                     sit();
                 }
@@ -184,10 +188,11 @@
                     }
                 }
                 case "arrive" -> arrive(flying.remove(n));
-                case "cut" -> {  // a lease and the guard have passed since it was last answered
+                case "cut" -> { // a lease and the guard have passed since it was last answered
                     routers[n].inTouch = false;
                     routers[n].mayBeInTouch = false;
-                    flying.replaceAll(f -> f.to() != n ? f : new Flying(n, f.instance(), f.office(), f.inForce(), f.plan(), false));
+                    flying.replaceAll(f ->
+                            f.to() != n ? f : new Flying(n, f.instance(), f.office(), f.inForce(), f.plan(), false));
                 }
                 case "kill" -> {
                     routers[n].alive = false;
@@ -218,8 +223,14 @@
         /** A router's report comes to the keeper, which goes on and answers. */
         private Flying report(int r) {
             Router x = routers[r];
-            routers[keeper].keeper.reported("r" + r, new PlanKeeper.Report(x.instance, x.term, x.book.held().stamp(),
-                    x.book.applied().stamp(), x.book.seasoned()));
+            routers[keeper].keeper.reported(
+                    "r" + r,
+                    new PlanKeeper.Report(
+                            x.instance,
+                            x.term,
+                            x.book.held().stamp(),
+                            x.book.applied().stamp(),
+                            x.book.seasoned()));
             sit();
             PlanKeeper k = routers[keeper].keeper;
             x.term = Math.max(x.term, term);
@@ -231,8 +242,10 @@
 
         private java.util.Optional<Flying> pieces(int r) {
             Plan held = routers[keeper].book.held();
-            return routers[keeper].keeper.hasRead() && held.stamp() > routers[r].book.held().stamp()
-                    ? java.util.Optional.of(new Flying(r, 0, false, 0, held, true)) : java.util.Optional.empty();
+            return routers[keeper].keeper.hasRead()
+                            && held.stamp() > routers[r].book.held().stamp()
+                    ? java.util.Optional.of(new Flying(r, 0, false, 0, held, true))
+                    : java.util.Optional.empty();
         }
 
         private void arrive(Flying f) {
@@ -270,12 +283,23 @@
                     for (long m = 0; m < MEMBERS; m++) {
                         tiers.put(m, Tier.CACHE);
                     }
-                    next = Steps.told(next, new DrainCommand(DrainCommand.Kind.REQUEST, 1, 1, 1, 0,
-                            List.of(0L, 1L, 2L, 3L)), tiers, k.nextStamp(), 0).plan();
+                    next = Steps.told(
+                                    next,
+                                    new DrainCommand(DrainCommand.Kind.REQUEST, 1, 1, 1, 0, List.of(0L, 1L, 2L, 3L)),
+                                    tiers,
+                                    k.nextStamp(),
+                                    0)
+                            .plan();
                 }
                 for (Map.Entry<Long, Long> d : done.entrySet()) {
-                    next = Steps.told(next, new DrainCommand(DrainCommand.Kind.DONE, 9, 0, 0, d.getValue(),
-                            List.of(d.getKey())), Map.of(), k.nextStamp(), 0).plan();
+                    next = Steps.told(
+                                    next,
+                                    new DrainCommand(
+                                            DrainCommand.Kind.DONE, 9, 0, 0, d.getValue(), List.of(d.getKey())),
+                                    Map.of(),
+                                    k.nextStamp(),
+                                    0)
+                            .plan();
                 }
                 next = Steps.after(next, k.nextStamp(), 0, 2, this).plan();
                 if (next == held) {
@@ -300,22 +324,39 @@
         void check(List<String> path) {
             assertTrue(out.size() <= 1, () -> "out at once " + out + " after " + path);
             for (Router r : routers) {
-                assertTrue(r.book.applied().out() <= 1, () -> "more than may be: " + r.book.applied() + " after " + path);
+                assertTrue(
+                        r.book.applied().out() <= 1, () -> "more than may be: " + r.book.applied() + " after " + path);
                 for (long m : out.keySet()) {
                     Phase phase = r.book.applied().of(m).map(Order::phase).orElse(Phase.FINISHED);
                     boolean alone = phase == Phase.DRAINING || phase == Phase.OUT || phase == Phase.NAMED && !r.inTouch;
-                    assertTrue(!r.alive || !r.touched || alone, () -> "member " + m + " is out and used: "
-                            + r.book.applied() + " after " + path);
+                    assertTrue(
+                            !r.alive || !r.touched || alone,
+                            () -> "member " + m + " is out and used: " + r.book.applied() + " after " + path);
                 }
             }
         }
 
         String digest() {
-            StringBuilder all = new StringBuilder().append(keeper).append(' ').append(term).append(out).append(done).append(flying);
+            StringBuilder all = new StringBuilder()
+                    .append(keeper)
+                    .append(' ')
+                    .append(term)
+                    .append(out)
+                    .append(done)
+                    .append(flying);
             for (Router r : routers) {
-                all.append(r.alive).append(r.touched).append(r.inTouch).append(r.mayBeInTouch).append(r.instance).append(' ').append(r.term)
-                        .append(r.book.held()).append(r.book.applied().stamp()).append(r.book.seasoned())
-                        .append(r.keeper.stage()).append(r.keeper.inForce());
+                all.append(r.alive)
+                        .append(r.touched)
+                        .append(r.inTouch)
+                        .append(r.mayBeInTouch)
+                        .append(r.instance)
+                        .append(' ')
+                        .append(r.term)
+                        .append(r.book.held())
+                        .append(r.book.applied().stamp())
+                        .append(r.book.seasoned())
+                        .append(r.keeper.stage())
+                        .append(r.keeper.inForce());
                 for (int i = 0; i < ROUTERS; i++) {
                     all.append(r.keeper.report("r" + i));
                 }
@@ -382,7 +423,8 @@
         for (int i = 0; i < 8 && at(path).out.isEmpty(); i++) {
             path.add("talk " + (1 + i % 2));
         }
-        path.addAll(List.of("late 2", "leave", "done " + at(path).out.keySet().iterator().next(), "elect 1", "talk 0"));
+        path.addAll(List.of(
+                "late 2", "leave", "done " + at(path).out.keySet().iterator().next(), "elect 1", "talk 0"));
         explore(path, false);
     }
 }
