--- a/src/test/java/pumicemoor/fleet/limits/CellShareTest.java
+++ b/src/test/java/pumicemoor/fleet/limits/CellShareTest.java
@@ -24,9 +24,10 @@
     private static final FleetLimit LIMIT = new FleetLimit("origin", 1, Measure.PER_SECOND, 100);
     private static final FleetLimit WHOLE = new FleetLimit("origin", 1, Measure.IN_FLIGHT, 100);
 
-    private static double ask(LeaseBook book, long now, String cell, long number, long holds, int routers, double wanted,
-            double inUse) {
-        return book.ask(now, new LeaseBook.Asker(cell, 1, number, holds, routers), wanted, inUse, 10, held -> held * 10.0);
+    private static double ask(
+            LeaseBook book, long now, String cell, long number, long holds, int routers, double wanted, double inUse) {
+        return book.ask(
+                now, new LeaseBook.Asker(cell, 1, number, holds, routers), wanted, inUse, 10, held -> held * 10.0);
     }
 
     @Test
@@ -34,7 +35,9 @@
         assertEquals(6 * SECOND, ABOVE.lease());
         assertEquals(1_200_000, ABOVE.guard());
         assertEquals(ABOVE.guard() + ABOVE.lease() + TIMES.lease(), ABOVE.shrink());
-        assertEquals(TIMES.guard() + ABOVE.guard() + 2 * ABOVE.lease() + TIMES.lease(), TIMES.inCells().shrink());
+        assertEquals(
+                TIMES.guard() + ABOVE.guard() + 2 * ABOVE.lease() + TIMES.lease(),
+                TIMES.inCells().shrink());
         assertEquals(TIMES.lease(), TIMES.inCells().lease());
         assertEquals(TIMES.guard(), TIMES.inCells().guard());
     }
@@ -109,7 +112,11 @@
         long until = SECOND + ABOVE.lease();
         assertEquals(until, share.until());
         assertEquals(70, share.pool(until - TIMES.lease(), 4, 10), 1e-9);
-        assertEquals(40, share.pool(until - TIMES.lease() + 1, 4, 10), 1e-9, "a router's lease from now on would outlast it");
+        assertEquals(
+                40,
+                share.pool(until - TIMES.lease() + 1, 4, 10),
+                1e-9,
+                "a router's lease from now on would outlast it");
         assertFalse(share.over(until + ABOVE.shrink() - 1));
         assertTrue(share.over(until + ABOVE.shrink()));
     }
@@ -150,7 +157,11 @@
         double counted = b + 4;
         assertEquals(counted, book.countedOfHolders(10), 1e-6, "a is lent the least, a tenth of four even parts");
         ask(book, 40 * SECOND, "a", 40, 39, 5, 0, 4);
-        assertEquals(counted + 10, book.countedOfHolders(10), 1e-6, "it lives by the grant for four until it hears of the last");
+        assertEquals(
+                counted + 10,
+                book.countedOfHolders(10),
+                1e-6,
+                "it lives by the grant for four until it hears of the last");
         ask(book, 41 * SECOND, "a", 41, 40, 5, 0, 4);
         assertEquals(counted + 1, book.countedOfHolders(10), 1e-6, "it shows that it lives by one for five");
         ask(book, 42 * SECOND, "a", 42, 41, 3, 0, 4);
@@ -161,8 +172,8 @@
         final String name;
         int routers;
         final CellShare share;
-        final Deque<double[]> pools = new ArrayDeque<>();  // when it could lend how much
-        final Deque<double[]> lent = new ArrayDeque<>();  // when it did lend how much
+        final Deque<double[]> pools = new ArrayDeque<>(); // when it could lend how much
+        final Deque<double[]> lent = new ArrayDeque<>(); // when it did lend how much
         double wanted;
         int view;
 
@@ -194,8 +205,7 @@
         }
     }
 
-    private record Flying(long at, Runnable what) {
-    }
+    private record Flying(long at, Runnable what) {}
 
     /** Cells with demand that jumps, two grantors above in dispute, asks and grants lost, late and doubled. */
     @Property(tries = 80, seed = "5301", shrinking = ShrinkingMode.OFF)
@@ -208,7 +218,7 @@
         int all = cells.stream().mapToInt(c -> c.routers).sum();
         List<LeaseBook> books = List.of(new LeaseBook(LIMIT, ABOVE), new LeaseBook(LIMIT, ABOVE));
         List<Flying> flying = new ArrayList<>();
-        long[] clock = {SECOND};  // when what is delivered comes
+        long[] clock = {SECOND}; // when what is delivered comes
         double most = 0;
         long now = SECOND;
         for (int step = 1; step < 3_000; step++) {
@@ -237,8 +247,13 @@
                 double wanted = c.wanted;
                 Runnable ask = () -> {
                     long came = clock[0];
-                    double part = book.ask(came, new LeaseBook.Asker(c.name, 1, number, holds, c.routers), wanted, inUse,
-                            all, held -> held * LIMIT.evenPart(all));
+                    double part = book.ask(
+                            came,
+                            new LeaseBook.Asker(c.name, 1, number, holds, c.routers),
+                            wanted,
+                            inUse,
+                            all,
+                            held -> held * LIMIT.evenPart(all));
                     if (part >= 0 && random.nextInt(4) > 0) {
                         long back = came + random.nextInt(900_000);
                         flying.add(new Flying(back, () -> c.share.granted(clock[0], grantor, 1, number, part)));
@@ -304,11 +319,17 @@
                 long holds = c.share.asks(now, "k", 1, number, routers);
                 if (random.nextInt(4) > 0) {
                     flying.add(new Flying(now + random.nextInt(500_000), () -> {
-                        double part = book.ask(clock[0], new LeaseBook.Asker(c.name, 1, number, holds, routers), wanted,
-                                inUse, all, held -> held * LIMIT.evenPart(all));
+                        double part = book.ask(
+                                clock[0],
+                                new LeaseBook.Asker(c.name, 1, number, holds, routers),
+                                wanted,
+                                inUse,
+                                all,
+                                held -> held * LIMIT.evenPart(all));
                         if (part >= 0 && random.nextInt(4) > 0) {
-                            flying.add(new Flying(clock[0] + random.nextInt(500_000), () -> c.share.granted(clock[0], "k",
-                                    1, number, part)));
+                            flying.add(new Flying(
+                                    clock[0] + random.nextInt(500_000),
+                                    () -> c.share.granted(clock[0], "k", 1, number, part)));
                         }
                     }));
                 }
--- a/src/test/java/pumicemoor/fleet/limits/LeaseTest.java
+++ b/src/test/java/pumicemoor/fleet/limits/LeaseTest.java
@@ -43,7 +43,8 @@
         assertEquals(7, held.part(4 * SECOND, 4));
         assertEquals(7, held.part(4 * SECOND + TIMES.shrink() - 1, 4));
         assertEquals(25, held.part(4 * SECOND + TIMES.shrink(), 4));
-        assertEquals(-1, held.asks(5 * SECOND, "other", 1, 20), "another is asked only when the first can't count on it");
+        assertEquals(
+                -1, held.asks(5 * SECOND, "other", 1, 20), "another is asked only when the first can't count on it");
         assertEquals(0, held.asks(4 * SECOND + TIMES.shrink(), "other", 1, 21));
     }
 
--- a/src/test/java/pumicemoor/fleet/membership/ComparedInPartsTest.java
+++ b/src/test/java/pumicemoor/fleet/membership/ComparedInPartsTest.java
@@ -37,8 +37,13 @@
         long number;
 
         One(String name, int address, boolean inParts) {
-            membership = new Membership(new Membership.Setup(name, address(address), List.of(), PERIOD, 3, 2, 600 * SECOND,
-                    4_000), SECOND, address, 1_000 + address, inParts, this);
+            membership = new Membership(
+                    new Membership.Setup(name, address(address), List.of(), PERIOD, 3, 2, 600 * SECOND, 4_000),
+                    SECOND,
+                    address,
+                    1_000 + address,
+                    inParts,
+                    this);
         }
 
         @Override
@@ -55,12 +60,10 @@
         }
 
         @Override
-        public void spread(RouterNews news) {
-        }
+        public void spread(RouterNews news) {}
 
         @Override
-        public void changed(RouterNews news, Standing before, String cause) {
-        }
+        public void changed(RouterNews news, Standing before, String cause) {}
 
         @Override
         public void dropped(String what) {
@@ -153,8 +156,9 @@
         assertSame(pair.get(0), pair.get(1));
         assertTrue(pair.get(1).told >= 102, () -> "told " + pair.get(1).told);
         One flat = pair.get(0);
-        flat.membership.heard(SECOND, new Packet(pair.get(1).membership.self(), 9_999, new Sums(List.of(1L), true), List.of(),
-                List.of()));
+        flat.membership.heard(
+                SECOND,
+                new Packet(pair.get(1).membership.self(), 9_999, new Sums(List.of(1L), true), List.of(), List.of()));
         assertTrue(flat.sent.isEmpty(), "it does not speak of parts");
     }
 
@@ -163,10 +167,17 @@
         List<One> pair = pair(200, true);
         One b = pair.get(1);
         for (int i = 0; i < 50; i++) {
-            b.membership.heard(SECOND, new Packet(pair.get(0).membership.self(), 100 + i, new Compare(1, true), List.of(),
-                    List.of()));
-            b.membership.heard(SECOND, new Packet(pair.get(0).membership.self(), 200 + i, new Sums(List.of(1L), false),
-                    List.of(), List.of()));
+            b.membership.heard(
+                    SECOND,
+                    new Packet(pair.get(0).membership.self(), 100 + i, new Compare(1, true), List.of(), List.of()));
+            b.membership.heard(
+                    SECOND,
+                    new Packet(
+                            pair.get(0).membership.self(),
+                            200 + i,
+                            new Sums(List.of(1L), false),
+                            List.of(),
+                            List.of()));
         }
         assertEquals(12, b.sent.size(), "eight digests in parts and four times all");
         assertEquals(88, b.dropped.get("compare-limited"));
@@ -179,8 +190,10 @@
         List<One> pair = pair(common, true);
         List<RouterNews> newer = new ArrayList<>();
         for (int i = random.nextInt(60); i >= 0; i--) {
-            RouterNews news = router(random.nextInt(common + 40), 1 + random.nextInt(4), Standing.values()[random.nextInt(
-                    Standing.values().length)]);
+            RouterNews news = router(
+                    random.nextInt(common + 40),
+                    1 + random.nextInt(4),
+                    Standing.values()[random.nextInt(Standing.values().length)]);
             pair.get(random.nextInt(2)).knows(router(0, 1, Standing.ALIVE), news);
             newer.add(news);
         }
@@ -189,6 +202,7 @@
         assertSame(pair.get(0), pair.get(1));
         Map<String, RouterNews> known = new HashMap<>();
         pair.get(0).membership.table().forEach(n -> known.put(n.name(), n));
-        newer.forEach(n -> assertTrue(!n.overrides(known.get(n.name())), () -> n + " is newer than " + known.get(n.name())));
+        newer.forEach(
+                n -> assertTrue(!n.overrides(known.get(n.name())), () -> n + " is newer than " + known.get(n.name())));
     }
 }
--- a/src/test/java/pumicemoor/fleet/verdicts/VerdictTableTest.java
+++ b/src/test/java/pumicemoor/fleet/verdicts/VerdictTableTest.java
@@ -22,7 +22,8 @@
 
     @Property(tries = 200, seed = "21")
     void whateverTheOrderTheNewestStands(@ForAll long seed) {
-        List<Verdict> all = new java.util.ArrayList<>(LongStream.rangeClosed(1, 9).mapToObj(v -> verdict(v, v % 2 == 0))
+        List<Verdict> all = new java.util.ArrayList<>(LongStream.rangeClosed(1, 9)
+                .mapToObj(v -> verdict(v, v % 2 == 0))
                 .toList());
         all.addAll(all);
         Collections.shuffle(all, new Random(seed));
--- a/src/test/java/pumicemoor/hierarchy/FillOrderBenchmark.java
+++ b/src/test/java/pumicemoor/hierarchy/FillOrderBenchmark.java
@@ -68,8 +68,9 @@
         probes = new ArrayList<>();
         for (int i = 0; i < 1_024; i++) {
             int child = 1 + random.nextInt(units - 1);
-            String[] probe = {"u" + child, "u" + random.nextInt(form.equals("tree")
-                    ? Math.max(1, (int) Math.sqrt(child)) : child)};
+            String[] probe = {
+                "u" + child, "u" + random.nextInt(form.equals("tree") ? Math.max(1, (int) Math.sqrt(child)) : child)
+            };
             if (!plain.getOrDefault(probe[0], Set.of()).contains(probe[1])) {
                 probes.add(probe);
             }
--- a/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
+++ b/src/test/java/pumicemoor/hierarchy/HierarchyTest.java
@@ -62,15 +62,19 @@
         assertEquals(id("h1"), moving.before().get(0).member());
         assertEquals(T0 + 2 * SECOND, moving.now().get(0).opensAt());
         assertEquals(T0 + 12 * SECOND, moving.now().get(0).fullAt());
-        assertEquals(List.of(id("h1")), h.sources(HierarchyTest::id).lists().get(id("h2")).seeds());
+        assertEquals(
+                List.of(id("h1")),
+                h.sources(HierarchyTest::id).lists().get(id("h2")).seeds());
         h.advance(T0 + 7 * SECOND);
         assertEquals(0.5, h.snapshot().shareMoved(), 0.001);
         assertEquals(Stage.MOVING, h.snapshot().stage());
         assertEquals(List.of(), home(h, T0 + 12 * SECOND).before());
-        assertEquals(id("h1"), home(h, T0 + 13 * SECOND).earlier().get(0).member(), "it is remembered for what it held");
+        assertEquals(
+                id("h1"), home(h, T0 + 13 * SECOND).earlier().get(0).member(), "it is remembered for what it held");
         h.advance(T0 + 60 * SECOND);
         assertEquals(Stage.AS_WANTED, h.snapshot().stage());
-        assertEquals(List.of(), h.sources(HierarchyTest::id).lists().get(id("h2")).seeds());
+        assertEquals(
+                List.of(), h.sources(HierarchyTest::id).lists().get(id("h2")).seeds());
     }
 
     @Test
@@ -80,8 +84,12 @@
         h.advance(T0 + 3 * SECOND);
         assertEquals(Stage.HELD, h.snapshot().stage());
         assertEquals(1, h.snapshot().linksHeld());
-        assertTrue(log.stream().anyMatch(l -> l.text().contains("would close a loop")
-                && "h2".equals(l.figures().get("unit")) && "h1".equals(l.figures().get("parent"))), log.toString());
+        assertTrue(
+                log.stream()
+                        .anyMatch(l -> l.text().contains("would close a loop")
+                                && "h2".equals(l.figures().get("unit"))
+                                && "h1".equals(l.figures().get("parent"))),
+                log.toString());
         assertTrue(h.timeline().linksInUse().contains(new Shape.Link("h2", "o")), "service goes on the old way");
         h.advance(T0 + 14 * SECOND);
         assertFalse(h.timeline().linksInUse().contains(new Shape.Link("h2", "h1")), "others may still follow h1 <- h2");
@@ -119,7 +127,7 @@
     @Test
     void aHubThatIsRemovedStaysUntilNobodyFillsThroughIt() {
         Hierarchy h = at(News.FILE, "d:h1", "h1:o");
-        h.take(T0, Shapes.shape(2, T0, "d:o"), Set.of());  // the only one
+        h.take(T0, Shapes.shape(2, T0, "d:o"), Set.of()); // the only one
         h.advance(T0 + 8 * SECOND);
         assertTrue(h.timeline().linksInUse().contains(new Shape.Link("h1", "o")));
         assertEquals(Set.of(id("o")), now(home(h, T0 + 8 * SECOND)));
@@ -154,7 +162,9 @@
         h.take(T0 + 6 * SECOND, piece(3, T0 + 6 * SECOND, 2, "h1:h2"));
         h.take(T0 + 6 * SECOND, piece(4, T0 + 6 * SECOND, 2, "d:h1"));
         assertEquals(1, h.snapshot().shapesRefused());
-        assertTrue(h.snapshot().lastRefusal().contains("a loop: h1 <- h2 <- h1"), h.snapshot().lastRefusal());
+        assertTrue(
+                h.snapshot().lastRefusal().contains("a loop: h1 <- h2 <- h1"),
+                h.snapshot().lastRefusal());
         assertEquals(Map.of("h1", 1.0), h.wanted().get("h2").parents(), "nothing of it was taken");
     }
 
@@ -204,9 +214,16 @@
     @Test
     void aWholeShapeThatIsRefusedLeavesAllAsItWas() {
         Hierarchy h = at(News.FILE, "d:h1", "h1:o");
-        assertEquals(Trouble.LOOP, h.take(T0, Shapes.shape(2, T0, "d:h1", "h1:h2", "h2:h1"), Set.of()).get(0).trouble());
-        assertEquals(Trouble.UNKNOWN_MEMBER,
-                h.take(T0, Shapes.shape(2, T0, "d:h1", "h1:o"), Set.of("o")).get(0).trouble());
+        assertEquals(
+                Trouble.LOOP,
+                h.take(T0, Shapes.shape(2, T0, "d:h1", "h1:h2", "h2:h1"), Set.of())
+                        .get(0)
+                        .trouble());
+        assertEquals(
+                Trouble.UNKNOWN_MEMBER,
+                h.take(T0, Shapes.shape(2, T0, "d:h1", "h1:o"), Set.of("o"))
+                        .get(0)
+                        .trouble());
         assertFalse(h.take(T0, Shapes.shape(1, T0, "d:o", "h1:o"), Set.of()).isEmpty(), "the version must rise");
         assertEquals(3, h.snapshot().shapesRefused());
         assertEquals(1, h.snapshot().version());
@@ -236,15 +253,32 @@
         assertTrue(plan.usable());
         assertEquals(List.of("h1 <- o"), plan.steps().get(0).begin());
         assertEquals(List.of("h2 <- h1"), plan.steps().get(0).held());
-        MovePlan.Step second = plan.steps().stream().filter(s -> s.begin().contains("h2 <- h1")).findFirst().orElseThrow();
+        MovePlan.Step second = plan.steps().stream()
+                .filter(s -> s.begin().contains("h2 <- h1"))
+                .findFirst()
+                .orElseThrow();
         assertEquals(TIMING.lead() + TIMING.move() + TIMING.gap(), second.after());
-        assertFalse(MovePlan.between(old, Shapes.shape(2, 0, "d:h1", "h1:h2", "h2:h1"), TIMING).usable());
+        assertFalse(MovePlan.between(old, Shapes.shape(2, 0, "d:h1", "h1:h2", "h2:h1"), TIMING)
+                .usable());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"d:|ORPHAN", "d:hx|UNKNOWN_UNIT", "d:h1;h1:h2;h2:h1|LOOP", "h1:d;d:h1|DOWNWARD",
-        "d:c1;c1:o|DOWNWARD", "c1:c2;c2:c1|LOOP", "h1:c1;c1:o|DOWNWARD"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "d:|ORPHAN",
+                "d:hx|UNKNOWN_UNIT",
+                "d:h1;h1:h2;h2:h1|LOOP",
+                "h1:d;d:h1|DOWNWARD",
+                "d:c1;c1:o|DOWNWARD",
+                "c1:c2;c2:c1|LOOP",
+                "h1:c1;c1:o|DOWNWARD"
+            })
     void troublesAreFound(String lines, Trouble trouble) {
-        assertEquals(trouble, ShapeCheck.problems(Shapes.shape(1, 0, lines.split(";")), Set.of()).get(0).trouble());
+        assertEquals(
+                trouble,
+                ShapeCheck.problems(Shapes.shape(1, 0, lines.split(";")), Set.of())
+                        .get(0)
+                        .trouble());
     }
 }
--- a/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
+++ b/src/test/java/pumicemoor/hierarchy/ManyRoutersTest.java
@@ -18,7 +18,6 @@
 import net.jqwik.api.Property;
 import pumicemoor.hierarchy.Hierarchy.News;
 import pumicemoor.hierarchy.Hierarchy.Setup;
-import pumicemoor.hierarchy.Shape.Kind;
 import pumicemoor.hierarchy.Shape.Link;
 import pumicemoor.hierarchy.Shape.Unit;
 
@@ -34,8 +33,7 @@
     private static final int HUBS = 5;
     private static final long STEP = SECOND / 2;
 
-    private record Told(long at, Runnable what) {
-    }
+    private record Told(long at, Runnable what) {}
 
     /** A random day; what it checks at each moment is the same for all days. */
     private static final class Day {
@@ -57,7 +55,7 @@
             first.units().keySet().stream().filter(n -> n.startsWith("d")).forEach(alwaysThere::add);
             for (int i = 0; i < ROUTERS; i++) {
                 skew[i] = random.nextInt((int) (SECOND / 2));
-                routers.add(new Hierarchy(first, 0, 0, new Setup("d0", News.FEED, TIMING, 0), t -> { }));
+                routers.add(new Hierarchy(first, 0, 0, new Setup("d0", News.FEED, TIMING, 0), t -> {}));
                 inbox.add(new ArrayList<>());
             }
         }
@@ -74,7 +72,8 @@
             List<String> lines = new ArrayList<>();
             for (int i = 0; i < order.size(); i++) {
                 int at = i;
-                String above = order.subList(at + 1, order.size()).stream().filter(h -> random.nextInt(3) == 0)
+                String above = order.subList(at + 1, order.size()).stream()
+                        .filter(h -> random.nextInt(3) == 0)
                         .collect(Collectors.joining(","));
                 lines.add(order.get(i) + ":" + (above.isEmpty() ? "o" : above));
             }
@@ -92,7 +91,7 @@
                 pieces.addAll(Hierarchy.pieces(target, next, number + 1));
                 target.clear();
                 target.putAll(next.units());
-            } else {  // one unit by itself, with no care for the others
+            } else { // one unit by itself, with no care for the others
                 String unit = random.nextInt(4) == 0 ? "d" + random.nextInt(2) : "h" + random.nextInt(HUBS);
                 boolean removed = unit.startsWith("h") && target.containsKey(unit) && random.nextInt(8) == 0;
                 Map<String, Double> parents = new HashMap<>();
@@ -134,8 +133,8 @@
                 int router = r;
                 if (random.nextInt(4) > 0) {
                     long delay = random.nextInt((int) (2 * SECOND));
-                    inbox.get(r).add(new Told(now + delay,
-                            () -> routers.get(router).certain(clock(router, now + delay), now, last)));
+                    inbox.get(r).add(new Told(now + delay, () -> routers.get(router)
+                            .certain(clock(router, now + delay), now, last)));
                 }
             }
         }
@@ -146,8 +145,10 @@
 
         void deliver(long now) {
             for (int r = 0; r < ROUTERS; r++) {
-                List<Told> due = inbox.get(r).stream().filter(t -> t.at() <= now)
-                        .sorted((a, b) -> Long.compare(a.at(), b.at())).toList();
+                List<Told> due = inbox.get(r).stream()
+                        .filter(t -> t.at() <= now)
+                        .sorted((a, b) -> Long.compare(a.at(), b.at()))
+                        .toList();
                 inbox.get(r).removeAll(due);
                 due.forEach(t -> t.what().run());
                 routers.get(r).advance(clock(r, now));
@@ -190,8 +191,9 @@
             day.check(now);
         }
         Set<Link> first = day.routers.get(0).timeline().linksInUse();
-        Set<Link> wanted = day.target.values().stream().flatMap(u -> u.parents().keySet().stream()
-                .map(p -> new Link(u.name(), p))).collect(Collectors.toSet());
+        Set<Link> wanted = day.target.values().stream()
+                .flatMap(u -> u.parents().keySet().stream().map(p -> new Link(u.name(), p)))
+                .collect(Collectors.toSet());
         for (Hierarchy h : day.routers) {
             assertEquals(first, h.timeline().linksInUse(), "all follow the same links in the end");
             assertEquals(day.target, h.wanted());
@@ -199,8 +201,13 @@
         }
         boolean allThere = wanted.stream().allMatch(l -> day.target.containsKey(l.parent()));
         if (!Shapes.hasLoop(wanted) && allThere) {
-            assertEquals(wanted, first, () -> "the last shape is reached; "
-                    + first.stream().map(l -> day.routers.get(0).timeline().describe(l.unit())).toList());
+            assertEquals(
+                    wanted,
+                    first,
+                    () -> "the last shape is reached; "
+                            + first.stream()
+                                    .map(l -> day.routers.get(0).timeline().describe(l.unit()))
+                                    .toList());
         }
     }
 
--- a/src/test/java/pumicemoor/hierarchy/Shapes.java
+++ b/src/test/java/pumicemoor/hierarchy/Shapes.java
@@ -14,8 +14,7 @@
 /** Shapes for tests from short texts, and a plain walk for loops that shares nothing with what is tested. */
 final class Shapes {
 
-    private Shapes() {
-    }
+    private Shapes() {}
 
     /** From lines like "d0:h1,h2"; d is a depot, c a cache, h a hub, o the origin. */
     static Shape shape(long version, long announced, String... lines) {
@@ -29,8 +28,9 @@
     }
 
     static Kind kind(String name) {
-        return name.startsWith("d") ? Kind.DEPOT : name.startsWith("c") ? Kind.CACHE
-                : name.startsWith("h") ? Kind.HUB : Kind.ORIGIN;
+        return name.startsWith("d")
+                ? Kind.DEPOT
+                : name.startsWith("c") ? Kind.CACHE : name.startsWith("h") ? Kind.HUB : Kind.ORIGIN;
     }
 
     static Map<String, Double> parents(String names) {
@@ -49,7 +49,9 @@
         // takes away who fills from nobody that is left, until all are gone or only loops are
         while (!above.isEmpty()) {
             List<String> free = above.entrySet().stream()
-                    .filter(e -> e.getValue().stream().noneMatch(above::containsKey)).map(Map.Entry::getKey).toList();
+                    .filter(e -> e.getValue().stream().noneMatch(above::containsKey))
+                    .map(Map.Entry::getKey)
+                    .toList();
             if (free.isEmpty()) {
                 return true;
             }
@@ -60,9 +62,13 @@
 
     static boolean reaches(Collection<Link> links, String from, String to) {
         Set<String> seen = new HashSet<>(Set.of(from));
-        for (int before = 0; before < seen.size();) {
+        for (int before = 0; before < seen.size(); ) {
             before = seen.size();
-            links.stream().filter(l -> seen.contains(l.unit())).map(Link::parent).toList().forEach(seen::add);
+            links.stream()
+                    .filter(l -> seen.contains(l.unit()))
+                    .map(Link::parent)
+                    .toList()
+                    .forEach(seen::add);
         }
         return seen.contains(to);
     }
--- a/src/test/java/pumicemoor/lab/CellProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/CellProcessesTest.java
@@ -25,19 +25,20 @@
 
     private static final int EACH = 8;
     private static final int ROUTERS = 27;
-    private static final int AT_FIRST = 24;  // the others join the third cell, which is too large then
+    private static final int AT_FIRST = 24; // the others join the third cell, which is too large then
     private static final int MOST = 9;
     private static final int CACHES = 3;
     private static final double TO_CACHE = 100;
     private static final double TO_ORIGIN = 60;
-    private static final long BUCKET = 100_000;  // microseconds, as the decisions have it
-    private static final long LEASE = 1_000;  // milliseconds
+    private static final long BUCKET = 100_000; // microseconds, as the decisions have it
+    private static final long LEASE = 1_000; // milliseconds
     private static final long GUARD = 100;
-    private static final long SHRINK = GUARD + 4 * GUARD + 2 * 2 * LEASE + LEASE;  // docs/fleet-design.md, "Cells"
-    private static final long ANEW = 2 * SHRINK;  // how long a process counts as started anew
-    private static final long SLACK = 500;  // milliseconds, for stand-ins that write down late what came in time
+    private static final long SHRINK = GUARD + 4 * GUARD + 2 * 2 * LEASE + LEASE; // docs/fleet-design.md, "Cells"
+    private static final long ANEW = 2 * SHRINK; // how long a process counts as started anew
+    private static final long SLACK = 500; // milliseconds, for stand-ins that write down late what came in time
     private static final List<String> ROOTS = List.of("west", "east", "south");
-    private static final String FLEET = """
+    private static final String FLEET =
+            """
               period-ms: 100
               lease-ms: 1000
               guard-ms: 100
@@ -51,14 +52,18 @@
     @TempDir
     Path folder;
 
-    private final List<Long> restarts = new ArrayList<>();  // when a process took the place of one that ended: milliseconds
+    private final List<Long> restarts =
+            new ArrayList<>(); // when a process took the place of one that ended: milliseconds
 
     private static String root(int router) {
         return ROOTS.get(Math.min(router / EACH, ROOTS.size() - 1));
     }
 
     private static List<Integer> of(String root) {
-        return IntStream.range(0, ROUTERS).filter(r -> root(r).equals(root)).boxed().toList();
+        return IntStream.range(0, ROUTERS)
+                .filter(r -> root(r).equals(root))
+                .boxed()
+                .toList();
     }
 
     private void restart(FleetRig rig, int router) throws Exception {
@@ -73,7 +78,7 @@
     private void assertKept(FleetRig rig, String member, double limit) {
         long[] at = rig.cameTo(member);
         for (long window : new long[] {3_000, 10_000, 200_000}) {
-            double worst = Double.NEGATIVE_INFINITY;  // requests over the bound, of all stretches of this length
+            double worst = Double.NEGATIVE_INFINITY; // requests over the bound, of all stretches of this length
             String where = "";
             for (int from = 0, to = 0; to < at.length; to++) {
                 while (at[to] - at[from] > window) {
@@ -82,13 +87,19 @@
                 long span = Math.min(window, at[to] - at[0]);
                 long begin = at[to] - span;
                 long end = at[to];
-                long anew = restarts.stream().filter(s -> s <= end && s + ANEW >= begin).count();
-                double allowed = restarts.stream().mapToLong(s -> Math.max(0, Math.min(end, s + ANEW) - Math.max(begin, s)))
-                        .sum() / 1e3 * (Bounds.spent(limit, ROUTERS, 1) - limit);
+                long anew = restarts.stream()
+                        .filter(s -> s <= end && s + ANEW >= begin)
+                        .count();
+                double allowed = restarts.stream()
+                                .mapToLong(s -> Math.max(0, Math.min(end, s + ANEW) - Math.max(begin, s)))
+                                .sum()
+                        / 1e3
+                        * (Bounds.spent(limit, ROUTERS, 1) - limit);
                 double bound = Bounds.requests(limit, (span + SLACK) * 1_000, BUCKET, (int) (ROUTERS + anew)) + allowed;
                 if (to - from + 1 - bound > worst) {
                     worst = to - from + 1 - bound;
-                    where = member + ": " + (to - from + 1) + " requests in " + span + " ms until " + end + ", bound " + bound;
+                    where = member + ": " + (to - from + 1) + " requests in " + span + " ms until " + end + ", bound "
+                            + bound;
                 }
             }
             assertTrue(worst <= 0, where);
@@ -117,9 +128,13 @@
         cells.values().forEach(c -> c.forEach(r -> size.put(r, c.size())));
         return size.entrySet().stream().allMatch(e -> {
             List<Map<String, Object>> limits = rig.rows(e.getKey(), "limits");
-            return rig.rows(e.getKey(), "members").stream().filter(m -> m.get("level").equals("cell")
-                    && m.get("standing").equals("alive")).count() == e.getValue()
-                    && limits.size() == CACHES + 1 && limits.stream().allMatch(l -> l.get("state").equals("leased"));
+            return rig.rows(e.getKey(), "members").stream()
+                                    .filter(m -> m.get("level").equals("cell")
+                                            && m.get("standing").equals("alive"))
+                                    .count()
+                            == e.getValue()
+                    && limits.size() == CACHES + 1
+                    && limits.stream().allMatch(l -> l.get("state").equals("leased"));
         });
     }
 
@@ -128,14 +143,22 @@
         for (int wait = 0; wait < 40 && !together(rig, routers); wait++) {
             rig.play(0.5);
         }
-        assertTrue(together(rig, routers), () -> cells(rig) + " " + rig.rows(0, "members") + " " + rig.rows(0, "limits"));
+        assertTrue(
+                together(rig, routers), () -> cells(rig) + " " + rig.rows(0, "members") + " " + rig.rows(0, "limits"));
     }
 
     @Test
     void limitsHoldWhileADelegateDiesACellIsSplitAndACellIsRestarted() throws Exception {
-        try (FleetRig rig = FleetRig.ofMany(folder, ROUTERS, AT_FIRST, CACHES, 600,
-                r -> FLEET.replace("ROOT", root(r)), List.of(0, EACH, 2 * EACH));
-                LoadClients west = rig.clientsOf(of("west").stream().map(rig.routers::get).toList())) {
+        try (FleetRig rig = FleetRig.ofMany(
+                        folder,
+                        ROUTERS,
+                        AT_FIRST,
+                        CACHES,
+                        600,
+                        r -> FLEET.replace("ROOT", root(r)),
+                        List.of(0, EACH, 2 * EACH));
+                LoadClients west =
+                        rig.clientsOf(of("west").stream().map(rig.routers::get).toList())) {
             awaitTogether(rig, AT_FIRST);
             assertEquals(3, cells(rig).size(), () -> "cells are " + cells(rig));
 
@@ -144,7 +167,9 @@
             int before = rig.cameTo("box-0").length;
             rig.play(3, List.of(west));
             int used = rig.cameTo("box-0").length - before;
-            assertTrue(used > 1.5 * 3 * TO_CACHE * EACH / ROUTERS, () -> "a cell with all the demand had " + used + " in 3 s");
+            assertTrue(
+                    used > 1.5 * 3 * TO_CACHE * EACH / ROUTERS,
+                    () -> "a cell with all the demand had " + used + " in 3 s");
 
             // all demand everywhere, and the router to which the first cell reports is killed: it is a delegate
             String grantor = rig.routers.get(0).status().get("fleet-grantor");
@@ -163,7 +188,9 @@
             rig.play(6);
             awaitTogether(rig, ROUTERS);
             Map<String, Set<Integer>> split = cells(rig);
-            assertTrue(split.size() >= 4 && split.values().stream().allMatch(c -> c.size() <= MOST), () -> "cells " + split);
+            assertTrue(
+                    split.size() >= 4 && split.values().stream().allMatch(c -> c.size() <= MOST),
+                    () -> "cells " + split);
 
             // the second cell's routers are all started anew
             for (int r : of("east")) {
--- a/src/test/java/pumicemoor/lab/ClockStepProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/ClockStepProcessesTest.java
@@ -19,7 +19,7 @@
 /** A router process whose wall clock is stepped under load, by a library that the test builds and preloads. */
 class ClockStepProcessesTest {
 
-    private static final long DRAIN_GRACE = 1_000;  // milliseconds, of the settings in LabConfig
+    private static final long DRAIN_GRACE = 1_000; // milliseconds, of the settings in LabConfig
     private static final String DRAINED = "box-1";
 
     @TempDir
@@ -31,14 +31,23 @@
             Files.copy(in, source);
         }
         Path library = folder.resolve("clockstep.so");
-        return new ProcessBuilder("cc", "-shared", "-fPIC", "-O1", "-o", library.toString(), source.toString()).inheritIO()
-                .start().waitFor() == 0 ? library : null;
+        return new ProcessBuilder("cc", "-shared", "-fPIC", "-O1", "-o", library.toString(), source.toString())
+                                .inheritIO()
+                                .start()
+                                .waitFor()
+                        == 0
+                ? library
+                : null;
     }
 
     private static boolean compiler() {
         try {
-            return new ProcessBuilder("cc", "--version").redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor() == 0;
+            return new ProcessBuilder("cc", "--version")
+                            .redirectErrorStream(true)
+                            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                            .start()
+                            .waitFor()
+                    == 0;
         } catch (IOException | InterruptedException e) {
             return false;
         }
@@ -64,11 +73,17 @@
             rig.play(3);
             Thread.sleep(1_000);
             long drained = rig.record.drainedAt().get(DRAINED);
-            List<Done> after = rig.clients.done().stream().filter(d -> d.at() > begun - 500).toList();
+            List<Done> after = rig.clients.done().stream()
+                    .filter(d -> d.at() > begun - 500)
+                    .toList();
             assertTrue(after.size() > 800, () -> "only " + after.size() + " requests were asked");
-            assertEquals(List.of(), after.stream().filter(d -> d.end() != End.SERVED).toList());
-            assertEquals(List.of(), rig.record.asked().stream()
-                    .filter(a -> a.member().equals(DRAINED) && a.at() > drained + DRAIN_GRACE).toList());
+            assertEquals(
+                    List.of(), after.stream().filter(d -> d.end() != End.SERVED).toList());
+            assertEquals(
+                    List.of(),
+                    rig.record.asked().stream()
+                            .filter(a -> a.member().equals(DRAINED) && a.at() > drained + DRAIN_GRACE)
+                            .toList());
         }
     }
 }
--- a/src/test/java/pumicemoor/lab/DrainProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/DrainProcessesTest.java
@@ -28,9 +28,10 @@
     private static final int CACHES = 6;
     private static final int AT_ONCE = 2;
     private static final int SERVING = 4;
-    private static final double STEP = 0.2;  // seconds between looks of the operator
-    private static final long WORK = 2_000;  // milliseconds on each member
-    private static final String FLEET = """
+    private static final double STEP = 0.2; // seconds between looks of the operator
+    private static final long WORK = 2_000; // milliseconds on each member
+    private static final String FLEET =
+            """
               period-ms: 100
               lease-ms: 1500
               guard-ms: 150
@@ -41,18 +42,17 @@
     Path folder;
 
     /** One time that a member was out: from when a router first said so until its work was done, by the record's clock. */
-    private record Out(String member, long from, long to) {
-    }
+    private record Out(String member, long from, long to) {}
 
     /** The operator, or the program that stands in for one: goes by what any router shows as confirmed. */
     private static final class Operator {
         private final FleetRig rig;
-        private final Map<String, Long> down = new HashMap<>();  // since when, by the record's clock
+        private final Map<String, Long> down = new HashMap<>(); // since when, by the record's clock
         private final Map<String, Object> fences = new HashMap<>();
         private final Set<String> toTell = new TreeSet<>();
         private final Set<String> seen = new HashSet<>();
         private final List<Out> outs = new ArrayList<>();
-        private final List<long[]> serving = new ArrayList<>();  // at milliseconds, so many caches
+        private final List<long[]> serving = new ArrayList<>(); // at milliseconds, so many caches
         private int mostOut;
 
         Operator(FleetRig rig) {
@@ -63,13 +63,15 @@
             for (int r = 0; r < ROUTERS; r++) {
                 for (Map<String, Object> row : rig.rows(r, "drains")) {
                     String member = (String) row.get("member");
-                    if (row.get("phase").equals("out") && (Boolean) row.get("confirmed")
+                    if (row.get("phase").equals("out")
+                            && (Boolean) row.get("confirmed")
                             && seen.add(member + row.get("fence"))) {
                         assertTrue(down.put(member, rig.record.now()) == null, "it is out already");
                         fences.put(member, row.get("fence"));
                     }
-                    if (!row.get("phase").equals("out") && ((Number) row.get("fence")).longValue()
-                            > ((Number) fences.getOrDefault(member, Long.MAX_VALUE)).longValue()) {
+                    if (!row.get("phase").equals("out")
+                            && ((Number) row.get("fence")).longValue()
+                                    > ((Number) fences.getOrDefault(member, Long.MAX_VALUE)).longValue()) {
                         toTell.remove(member);
                     }
                 }
@@ -86,8 +88,17 @@
             for (String member : toTell) {
                 for (int r = 0; r < ROUTERS; r++) {
                     if (!rig.away.contains(r)) {
-                        rig.command(r, Map.of("drain", "done", "id", Integer.toHexString(member.hashCode()), "members", member,
-                                "fence", fences.get(member).toString()));
+                        rig.command(
+                                r,
+                                Map.of(
+                                        "drain",
+                                        "done",
+                                        "id",
+                                        Integer.toHexString(member.hashCode()),
+                                        "members",
+                                        member,
+                                        "fence",
+                                        fences.get(member).toString()));
                     }
                 }
             }
@@ -102,13 +113,23 @@
     }
 
     private static Map<String, String> request(String id) {
-        return Map.of("drain", "request", "id", id, "members", "box-0,box-1,box-2,box-3,box-4,box-5", "max-at-once",
-                Integer.toString(AT_ONCE), "min-serving", Integer.toString(SERVING));
+        return Map.of(
+                "drain",
+                "request",
+                "id",
+                id,
+                "members",
+                "box-0,box-1,box-2,box-3,box-4,box-5",
+                "max-at-once",
+                Integer.toString(AT_ONCE),
+                "min-serving",
+                Integer.toString(SERVING));
     }
 
     private static boolean ended(FleetRig rig, String id) {
         for (int r = 0; r < ROUTERS; r++) {
-            if (rig.rows(r, "drain-requests").stream().noneMatch(x -> x.get("id").equals(id) && x.get("state").equals("ended"))) {
+            if (rig.rows(r, "drain-requests").stream()
+                    .noneMatch(x -> x.get("id").equals(id) && x.get("state").equals("ended"))) {
                 return false;
             }
         }
@@ -120,16 +141,21 @@
         try (FleetRig rig = new FleetRig(folder, ROUTERS, CACHES, 200, 1_000, FLEET)) {
             Operator operator = new Operator(rig);
             operator.play(4);
-            for (Map<String, String> wrong : List.of(Map.of("max-at-once", "0"), Map.of("max-at-once", "7"),
-                    Map.of("min-serving", "7"), Map.of("members", "box-9"), Map.of("cluster", "another"))) {
+            for (Map<String, String> wrong : List.of(
+                    Map.of("max-at-once", "0"),
+                    Map.of("max-at-once", "7"),
+                    Map.of("min-serving", "7"),
+                    Map.of("members", "box-9"),
+                    Map.of("cluster", "another"))) {
                 Map<String, String> fields = new HashMap<>(request("9"));
                 fields.putAll(wrong);
                 String said = rig.command(1, fields);
-                assertTrue(said.startsWith("refused: " + wrong.keySet().iterator().next() + ": "), said);
+                assertTrue(
+                        said.startsWith("refused: " + wrong.keySet().iterator().next() + ": "), said);
             }
             assertTrue(rig.command(3, request("a1")).startsWith("waits"));
             operator.play(2);
-            assertTrue(rig.command(2, request("a1")).startsWith("waits"));  // the same again, elsewhere
+            assertTrue(rig.command(2, request("a1")).startsWith("waits")); // the same again, elsewhere
             rig.network.cut((from, to) -> from < 2 != to < 2);
             operator.play(5);
             rig.network.cut((from, to) -> false);
@@ -148,7 +174,7 @@
             operator.play(3);
             rig.away.clear();
             for (int wait = 0; wait < 300 && !(ended(rig, "a1") && operator.toTell.isEmpty()); wait++) {
-                operator.play(STEP);  // a slow machine takes longer, and no bound is on that
+                operator.play(STEP); // a slow machine takes longer, and no bound is on that
             }
             assertTrue(ended(rig, "a1"), () -> rig.rows(1, "drains") + " " + rig.rows(1, "drain-requests"));
             judge(rig, operator, paused, resumed);
@@ -159,12 +185,15 @@
     private static String plot(List<long[]> serving, long paused, long resumed) {
         long from = serving.get(0)[0];
         StringBuilder line = new StringBuilder();
-        serving.forEach(s -> line.append(line.isEmpty() ? "M" : "H").append(40 + (s[0] - from) / 40).append(line.length() < 9
-                ? " " : "V").append(170 - 20 * s[1]).append(' '));
+        serving.forEach(s -> line.append(line.isEmpty() ? "M" : "H")
+                .append(40 + (s[0] - from) / 40)
+                .append(line.length() < 9 ? " " : "V")
+                .append(170 - 20 * s[1])
+                .append(' '));
         return "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='200' font-family='sans-serif' font-size='11'>"
-                .formatted(80 + (serving.get(serving.size() - 1)[0] - from) / 40)
-                + "<rect x='%d' y='30' width='%d' height='140' fill='#eee'/>".formatted(40 + (paused - from) / 40,
-                        (resumed - paused) / 40)
+                        .formatted(80 + (serving.get(serving.size() - 1)[0] - from) / 40)
+                + "<rect x='%d' y='30' width='%d' height='140' fill='#eee'/>"
+                        .formatted(40 + (paused - from) / 40, (resumed - paused) / 40)
                 + "<text x='40' y='18'>caches that serve, of %d; at least %d; grey: one router stopped; 25 pixels a second</text>"
                         .formatted(CACHES, SERVING)
                 + "<path d='M40 %d H2000' stroke='#c00' stroke-dasharray='4'/><path d='%s' fill='none' stroke='#036'/>"
@@ -178,23 +207,35 @@
         assertEquals(CACHES, operator.outs.stream().map(Out::member).distinct().count());
         assertTrue(operator.mostOut <= AT_ONCE, () -> operator.mostOut + " were out at once");
         for (Out out : operator.outs) {
-            List<Asked> asked = rig.record.asked().stream().filter(a -> a.member().equals(out.member()) && a.at() >= out.from()
-                    && a.at() < out.to()).toList();
+            List<Asked> asked = rig.record.asked().stream()
+                    .filter(a -> a.member().equals(out.member()) && a.at() >= out.from() && a.at() < out.to())
+                    .toList();
             assertEquals(List.of(), asked, () -> "asked while it was out: " + out);
         }
         // the last request was made when all were back: they serve again
         long last = operator.outs.stream().mapToLong(Out::to).max().orElseThrow();
         rig.play(4);
-        assertEquals(CACHES, rig.record.asked().stream().filter(a -> a.at() > last && a.member().startsWith("box-"))
-                .map(Asked::member).distinct().count(), "every cache is asked again");
+        assertEquals(
+                CACHES,
+                rig.record.asked().stream()
+                        .filter(a -> a.at() > last && a.member().startsWith("box-"))
+                        .map(Asked::member)
+                        .distinct()
+                        .count(),
+                "every cache is asked again");
         Thread.sleep(2_000);
         rig.clients.finish();
         List<Done> done = rig.clients.done();
         Map<End, Long> ends = new HashMap<>();
         done.forEach(d -> ends.merge(d.end(), 1L, Long::sum));
         // a process that is stopped answers nobody in time; all other answers come in time, and none twice
-        assertEquals(0, ends.getOrDefault(End.TWICE, 0L) + done.stream().filter(d -> d.end() == End.LATE
-                && (d.at() < paused - 1_500 || d.at() > resumed)).count(), ends::toString);
+        assertEquals(
+                0,
+                ends.getOrDefault(End.TWICE, 0L)
+                        + done.stream()
+                                .filter(d -> d.end() == End.LATE && (d.at() < paused - 1_500 || d.at() > resumed))
+                                .count(),
+                ends::toString);
         Files.writeString(Path.of("target", "drain-ends.txt"), ends + "\n" + operator.outs + "\n");
         // what a killed or paused router owed may be lost: some moments of a fifth of the requests
         assertTrue(ends.getOrDefault(End.SERVED, 0L) > 0.95 * done.size(), ends::toString);
--- a/src/test/java/pumicemoor/lab/FleetProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/FleetProcessesTest.java
@@ -23,8 +23,9 @@
     private static final double TO_CACHE = 60;
     private static final double TO_ORIGIN = 40;
     private static final double ACROSS = 30;
-    private static final long BUCKET = 100_000;  // microseconds, as the decisions have it
-    private static final String FLEET = """
+    private static final long BUCKET = 100_000; // microseconds, as the decisions have it
+    private static final String FLEET =
+            """
               period-ms: 100
               lease-ms: 1500
               guard-ms: 150
@@ -42,8 +43,8 @@
     private static void assertKept(FleetRig rig, String member, double limit) {
         long[] at = rig.cameTo(member);
         for (long window : new long[] {3_000, 10_000, 100_000}) {
-            double bound = Bounds.requests(limit, (Math.min(window, at[at.length - 1] - at[0]) + 500) * 1_000, BUCKET,
-                    ROUTERS);
+            double bound = Bounds.requests(
+                    limit, (Math.min(window, at[at.length - 1] - at[0]) + 500) * 1_000, BUCKET, ROUTERS);
             int most = FleetRig.most(at, window);
             assertTrue(most <= bound, () -> member + ": " + most + " requests in " + window + " ms, bound " + bound);
         }
@@ -53,8 +54,12 @@
     private static boolean together(FleetRig rig) {
         for (int i = 0; i < ROUTERS; i++) {
             List<Map<String, Object>> limits = rig.rows(i, "limits");
-            if (rig.rows(i, "members").stream().filter(m -> m.get("standing").equals("alive")).count() != ROUTERS
-                    || limits.isEmpty() || !limits.stream().allMatch(l -> l.get("state").equals("leased"))) {
+            if (rig.rows(i, "members").stream()
+                                    .filter(m -> m.get("standing").equals("alive"))
+                                    .count()
+                            != ROUTERS
+                    || limits.isEmpty()
+                    || !limits.stream().allMatch(l -> l.get("state").equals("leased"))) {
                 return false;
             }
         }
@@ -80,7 +85,7 @@
             rig.play(4);
             rig.routers.get(1).signal("CONT");
             rig.start(4);
-            rig.network.cut((from, to) -> from == 3 && to != 3);  // one way only
+            rig.network.cut((from, to) -> from == 3 && to != 3); // one way only
             rig.play(4);
             rig.network.cut((from, to) -> false);
             rig.network.weather(0, 0, 0);
@@ -92,7 +97,7 @@
             // answers under way when a bucket runs dry are taken for the mean, here exactly right
             assertKept(rig, "origin", Math.min(TO_ORIGIN, ACROSS));
             for (int wait = 0; wait < 40 && !together(rig); wait++) {
-                rig.play(0.5);  // a slow machine takes longer, and no bound is on that
+                rig.play(0.5); // a slow machine takes longer, and no bound is on that
             }
             assertTrue(together(rig), () -> rig.rows(0, "members") + " " + rig.rows(0, "limits"));
         }
@@ -100,14 +105,16 @@
 
     /** A verdict that all know in one version came to each within the bound of the first; the slack is for the machine. */
     private static int assertSpread(FleetRig rig) {
-        Map<Object, List<Long>> heard = new HashMap<>();  // by version
+        Map<Object, List<Long>> heard = new HashMap<>(); // by version
         for (int r = 0; r < ROUTERS; r++) {
             rig.rows(r, "verdicts").stream().filter(v -> (Boolean) v.get("out")).forEach(v -> heard.computeIfAbsent(
-                    v.get("version"), k -> new ArrayList<>()).add(((Number) v.get("heard-at-ms")).longValue()));
+                            v.get("version"), k -> new ArrayList<>())
+                    .add(((Number) v.get("heard-at-ms")).longValue()));
         }
-        List<List<Long>> all = heard.values().stream().filter(at -> at.size() == ROUTERS).toList();
-        all.forEach(at -> assertTrue(Collections.max(at) - Collections.min(at) <= Bounds.spread(ROUTERS) * 100 + 500,
-                at::toString));
+        List<List<Long>> all =
+                heard.values().stream().filter(at -> at.size() == ROUTERS).toList();
+        all.forEach(at -> assertTrue(
+                Collections.max(at) - Collections.min(at) <= Bounds.spread(ROUTERS) * 100 + 500, at::toString));
         return all.size();
     }
 
@@ -115,7 +122,8 @@
     void aFailingMemberIsOutEverywhereAndNeverMoreThanTheShare() throws Exception {
         try (FleetRig rig = new FleetRig(folder, ROUTERS, CACHES, 200, FLEET)) {
             rig.play(5);
-            rig.members.stream().filter(m -> m.name.equals("box-1") || m.name.equals("box-2"))
+            rig.members.stream()
+                    .filter(m -> m.name.equals("box-1") || m.name.equals("box-2"))
                     .forEach(m -> m.fault = "silent");
             Set<String> everOut = new HashSet<>();
             int together = 0;
@@ -128,7 +136,8 @@
                 int know = 0;
                 for (int r = 0; r < ROUTERS; r++) {
                     Set<String> here = new HashSet<>();
-                    rig.rows(r, "verdicts").stream().filter(v -> (Boolean) v.get("out"))
+                    rig.rows(r, "verdicts").stream()
+                            .filter(v -> (Boolean) v.get("out"))
                             .forEach(v -> here.add((String) v.get("member")));
                     know += here.isEmpty() ? 0 : 1;
                     out.addAll(here);
@@ -143,11 +152,13 @@
             assertEquals(1, together, "one of five may be out");
             assertEquals(ROUTERS, knowing, "every router knows the verdict");
             rig.members.forEach(m -> m.fault = "");
-            for (int i = 0; i < 30 && (i == 0 || rig.rows(0, "verdicts").stream().anyMatch(v -> (Boolean) v.get("out")));
+            for (int i = 0;
+                    i < 30 && (i == 0 || rig.rows(0, "verdicts").stream().anyMatch(v -> (Boolean) v.get("out")));
                     i++) {
                 rig.play(0.5);
             }
-            assertTrue(rig.rows(0, "verdicts").stream().noneMatch(v -> (Boolean) v.get("out")), "the evidence has ended");
+            assertTrue(
+                    rig.rows(0, "verdicts").stream().noneMatch(v -> (Boolean) v.get("out")), "the evidence has ended");
         }
     }
 }
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -31,10 +31,10 @@
     });
     final CoordinatorStandIn coordinator;
     private final Scenario scenario;
-    private final IntFunction<String> fleets;  // the end of the section, by router; empty: no such section
+    private final IntFunction<String> fleets; // the end of the section, by router; empty: no such section
     private final List<Integer> seeds;
     private final List<String> machine;
-    private final UnaryOperator<String>[] shapes;  // of the configuration, by router, in turn
+    private final UnaryOperator<String>[] shapes; // of the configuration, by router, in turn
     private static final UnaryOperator<String>[] NO_SHAPES = noShapes();
     private final long began = System.nanoTime();
     private long asked;
@@ -49,26 +49,75 @@
 
     /** One whose members take so many milliseconds to warm. */
     @SafeVarargs
-    FleetRig(Path folder, int routerCount, int caches, double rate, int cold, String fleet, UnaryOperator<String>... shapes)
+    FleetRig(
+            Path folder,
+            int routerCount,
+            int caches,
+            double rate,
+            int cold,
+            String fleet,
+            UnaryOperator<String>... shapes)
             throws Exception {
-        this(folder, routerCount, routerCount, caches, rate, cold, r -> fleet, routerCount < 2 ? List.of(0) : List.of(0, 1),
-                RouterProcess.ROOMY, shapes);
+        this(
+                folder,
+                routerCount,
+                routerCount,
+                caches,
+                rate,
+                cold,
+                r -> fleet,
+                routerCount < 2 ? List.of(0) : List.of(0, 1),
+                RouterProcess.ROOMY,
+                shapes);
     }
 
     /** One of many small processes, of which the first so many are started here; each has its own end of the section. */
-    static FleetRig ofMany(Path folder, int routerCount, int started, int caches, double rate, IntFunction<String> fleets,
-            List<Integer> seeds) throws Exception {
-        return new FleetRig(folder, routerCount, started, caches, rate, 1, fleets, seeds, RouterProcess.TIGHT, NO_SHAPES);
+    static FleetRig ofMany(
+            Path folder,
+            int routerCount,
+            int started,
+            int caches,
+            double rate,
+            IntFunction<String> fleets,
+            List<Integer> seeds)
+            throws Exception {
+        return new FleetRig(
+                folder, routerCount, started, caches, rate, 1, fleets, seeds, RouterProcess.TIGHT, NO_SHAPES);
     }
 
-    private FleetRig(Path folder, int routerCount, int started, int caches, double rate, int cold, IntFunction<String> fleets,
-            List<Integer> seeds, List<String> machine, UnaryOperator<String>[] shapes) throws Exception {
+    private FleetRig(
+            Path folder,
+            int routerCount,
+            int started,
+            int caches,
+            double rate,
+            int cold,
+            IntFunction<String> fleets,
+            List<Integer> seeds,
+            List<String> machine,
+            UnaryOperator<String>[] shapes)
+            throws Exception {
         this.fleets = fleets;
         this.seeds = seeds;
         this.machine = machine;
         this.shapes = shapes;
-        scenario = new Scenario("fleet", 3, 60, rate, 4_000, routerCount, caches, 1_000, 2, 1_500,
-                new Change(Way.FEED, 1, 1, 1, cold, 1), Map.of(), Map.of(), List.of(), null, null);
+        scenario = new Scenario(
+                "fleet",
+                3,
+                60,
+                rate,
+                4_000,
+                routerCount,
+                caches,
+                1_000,
+                2,
+                1_500,
+                new Change(Way.FEED, 1, 1, 1, cold, 1),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                null,
+                null);
         network = new FaultNetwork(routerCount, 11);
         add("origin", Kind.ORIGIN);
         for (int i = 0; i < caches; i++) {
@@ -86,7 +135,8 @@
         for (RouterProcess r : routers.subList(0, started)) {
             r.awaitReady();
         }
-        clients = new LoadClients(scenario, record, routers.stream().map(RouterProcess::address).toList());
+        clients = new LoadClients(
+                scenario, record, routers.stream().map(RouterProcess::address).toList());
     }
 
     @SafeVarargs
@@ -95,24 +145,37 @@
     }
 
     private void add(String name, Kind kind) throws IOException {
-        members.add(new MemberStandIn(name, kind, scenario.cacheHolds(), scenario.fillMillis(), record,
-                n -> members.stream().filter(m -> m.name.equals(n)).findFirst().orElse(null), work));
+        members.add(new MemberStandIn(
+                name,
+                kind,
+                scenario.cacheHolds(),
+                scenario.fillMillis(),
+                record,
+                n -> members.stream().filter(m -> m.name.equals(n)).findFirst().orElse(null),
+                work));
     }
 
     private static String line(MemberStandIn m) {
         return "{\"instanceId\":\"" + m.name + "\",\"hostPort\":\"" + m.address() + "\",\"zone\":\""
-                + (m.kind == Kind.CACHE ? "home" : "hub") + "\",\"machineType\":\"" + m.kind.name().toLowerCase()
+                + (m.kind == Kind.CACHE ? "home" : "hub") + "\",\"machineType\":\""
+                + m.kind.name().toLowerCase()
                 + "\",\"lifecycle\":\"active\",\"weight\":8,\"startedAtMs\":" + m.startedAt + "}";
     }
 
     void start(int i) throws IOException {
         String fleet = fleets.apply(i);
         String asked = seeds.stream().map(network::advertise).collect(Collectors.joining(", "));
-        String config = LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(), coordinator.known());
-        routers.get(i).start(shapes.length == 0 ? config : shapes[i % shapes.length].apply(config), fleet.isEmpty()
-                ? "log: {format: json}\n" : "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
-                + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + asked + "]\n  size: "
-                + scenario.routers() + "\n" + fleet);
+        String config =
+                LabConfig.json(i, routers.get(i).address(), scenario, coordinator.address(), coordinator.known());
+        routers.get(i)
+                .start(
+                        shapes.length == 0 ? config : shapes[i % shapes.length].apply(config),
+                        fleet.isEmpty()
+                                ? "log: {format: json}\n"
+                                : "log: {format: json}\nfleet:\n  cluster: rig\n  listen: " + network.listen(i)
+                                        + "\n  advertise: " + network.advertise(i) + "\n  seeds: [" + asked
+                                        + "]\n  size: "
+                                        + scenario.routers() + "\n" + fleet);
     }
 
     /** Tells all routers that a member drains. */
@@ -133,7 +196,8 @@
 
     private void tell(String line) {
         generation++;
-        coordinator.tell("\"endpoints\":{\"generation\":" + generation + ",\"reset\":false,\"instances\":[" + line + "]}");
+        coordinator.tell(
+                "\"endpoints\":{\"generation\":" + generation + ",\"reset\":false,\"instances\":[" + line + "]}");
     }
 
     /** What a router says to an operator's command; empty where it does not answer. */
@@ -148,7 +212,8 @@
 
     /** Clients of some routers alone. */
     LoadClients clientsOf(List<RouterProcess> some) {
-        return new LoadClients(scenario, record, some.stream().map(RouterProcess::address).toList());
+        return new LoadClients(
+                scenario, record, some.stream().map(RouterProcess::address).toList());
     }
 
     /** Asks at the scenario's rate for so long, in seconds. */
@@ -182,7 +247,8 @@
         }
         String[] address = routers.get(router).address().split(":");
         try (FrameClient client = new FrameClient(address[0], Integer.parseInt(address[1]))) {
-            return Rows.read(String.join("", client.ask(1, Map.of("rows", subject), 2).fields().values()));
+            return Rows.read(String.join(
+                    "", client.ask(1, Map.of("rows", subject), 2).fields().values()));
         } catch (IOException | pumicemoor.wire.WireException e) {
             return List.of();
         }
@@ -190,7 +256,10 @@
 
     /** When requests came to a member, by its own record: milliseconds, fills counted at whom they are taken from. */
     long[] cameTo(String member) {
-        return record.asked().stream().filter(a -> a.member().equals(member)).mapToLong(Record.Asked::at).sorted()
+        return record.asked().stream()
+                .filter(a -> a.member().equals(member))
+                .mapToLong(Record.Asked::at)
+                .sorted()
                 .toArray();
     }
 
--- a/src/test/java/pumicemoor/lab/MemberStandInTest.java
+++ b/src/test/java/pumicemoor/lab/MemberStandInTest.java
@@ -11,7 +11,7 @@
 /** A stand-in can be ended and started again whatever its threads are doing just then. */
 class MemberStandInTest {
 
-    private static final int RESTARTS = 400;  // each alone failed once in four on a busy machine
+    private static final int RESTARTS = 400; // each alone failed once in four on a busy machine
 
     @Test
     void everyRestartFindsItsAddressFree() throws Exception {
@@ -22,7 +22,7 @@
             for (int i = 0; i < RESTARTS; i++) {
                 try (Socket client = new Socket(address[0], Integer.parseInt(address[1]))) {
                     client.getOutputStream().write("NOOP 1\r\n".getBytes());
-                }  // its thread there ends at about the time of the restart
+                } // its thread there ends at about the time of the restart
                 box.restart();
             }
             assertEquals(RESTARTS, record.starts().get("box").size());
--- a/src/test/java/pumicemoor/lab/ProxiesTest.java
+++ b/src/test/java/pumicemoor/lab/ProxiesTest.java
@@ -21,8 +21,23 @@
 
     @Test
     void noCallHangsOrIsAnsweredTwiceAndNoEffectRunsTwice() throws Exception {
-        Scenario scenario = new Scenario("proxies", 3, 14, 120, 300, 1, 2, 50, 5, 2_000, null, Map.of(), Map.of(),
-                List.of(), new Proxies(2, 0.25, 250, 5, List.of(3.0), List.of(9.0), List.of(1.0)), null);
+        Scenario scenario = new Scenario(
+                "proxies",
+                3,
+                14,
+                120,
+                300,
+                1,
+                2,
+                50,
+                5,
+                2_000,
+                null,
+                Map.of(),
+                Map.of(),
+                List.of(),
+                new Proxies(2, 0.25, 250, 5, List.of(3.0), List.of(9.0), List.of(1.0)),
+                null);
         ProxyRun.Result result = ProxyRun.play(scenario, folder, new PrintStream(OutputStream.nullOutputStream()));
         String all = result.markdown();
         assertTrue(result.callsPerMinute() >= 6_000, all);
--- a/src/test/java/pumicemoor/lab/ReshapingTest.java
+++ b/src/test/java/pumicemoor/lab/ReshapingTest.java
@@ -34,8 +34,11 @@
                 Map.of("hub-b", ORIGIN, "hub-a", Map.of("hub-b", 1.0)),
                 Map.of("hub-a", ORIGIN, "hub-b", ORIGIN, "hub-c", Map.of("hub-a", 1.0)),
                 Map.of("hub-c", ORIGIN, "hub-a", Map.of("hub-c", 1.0), "hub-b", Map.of("hub-a", 1.0)));
-        List<Map<String, Double>> depots = List.of(Map.of("hub-b", 1.0), Map.of("hub-a", 1.0, "hub-b", 1.0),
-                Map.of("hub-b", 1.0, "hub-c", 1.0), Map.of("hub-a", 1.0));
+        List<Map<String, Double>> depots = List.of(
+                Map.of("hub-b", 1.0),
+                Map.of("hub-a", 1.0, "hub-b", 1.0),
+                Map.of("hub-b", 1.0, "hub-c", 1.0),
+                Map.of("hub-a", 1.0));
         List<Happening> all = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             double at = 0.5 + 1.6 * i;
@@ -52,9 +55,23 @@
 
     @Test
     void twentyChangesUnderLoadMakeNoCircleAndAskTheOriginOnceAnObject() throws Exception {
-        Scenario scenario = new Scenario("twenty", 5, 34, 250, 250, 2, 3, 50, 4, 2_000,
-                new Change(Way.FEED, 300, 600, 300, 600, 150), Map.of("hub-a", ORIGIN, "hub-b", ORIGIN),
-                Map.of("hub-a", 1.0), twentyChanges(), null, null);
+        Scenario scenario = new Scenario(
+                "twenty",
+                5,
+                34,
+                250,
+                250,
+                2,
+                3,
+                50,
+                4,
+                2_000,
+                new Change(Way.FEED, 300, 600, 300, 600, 150),
+                Map.of("hub-a", ORIGIN, "hub-b", ORIGIN),
+                Map.of("hub-a", 1.0),
+                twentyChanges(),
+                null,
+                null);
         Report report = LabRun.play(scenario, folder, new PrintStream(OutputStream.nullOutputStream()));
         String all = report.markdown();
         assertEquals(20, report.changes());
--- a/src/test/java/pumicemoor/lab/StaleStartProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/StaleStartProcessesTest.java
@@ -13,7 +13,7 @@
 /** A process that is started anew while the coordinator's stream is late, under load between stand-ins. */
 class StaleStartProcessesTest {
 
-    private static final long DRAIN_GRACE = 1_000;  // milliseconds, of the settings in LabConfig
+    private static final long DRAIN_GRACE = 1_000; // milliseconds, of the settings in LabConfig
     private static final String DRAINED = "box-1";
 
     @TempDir
@@ -43,11 +43,15 @@
         rig.play(9);
         Thread.sleep(1_000);
         long end = rig.record.now();
-        List<Done> last = rig.clients.done().stream().filter(d -> d.at() > end - 3_000).toList();
+        List<Done> last =
+                rig.clients.done().stream().filter(d -> d.at() > end - 3_000).toList();
         assertTrue(last.size() > 100, () -> "requests of the last seconds: " + last.size());
         assertTrue(last.stream().allMatch(d -> d.end() == End.SERVED), "service is not back: " + last);
         long drained = rig.record.drainedAt().get(DRAINED);
-        assertEquals(List.of(), rig.record.asked().stream()
-                .filter(a -> a.member().equals(DRAINED) && a.at() > drained + DRAIN_GRACE).toList());
+        assertEquals(
+                List.of(),
+                rig.record.asked().stream()
+                        .filter(a -> a.member().equals(DRAINED) && a.at() > drained + DRAIN_GRACE)
+                        .toList());
     }
 }
--- a/src/test/java/pumicemoor/lab/scale/CapacityPageTest.java
+++ b/src/test/java/pumicemoor/lab/scale/CapacityPageTest.java
@@ -26,21 +26,28 @@
             + "reader, seconds cut off; cold start; sender; holder, a limit at each cache";
 
     /** A row of the page's table. */
-    private record Row(String role, int size, String figure, double value) {
-    }
+    private record Row(String role, int size, String figure, double value) {}
 
     private static List<Row> rows(String page) {
         List<Row> rows = new ArrayList<>();
-        page.lines().dropWhile(l -> !l.equals(HEAD)).skip(2).takeWhile(l -> l.startsWith("|")).forEach(l -> {
-            String[] cells = l.split("\\|");
-            rows.add(new Row(cells[1].strip(), Integer.parseInt(cells[2].strip().replace(",", "")), cells[3].strip(),
-                    Double.parseDouble(cells[4].strip().replace(",", ""))));
-        });
+        page.lines()
+                .dropWhile(l -> !l.equals(HEAD))
+                .skip(2)
+                .takeWhile(l -> l.startsWith("|"))
+                .forEach(l -> {
+                    String[] cells = l.split("\\|");
+                    rows.add(new Row(
+                            cells[1].strip(),
+                            Integer.parseInt(cells[2].strip().replace(",", "")),
+                            cells[3].strip(),
+                            Double.parseDouble(cells[4].strip().replace(",", ""))));
+                });
         return rows;
     }
 
     private static List<Integer> sizes(List<Row> rows, Predicate<String> role) {
-        return new ArrayList<>(new TreeSet<>(rows.stream().filter(r -> role.test(r.role())).map(Row::size).toList()));
+        return new ArrayList<>(new TreeSet<>(
+                rows.stream().filter(r -> role.test(r.role())).map(Row::size).toList()));
     }
 
     @Test
@@ -54,14 +61,23 @@
         for (String role : ROLES.split("; ")) {
             assertTrue(rows.stream().anyMatch(r -> r.role().equals(role)), "no row of " + role);
         }
-        List<Sample> fresh = ReaderRoles.measure(new ReaderRoles.Plan(
-                sizes(rows, r -> !r.contains("purges") && !r.contains("cut off") && !r.equals("sender")),
-                sizes(rows, r -> r.contains("purges")), sizes(rows, r -> r.equals("sender")),
-                sizes(rows, r -> r.contains("cut off")), 1, 1), new PrintStream(OutputStream.nullOutputStream()));
+        List<Sample> fresh = ReaderRoles.measure(
+                new ReaderRoles.Plan(
+                        sizes(rows, r -> !r.contains("purges") && !r.contains("cut off") && !r.equals("sender")),
+                        sizes(rows, r -> r.contains("purges")),
+                        sizes(rows, r -> r.equals("sender")),
+                        sizes(rows, r -> r.contains("cut off")),
+                        1,
+                        1),
+                new PrintStream(OutputStream.nullOutputStream()));
         List<String> off = new ArrayList<>();
         for (Row row : rows) {
-            double now = fresh.stream().filter(s -> s.role().equals(row.role()) && s.size() == row.size()).findFirst()
-                    .orElseThrow(() -> new AssertionError("nothing measures " + row)).figures().get(row.figure());
+            double now = fresh.stream()
+                    .filter(s -> s.role().equals(row.role()) && s.size() == row.size())
+                    .findFirst()
+                    .orElseThrow(() -> new AssertionError("nothing measures " + row))
+                    .figures()
+                    .get(row.figure());
             if (now > row.value() * most || now * most < row.value()) {
                 off.add(row + ": now " + now);
             }
--- a/src/test/java/pumicemoor/lab/scale/ReaderRolesTest.java
+++ b/src/test/java/pumicemoor/lab/scale/ReaderRolesTest.java
@@ -14,8 +14,8 @@
 /** The counts and bytes of the measured roles at small sizes, against what the rules make them; no times. */
 class ReaderRolesTest {
 
-    private static final ReaderRoles.Plan SMALL = new ReaderRoles.Plan(List.of(50, 100), List.of(0, 10, 40), List.of(18_000),
-            List.of(3, 15), 1, 1);
+    private static final ReaderRoles.Plan SMALL =
+            new ReaderRoles.Plan(List.of(50, 100), List.of(0, 10, 40), List.of(18_000), List.of(3, 15), 1, 1);
     private static final List<Sample> SAMPLES = measured(SMALL);
 
     private static List<Sample> measured(ReaderRoles.Plan plan) {
@@ -23,14 +23,25 @@
     }
 
     private static double figure(String role, int size, String name) {
-        return SAMPLES.stream().filter(s -> s.role().equals(role) && s.size() == size).findFirst().orElseThrow().figures().get(name);
+        return SAMPLES.stream()
+                .filter(s -> s.role().equals(role) && s.size() == size)
+                .findFirst()
+                .orElseThrow()
+                .figures()
+                .get(name);
     }
 
     /** What is the same each time: all but processor time and heap, and what is worked out from processor time. */
     private static Map<String, Map<String, Double>> counted(List<Sample> samples) {
-        return samples.stream().collect(Collectors.toMap(s -> s.role() + " " + s.size(), s -> s.figures().entrySet().stream()
-                .filter(f -> !f.getKey().contains("cpu") && !f.getKey().contains("heap"))
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)), (a, b) -> a, TreeMap::new));
+        return samples.stream()
+                .collect(Collectors.toMap(
+                        s -> s.role() + " " + s.size(),
+                        s -> s.figures().entrySet().stream()
+                                .filter(f -> !f.getKey().contains("cpu")
+                                        && !f.getKey().contains("heap"))
+                                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)),
+                        (a, b) -> a,
+                        TreeMap::new));
     }
 
     @Test
@@ -53,10 +64,15 @@
         double line = (hundred - fifty) / 50;
         assertTrue(line > 150 && line < 170, line + " bytes a line");
         assertTrue(fifty - 50 * line < 150, "an empty list of " + (fifty - 50 * line));
-        assertEquals(figure("reader, single changes", 50, "bytes a change"),
-                figure("reader, single changes", 100, "bytes a change"), 2);
+        assertEquals(
+                figure("reader, single changes", 50, "bytes a change"),
+                figure("reader, single changes", 100, "bytes a change"),
+                2);
         double purge = figure("sender", 18_000, "bytes a purge");
-        assertEquals(10 * purge + CoordinatorEvents.COMMENT.length(), figure("reader, purges a second", 10, "bytes in/s"), 0.01);
+        assertEquals(
+                10 * purge + CoordinatorEvents.COMMENT.length(),
+                figure("reader, purges a second", 10, "bytes in/s"),
+                0.01);
     }
 
     @Test
--- a/src/test/java/pumicemoor/lab/scale/ScaleTest.java
+++ b/src/test/java/pumicemoor/lab/scale/ScaleTest.java
@@ -32,7 +32,8 @@
 class ScaleTest {
 
     private static final PrintStream QUIET = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
-    private static final String SMALL = """
+    private static final String SMALL =
+            """
             seed: 7
             routers: [10, 30]
             sites: 6
@@ -49,12 +50,13 @@
 
     /** All that is counted, without what this machine's clock and heap tell. */
     private static Map<String, Map<String, Double>> counts(String yaml) throws IOException {
-        return new FleetRoles(soFar -> { }).measure(ScaleConfig.parse(yaml, "test"), QUIET).stream().collect(Collectors.toMap(
-                s -> s.role() + " " + s.size(), s -> {
-                    Map<String, Double> counted = new TreeMap<>(s.figures());
-                    counted.keySet().removeIf(f -> f.contains("cpu") || f.contains("heap"));
-                    return counted;
-                }));
+        return new FleetRoles(soFar -> {})
+                .measure(ScaleConfig.parse(yaml, "test"), QUIET).stream()
+                        .collect(Collectors.toMap(s -> s.role() + " " + s.size(), s -> {
+                            Map<String, Double> counted = new TreeMap<>(s.figures());
+                            counted.keySet().removeIf(f -> f.contains("cpu") || f.contains("heap"));
+                            return counted;
+                        }));
     }
 
     @ParameterizedTest
@@ -66,10 +68,12 @@
         first.forEach((sample, figures) -> assertEquals(figures, second.get(sample), sample));
         assertFalse(first.equals(counts(SMALL.replace("seed: 7", "seed: 8") + more)));
         for (int size : new int[] {10, 30}) {
-            for (String scenario : List.of("start", "calm", "20 % restarted", "zone lost", "zone back", "regions cut",
-                    "regions joined")) {
+            for (String scenario : List.of(
+                    "start", "calm", "20 % restarted", "zone lost", "zone back", "regions cut", "regions joined")) {
                 Map<String, Double> member = first.get("member, " + scenario + ' ' + size);
-                assertTrue(member != null && member.get("bytes/s") > 100, scenario + " of " + size + ": " + first.keySet());
+                assertTrue(
+                        member != null && member.get("bytes/s") > 100,
+                        scenario + " of " + size + ": " + first.keySet());
             }
         }
     }
@@ -85,11 +89,17 @@
         fleet.window(10);
         fleet.run(10 * HollowFleet.SECOND, f -> true);
         List<Sample> samples = fleet.samples("calm", false);
-        double out = samples.stream().mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes out/s")).sum();
-        double in = samples.stream().mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes in/s")).sum();
+        double out = samples.stream()
+                .mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes out/s"))
+                .sum();
+        double in = samples.stream()
+                .mapToDouble(s -> s.figures().get("routers") * s.figures().get("bytes in/s"))
+                .sum();
         assertEquals(fleet.bytes() - before, out * 10, 0.5);
-        assertEquals(out, in, out / 100);  // what is on its way at either end
-        assertEquals(30, samples.stream().mapToDouble(s -> s.figures().get("routers")).sum());
+        assertEquals(out, in, out / 100); // what is on its way at either end
+        assertEquals(
+                30,
+                samples.stream().mapToDouble(s -> s.figures().get("routers")).sum());
         samples.forEach(s -> assertEquals(30, s.figures().get("living known"), 0));
     }
 
@@ -101,11 +111,13 @@
         fleet.cut((a, b) -> a.zone() != b.zone());
         fleet.run(20 * HollowFleet.SECOND, f -> true);
         for (Router r : fleet.routers) {
-            long zone = fleet.routers.stream().filter(o -> o.place.zone() == r.place.zone()).count();
+            long zone = fleet.routers.stream()
+                    .filter(o -> o.place.zone() == r.place.zone())
+                    .count();
             assertEquals(Long.toString(zone), r.part.fields().get("fleet-living"), r.name);
         }
         fleet.cut((a, b) -> true);
-        fleet.run(HollowFleet.SECOND, f -> true);  // what was on its way
+        fleet.run(HollowFleet.SECOND, f -> true); // what was on its way
         fleet.window(5);
         fleet.run(5 * HollowFleet.SECOND, f -> true);
         for (Sample s : fleet.samples("all apart", false)) {
@@ -116,21 +128,28 @@
         Router killed = fleet.routers.get(5);
         fleet.kill(killed);
         fleet.run(30 * HollowFleet.SECOND, f -> true);
-        fleet.routers.stream().filter(r -> r != killed).forEach(r -> assertEquals("29",
-                r.part.fields().get("fleet-living"), r.name));
+        fleet.routers.stream()
+                .filter(r -> r != killed)
+                .forEach(r -> assertEquals("29", r.part.fields().get("fleet-living"), r.name));
     }
 
     @Test
     void theReportIsWrittenAndReadable() throws Exception {
         Path file = folder.resolve("tiny.yaml");
-        Files.writeString(file, SMALL.replace("[10, 30]", "[5, 8, 12]") + "roles: [fleet, holder, keeper, drains]\n"
-                + "limits: [1, 3]\ndrains: [5]\n");
+        Files.writeString(
+                file,
+                SMALL.replace("[10, 30]", "[5, 8, 12]") + "roles: [fleet, holder, keeper, drains]\n"
+                        + "limits: [1, 3]\ndrains: [5]\n");
         String table = ScaleRun.run(file, folder.resolve("out"), QUIET);
         assertEquals(table, Files.readString(folder.resolve("out/scale.md")));
-        assertTrue(table.contains("| member, calm | 12 |") && table.contains("| grantor, calm, with drains | 5 |")
-                && table.contains("| holder at 30 routers, by limits | 3 |")
-                && table.contains("| member, one member accused by all | 8 |"), table);
-        JsonNode json = new ObjectMapper().readTree(folder.resolve("out/scale.json").toFile());
+        assertTrue(
+                table.contains("| member, calm | 12 |")
+                        && table.contains("| grantor, calm, with drains | 5 |")
+                        && table.contains("| holder at 30 routers, by limits | 3 |")
+                        && table.contains("| member, one member accused by all | 8 |"),
+                table);
+        JsonNode json =
+                new ObjectMapper().readTree(folder.resolve("out/scale.json").toFile());
         assertEquals(7, json.get("parameters").get("seed").asInt());
         assertEquals(12, json.get("parameters").get("routers").get(2).asInt());
         assertTrue(json.get("samples").findValuesAsText("role").contains("fresh member, zone back"));
@@ -142,8 +161,13 @@
         for (String plot : List.of("bytes-calm.svg", "cpu-start.svg", "worst-second-zone-lost.svg")) {
             DocumentBuilderFactory xml = DocumentBuilderFactory.newInstance();
             xml.setFeature("http://apache.org/xml/features/nonvalidating/load-external-dtd", false);
-            assertEquals("svg", xml.newDocumentBuilder().parse(folder.resolve("out").resolve(plot).toFile())
-                    .getDocumentElement().getTagName(), plot);
+            assertEquals(
+                    "svg",
+                    xml.newDocumentBuilder()
+                            .parse(folder.resolve("out").resolve(plot).toFile())
+                            .getDocumentElement()
+                            .getTagName(),
+                    plot);
         }
     }
 
@@ -155,14 +179,29 @@
         String table = ScaleRun.run(file, folder.resolve("out"), QUIET);
         assertTrue(table.contains("| reader, purges a second | 10 | entries | 147 |"), table);
         assertTrue(table.contains("| reader, whole list | bytes a list | 10 to 40 |"), table);
-        assertTrue(Files.readString(folder.resolve("out/bytes-a-list-whole-list.svg")).contains("<svg"));
+        assertTrue(Files.readString(folder.resolve("out/bytes-a-list-whole-list.svg"))
+                .contains("<svg"));
         ScaleReport report = new ScaleReport(ScaleConfig.read(file), List.of());
         assertEquals(List.of(), report.slopes());
-        Map<String, String> axes = Map.of("reader, purges a second", "purges a second", "cold start", "members",
-                "holder at 30 routers, by limits", "limits", "member, calm", "routers", "sender", "routers",
-                "grantor of one other holder, a limit at each cache", "members", "reader, seconds cut off", "seconds cut off");
-        axes.forEach((role, axis) -> assertEquals(axis, new ScaleReport.Slope(role, ScaleReport.BUDGETS.get(0), List.of(),
-                null, java.util.Optional.empty()).axis()));
+        Map<String, String> axes = Map.of(
+                "reader, purges a second",
+                "purges a second",
+                "cold start",
+                "members",
+                "holder at 30 routers, by limits",
+                "limits",
+                "member, calm",
+                "routers",
+                "sender",
+                "routers",
+                "grantor of one other holder, a limit at each cache",
+                "members",
+                "reader, seconds cut off",
+                "seconds cut off");
+        axes.forEach((role, axis) -> assertEquals(
+                axis,
+                new ScaleReport.Slope(role, ScaleReport.BUDGETS.get(0), List.of(), null, java.util.Optional.empty())
+                        .axis()));
     }
 
     @Test
@@ -177,10 +216,11 @@
         assertTrue(within.measured() && Math.abs(within.size() - 100) < 0.1, within.toString());
         Leaves beyond = Fit.leaves(square, fit, 3e8).orElseThrow();
         assertTrue(!beyond.measured() && Math.abs(beyond.size() - 10_000) < 1, beyond.toString());
-        assertTrue(Fit.leaves(square, fit, 3e20).isEmpty());  // past a thousand times the range nothing is said
+        assertTrue(Fit.leaves(square, fit, 3e20).isEmpty()); // past a thousand times the range nothing is said
         assertEquals(10, Fit.leaves(square, fit, 1).orElseThrow().size(), 0);
 
-        // worked out by hand: logarithms to base 10 (1, 1), (2, 2), (3, 2) have slope 1/2, standard error 1/(2 sqrt 3), t = 12.706
+        // worked out by hand: logarithms to base 10 (1, 1), (2, 2), (3, 2) have slope 1/2, standard error 1/(2 sqrt 3),
+        // t = 12.706
         Fit rough = Fit.of(List.of(new Point(10, 10), new Point(100, 100), new Point(1_000, 100)));
         assertEquals(0.5, rough.slope(), 1e-9);
         assertEquals(0.5 - 12.706 / 2 / Math.sqrt(3), rough.slopeLow(), 1e-3);
@@ -192,8 +232,9 @@
     @CsvSource({"n^0, 0", "log n, 1", "n, 2", "n log n, 3"})
     void aFitNamesTheForm(String form, int which) {
         int[] sizes = {30, 100, 300, 1_000, 2_000};
-        Fit fit = Fit.of(java.util.Arrays.stream(sizes).mapToObj(n -> new Point(n, 5 * new double[] {1, Math.log(n), n,
-            n * Math.log(n)}[which])).toList());
+        Fit fit = Fit.of(java.util.Arrays.stream(sizes)
+                .mapToObj(n -> new Point(n, 5 * new double[] {1, Math.log(n), n, n * Math.log(n)}[which]))
+                .toList());
         assertEquals(form, fit.form());
         assertEquals(1, fit.formWorst(), 1e-9);
     }
@@ -204,12 +245,32 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {"routers: [30, 1]; routers", "routers: []; routers", "routers: 30; routers",
-        "routers: [30, x]; routers", "routers: [null]; routers", "zones: 0; zones", "sites: 2.5; sites", "loss: 1; loss",
-        "loss: -0.1; loss", "sead: 1; sead", "cells: {most: 3}; cells.most", "cells: {root: a}; cells.root",
-        "faults: {cut-seconds: -1}; faults.cut-seconds", "roles: [fleet, fleat]; roles", "roles: [null]; roles",
-        "roles: [drains]; drains", "far-ms: [5]; far-ms", "lease-ms: 100; lease-ms", "guard-ms: 2501; guard-ms",
-        "seconds: .nan; seconds", "limits: [401]; limits", "target: 1; target"})
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "routers: [30, 1]; routers",
+                "routers: []; routers",
+                "routers: 30; routers",
+                "routers: [30, x]; routers",
+                "routers: [null]; routers",
+                "zones: 0; zones",
+                "sites: 2.5; sites",
+                "loss: 1; loss",
+                "loss: -0.1; loss",
+                "sead: 1; sead",
+                "cells: {most: 3}; cells.most",
+                "cells: {root: a}; cells.root",
+                "faults: {cut-seconds: -1}; faults.cut-seconds",
+                "roles: [fleet, fleat]; roles",
+                "roles: [null]; roles",
+                "roles: [drains]; drains",
+                "far-ms: [5]; far-ms",
+                "lease-ms: 100; lease-ms",
+                "guard-ms: 2501; guard-ms",
+                "seconds: .nan; seconds",
+                "limits: [401]; limits",
+                "target: 1; target"
+            })
     void aBadValueIsToldInOneLineThatNamesTheKey(String yaml, String key) {
         IOException e = assertThrows(IOException.class, () -> ScaleConfig.parse(yaml, "file.yaml"));
         assertTrue(e.getMessage().startsWith("file.yaml: " + key), e.getMessage());
@@ -219,7 +280,9 @@
     @Test
     void theDeliveredFilesAreGood() throws IOException {
         assertTrue(ScaleConfig.read(Path.of("deploy/lab/scale-flat.yaml")).cells() == null);
-        assertEquals(List.of(30, 100, 300, 1_000, 2_000), ScaleConfig.read(Path.of("deploy/lab/scale-cells.yaml")).routers());
+        assertEquals(
+                List.of(30, 100, 300, 1_000, 2_000),
+                ScaleConfig.read(Path.of("deploy/lab/scale-cells.yaml")).routers());
         ScaleConfig target = ScaleConfig.read(Path.of("deploy/lab/scale-18000.yaml"));
         assertEquals(List.of(18_000), target.routers());
         assertEquals(List.of(1_500, 129, 52), List.of(target.sites(), target.zones(), target.regions()));
--- a/src/test/java/pumicemoor/net/AnswerDecoderTest.java
+++ b/src/test/java/pumicemoor/net/AnswerDecoderTest.java
@@ -38,7 +38,9 @@
         assertEquals("a1", first.id());
         assertEquals("data", first.word());
         assertEquals("mem", first.fields().get("tell"));
-        assertEquals(Map.of("inflight", 7.0, "util", 0.61), CacheLine.load(first.fields().get("meter")));
+        assertEquals(
+                Map.of("inflight", 7.0, "util", 0.61),
+                CacheLine.load(first.fields().get("meter")));
         assertEquals("\r\nB\r\n\0", first.body().toString(StandardCharsets.ISO_8859_1));
         first.body().release();
         AnswerDecoder.Answer second = channel.readInbound();
@@ -86,8 +88,16 @@
 
     @Test
     void garbageEndsTheConnection() {
-        for (String garbage : new String[] {"\r\n", "a1\r\n", "a1 data 5\r\n", "a1 data - x\r\n", "a1 data - -1\r\n",
-            "a1 data - 2\r\nabc\r\n", "a1 data - 99999999999\r\n", "a  data - 1 1\r\n"}) {
+        for (String garbage : new String[] {
+            "\r\n",
+            "a1\r\n",
+            "a1 data 5\r\n",
+            "a1 data - x\r\n",
+            "a1 data - -1\r\n",
+            "a1 data - 2\r\nabc\r\n",
+            "a1 data - 99999999999\r\n",
+            "a  data - 1 1\r\n"
+        }) {
             EmbeddedChannel channel = channel();
             assertThrows(DecoderException.class, () -> channel.writeInbound(bytes(garbage)), garbage);
             channel.finishAndReleaseAll();
--- a/src/test/java/pumicemoor/net/CacheLinesTest.java
+++ b/src/test/java/pumicemoor/net/CacheLinesTest.java
@@ -33,7 +33,7 @@
 /** The pooled connections to members, against a listener that a test answers by hand, on a clock it sets. */
 class CacheLinesTest {
 
-    private static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
+    private static final int PATIENCE = 20_000; // milliseconds; far above anything waited for here
 
     private final TestLoop loop = new TestLoop();
     private final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
@@ -44,15 +44,18 @@
     private CacheLines lines;
 
     /** A line that the member was sent, and the connection it came on. */
-    private record Got(Socket from, String line) {
-    }
+    private record Got(Socket from, String line) {}
 
     @BeforeEach
     void start() throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
         limits = ResourceLimits.of(config.words().settings(), config.figures());
-        lines = new CacheLines(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
-                new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        lines = new CacheLines(
+                new Bootstrap().group(group).channel(NioSocketChannel.class),
+                limits,
+                new BufferBudget(() -> 0, 1_000_000),
+                new Counters(),
+                loop);
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         accepting = new Thread(() -> {
             try {
@@ -101,8 +104,26 @@
     }
 
     private Effect.Ask ask(long attempt, String id) {
-        return new Effect.Ask(attempt, "s-1", "127.0.0.1:" + listener.getLocalPort(), id, "segment", "o", 0, 100,
-                null, 0, 0, false, false, false, false, null, true, List.of(), Bytes.NONE);
+        return new Effect.Ask(
+                attempt,
+                "s-1",
+                "127.0.0.1:" + listener.getLocalPort(),
+                id,
+                "segment",
+                "o",
+                0,
+                100,
+                null,
+                0,
+                0,
+                false,
+                false,
+                false,
+                false,
+                null,
+                true,
+                List.of(),
+                Bytes.NONE);
     }
 
     private Got sent(long attempt, String id) throws Exception {
@@ -124,8 +145,10 @@
     }
 
     private static void answer(Got to, String id, String word) throws IOException {
-        to.from().getOutputStream().write((id + " " + word + (word.equals("data")
-                ? " entity=e1,issued=17 0\r\n\r\n" : " - 0\r\n\r\n")).getBytes(StandardCharsets.US_ASCII));
+        to.from()
+                .getOutputStream()
+                .write((id + " " + word + (word.equals("data") ? " entity=e1,issued=17 0\r\n\r\n" : " - 0\r\n\r\n"))
+                        .getBytes(StandardCharsets.US_ASCII));
     }
 
     private static boolean same(Got one, Got other) {
@@ -165,12 +188,13 @@
     @Test
     void aRequestTakenBackBeforeItIsWrittenNeverLeaves() throws Exception {
         onLoop(() -> {
-            lines.ask(ask(1, "a"));  // the connection is not up yet
+            lines.ask(ask(1, "a")); // the connection is not up yet
             lines.quit(new Effect.Quit(1, true));
             lines.ask(ask(2, "b"));
         });
         assertEquals(new Input.Written(2), next());
-        assertEquals("ASK b cls=segment,item=o,chunk=0,limit=100 0",
+        assertEquals(
+                "ASK b cls=segment,item=o,chunk=0,limit=100 0",
                 got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
     }
 
@@ -178,12 +202,13 @@
     void aRequestThatWaitedTooLongForItsConnectionIsNotWrittenThoughItsTimeOutComesLater() throws Exception {
         onLoop(() -> {
             lines.ask(ask(1, "a"));
-            loop.time += limits.unwritten() + 1;  // the loop is held up; the connection comes up meanwhile
+            loop.time += limits.unwritten() + 1; // the loop is held up; the connection comes up meanwhile
             lines.ask(ask(2, "b"));
         });
         assertEquals(new Input.Unreached(1), next());
         assertEquals(new Input.Written(2), next());
-        assertEquals("ASK b cls=segment,item=o,chunk=0,limit=100 0",
+        assertEquals(
+                "ASK b cls=segment,item=o,chunk=0,limit=100 0",
                 got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
     }
 
@@ -199,16 +224,21 @@
     void whenNoConnectionComesUpNothingRan() throws Exception {
         Effect.Ask ask = ask(1, "a");
         listener.close();
-        accepting.join(PATIENCE);  // the system accepts connections for as long as a thread waits for one
+        accepting.join(PATIENCE); // the system accepts connections for as long as a thread waits for one
         onLoop(() -> lines.ask(ask));
         assertEquals(new Input.Unreached(1), next());
     }
 
     @Test
     void whenNoSocketCanBeOpenedNothingRanAndTheLoopIsTold() throws Exception {
-        CacheLines without = new CacheLines(new Bootstrap().group(group).channelFactory(() -> {
-            throw new ChannelException("no descriptor is left");
-        }), limits, new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        CacheLines without = new CacheLines(
+                new Bootstrap().group(group).channelFactory(() -> {
+                    throw new ChannelException("no descriptor is left");
+                }),
+                limits,
+                new BufferBudget(() -> 0, 1_000_000),
+                new Counters(),
+                loop);
         onLoop(() -> without.ask(ask(1, "a")));
         assertEquals(new Input.Unreached(1), next());
         assertEquals(true, group.next().inEventLoop(loop.submitter), "told on the loop's own thread");
@@ -271,15 +301,22 @@
 
     @Test
     void anAnswerThatCannotBeReadEndsAllOnItsConnection() throws Exception {
-        String[] spoilt = {"a data entity=e 0\r\n\r\n", "a data issued=1 0\r\n\r\n", "a data entity=e,issued=x 0\r\n\r\n",
-            "a data entity=,issued=1 0\r\n\r\n", "a data entity=e,issued=1,% 0\r\n\r\n", "a strange - 0\r\n\r\n",
-            "a unchanged entity=e,issued=1 0\r\n\r\n", "zz strange - 0\r\n\r\n"};
+        String[] spoilt = {
+            "a data entity=e 0\r\n\r\n",
+            "a data issued=1 0\r\n\r\n",
+            "a data entity=e,issued=x 0\r\n\r\n",
+            "a data entity=,issued=1 0\r\n\r\n",
+            "a data entity=e,issued=1,% 0\r\n\r\n",
+            "a strange - 0\r\n\r\n",
+            "a unchanged entity=e,issued=1 0\r\n\r\n",
+            "zz strange - 0\r\n\r\n"
+        };
         for (String text : spoilt) {
             Got first = sent(1, "a");
             sent(2, "b");
             raw(first, text);
-            assertEquals(java.util.Set.of(new Input.Broken(1), new Input.Broken(2)),
-                    java.util.Set.of(next(), next()), text);
+            assertEquals(
+                    java.util.Set.of(new Input.Broken(1), new Input.Broken(2)), java.util.Set.of(next(), next()), text);
         }
     }
 
@@ -342,7 +379,7 @@
         raw(first, "b absent - 0\r\n\r\n");
         assertEquals(2, ((Input.Answered) next()).attempt());
         assertEquals(true, same(first, second));
-        onLoop(() -> { });  // what has come is taken in to its end
+        onLoop(() -> {}); // what has come is taken in to its end
         loop.time += limits.lineQuiet() + 1;
         onLoop(() -> lines.sweep(loop.time));
         assertEquals("NOOP life", got.poll(PATIENCE, TimeUnit.MILLISECONDS).line());
@@ -355,11 +392,15 @@
 
     @Test
     void atTheBoundOnAllConnectionsTheOneUnusedForLongestGoesAndWithoutSuchTheAttemptNeverRan() throws Exception {
-        NodeConfig small = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "")
-                .replace("\"sockets\":1024", "\"sockets\":32"));
+        NodeConfig small = NodeTestConfig.parse(
+                NodeTestConfig.json("127.0.0.1:1", "").replace("\"sockets\":1024", "\"sockets\":32"));
         limits = ResourceLimits.of(small.words().settings(), small.figures());
-        lines = new CacheLines(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
-                new BufferBudget(() -> 0, 1_000_000), new Counters(), loop);
+        lines = new CacheLines(
+                new Bootstrap().group(group).channel(NioSocketChannel.class),
+                limits,
+                new BufferBudget(() -> 0, 1_000_000),
+                new Counters(),
+                loop);
         Got oldest = null;
         for (int i = 1; i <= limits.lines(); i++) {
             loop.time++;
@@ -380,8 +421,26 @@
     }
 
     private Effect.Ask askOf(String instance, long attempt) {
-        return new Effect.Ask(attempt, instance, "127.0.0.1:" + listener.getLocalPort(), "i" + attempt, "segment", "o", 0, 100,
-                null, 0, 0, false, false, false, false, null, true, List.of(), Bytes.NONE);
+        return new Effect.Ask(
+                attempt,
+                instance,
+                "127.0.0.1:" + listener.getLocalPort(),
+                "i" + attempt,
+                "segment",
+                "o",
+                0,
+                100,
+                null,
+                0,
+                0,
+                false,
+                false,
+                false,
+                false,
+                null,
+                true,
+                List.of(),
+                Bytes.NONE);
     }
 
     @Test
@@ -390,7 +449,7 @@
         sent(2, "b");
         raw(first, "b absent - 0\r\n\r\na data entity=e,issued=1 10\r\nhalf");
         assertEquals(2, ((Input.Answered) next()).attempt());
-        onLoop(() -> { });  // what has come is taken in to its end
+        onLoop(() -> {}); // what has come is taken in to its end
         loop.time += limits.lineQuiet() + limits.lineDead() + 1;
         onLoop(() -> lines.sweep(loop.time));
         assertEquals(new Input.Broken(1), next());
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,8 +19,8 @@
 import org.junit.jupiter.api.Test;
 import pumicemoor.node.Bytes;
 import pumicemoor.node.Counters;
-import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Effect;
+import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.NodeTestConfig;
@@ -30,9 +29,23 @@
 /** Frames of clients, however they come in, and the frames that answer them. */
 class ClientConnectionTest {
 
-    private static final Map<String, String> FIELDS = new TreeMap<>(Map.of("op", "segment", "call",
-            "9b1f03aa5c7e2d41", "ttl", "1500", "rep", "1", "row", "7f3a9c21e0b4d655", "piece", "3", "lot", "17",
-            "ver", "4be0c1927d55a6f3"));
+    private static final Map<String, String> FIELDS = new TreeMap<>(Map.of(
+            "op",
+            "segment",
+            "call",
+            "9b1f03aa5c7e2d41",
+            "ttl",
+            "1500",
+            "rep",
+            "1",
+            "row",
+            "7f3a9c21e0b4d655",
+            "piece",
+            "3",
+            "lot",
+            "17",
+            "ver",
+            "4be0c1927d55a6f3"));
 
     private static final String PUSHBACK = "08" + ByteBufUtil.hexDump("pushback".getBytes(StandardCharsets.US_ASCII))
             + "0003" + ByteBufUtil.hexDump("500".getBytes(StandardCharsets.US_ASCII));
@@ -107,8 +120,20 @@
         Input.Request request = (Input.Request) inputs().get(0);
         ByteBuf body = NettyBytes.buffer(request.body());
         assertEquals("01000d0aff", ByteBufUtil.hexDump(body));
-        assertEquals(new Input.Request(1, 5, "9b1f03aa5c7e2d41", "segment", "7f3a9c21e0b4d655", 3, 17,
-                "4be0c1927d55a6f3", 1500, true, request.body()), request);
+        assertEquals(
+                new Input.Request(
+                        1,
+                        5,
+                        "9b1f03aa5c7e2d41",
+                        "segment",
+                        "7f3a9c21e0b4d655",
+                        3,
+                        17,
+                        "4be0c1927d55a6f3",
+                        1500,
+                        true,
+                        request.body()),
+                request);
         body.release();
     }
 
@@ -127,17 +152,38 @@
 
     @Test
     void absentFieldsHaveTheirDefaults() {
-        write(frame(7, 5, Map.of("op", "order", "call", "00000000000000c1", "row", "00000000000000a1", "ttl",
-                "9"), new byte[0]));
-        assertEquals(new Input.Request(1, 5, "00000000000000c1", "order", "00000000000000a1", 0, -1, null, 9,
-                false, Bytes.NONE), inputs().get(0));
+        write(frame(
+                7,
+                5,
+                Map.of("op", "order", "call", "00000000000000c1", "row", "00000000000000a1", "ttl", "9"),
+                new byte[0]));
+        assertEquals(
+                new Input.Request(
+                        1, 5, "00000000000000c1", "order", "00000000000000a1", 0, -1, null, 9, false, Bytes.NONE),
+                inputs().get(0));
     }
 
     @Test
     void aRequestWhoseFieldsCannotBeUsedFailsAndTheConnectionGoesOn() {
-        String[][] bad = {{"call", null}, {"op", null}, {"row", null}, {"ttl", null}, {"ttl", "-1"}, {"ttl", "soon"},
-            {"lot", "256"}, {"piece", "-1"}, {"call", "a b"}, {"row", "x,miss=s-1"}, {"row", "a\r\nASK"}, {"op", ""},
-            {"call", "9b1f03aa5c7e2d4"}, {"ttl", "99999999"}, {"ttl", "+5"}, {"ttl", "9".repeat(30)}, {"rep", "2"}};
+        String[][] bad = {
+            {"call", null},
+            {"op", null},
+            {"row", null},
+            {"ttl", null},
+            {"ttl", "-1"},
+            {"ttl", "soon"},
+            {"lot", "256"},
+            {"piece", "-1"},
+            {"call", "a b"},
+            {"row", "x,miss=s-1"},
+            {"row", "a\r\nASK"},
+            {"op", ""},
+            {"call", "9b1f03aa5c7e2d4"},
+            {"ttl", "99999999"},
+            {"ttl", "+5"},
+            {"ttl", "9".repeat(30)},
+            {"rep", "2"}
+        };
         int stream = 0;
         for (String[] change : bad) {
             write(request(++stream, change));
@@ -145,7 +191,7 @@
             if (stream % limits.misuses() != 0) {
                 assertEquals(answer, written());
                 assertTrue(channel.isOpen());
-            } else {  // who goes on with it loses the connection
+            } else { // who goes on with it loses the connection
                 assertEquals(answer + "0000000708000000000900", written());
                 assertFalse(channel.isOpen());
                 open();
@@ -222,8 +268,13 @@
 
     @Test
     void garbageIsToldOnStreamZeroAndEndsTheConnection() {
-        byte[][] garbage = {frame(42, 5, null, new byte[0]), {0, 0, 0, 2, 7, 7}, {-1, -1, -1, -1, 0, 0, 0, 0},
-            {0, 0x10, 0, 0, 7}, frame(7, 0, FIELDS, new byte[0])};
+        byte[][] garbage = {
+            frame(42, 5, null, new byte[0]),
+            {0, 0, 0, 2, 7, 7},
+            {-1, -1, -1, -1, 0, 0, 0, 0},
+            {0, 0x10, 0, 0, 7},
+            frame(7, 0, FIELDS, new byte[0])
+        };
         for (byte[] bytes : garbage) {
             open();
             write(bytes);
@@ -275,13 +326,16 @@
         assertEquals("0000000a" + "08" + "00000005" + "01" + "00" + "090807", written());
         write(request(6));
         connection.answer(new Effect.Answer(1, 6, Code.SERVED, true, 0, Bytes.NONE));
-        assertEquals("00000014" + "08" + "00000006" + "01" + "01" + "09" + ByteBufUtil.hexDump("unchanged".getBytes(
-                StandardCharsets.US_ASCII)) + "0001" + "31", written());
+        assertEquals(
+                "00000014" + "08" + "00000006" + "01" + "01" + "09"
+                        + ByteBufUtil.hexDump("unchanged".getBytes(StandardCharsets.US_ASCII)) + "0001" + "31",
+                written());
         ((Input.Request) inputs().get(1)).body().release();
         write(request(7));
         connection.answer(new Effect.Answer(1, 7, Code.REFUSED, false, 200, Bytes.NONE));
-        assertTrue(written().endsWith(ByteBufUtil.hexDump("pushback".getBytes(StandardCharsets.US_ASCII)) + "0003"
-                + ByteBufUtil.hexDump("200".getBytes(StandardCharsets.US_ASCII))));
+        assertTrue(written()
+                .endsWith(ByteBufUtil.hexDump("pushback".getBytes(StandardCharsets.US_ASCII)) + "0003"
+                        + ByteBufUtil.hexDump("200".getBytes(StandardCharsets.US_ASCII))));
         ((Input.Request) inputs().get(2)).body().release();
     }
 
@@ -373,8 +427,8 @@
         };
         channel.writeInbound(Unpooled.copiedBuffer(request(5), 4, request(5).length - 4));
         checkRequest();
-        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0,
-                NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
+        connection.answer(
+                new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
         connection.sweep(loop.time);
         loop.time += limits.clientStall();
         connection.sweep(loop.time);
--- a/src/test/java/pumicemoor/net/CoordinatorMoveTest.java
+++ b/src/test/java/pumicemoor/net/CoordinatorMoveTest.java
@@ -19,8 +19,7 @@
     private final class Mute extends StandIn {
         final CountDownLatch asked = new CountDownLatch(1);
 
-        Mute() throws IOException {
-        }
+        Mute() throws IOException {}
 
         @Override
         void serve(Socket socket) throws IOException {
@@ -38,11 +37,13 @@
         Mute after = new Mute();
         String known = NodeTestConfig.list(1, true, member("s-1", draining, "box"), member("s-2", other, "box"));
         start(before.address(), known);
-        server.reload(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)),
-                OperatorConfig.NONE, null);
+        server.reload(
+                NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)),
+                OperatorConfig.NONE,
+                null);
         assertTrue(after.asked.await(PATIENCE, TimeUnit.MILLISECONDS));
-        before.events.add("id: 2\ndata: " + NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-1", draining.address(), "box", "leaving", 0)));
+        before.events.add("id: 2\ndata: "
+                + NodeTestConfig.list(2, false, NodeTestConfig.member("s-1", draining.address(), "box", "leaving", 0)));
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
         while (server.counters().get(Name.UPDATES) < 2 && System.nanoTime() < end) {
             Thread.sleep(5);
--- a/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
+++ b/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
@@ -37,8 +37,8 @@
     void start() throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", ""));
         limits = ResourceLimits.of(config.words().settings(), config.figures());
-        stream = new CoordinatorStream(new Bootstrap().group(group).channel(NioSocketChannel.class), limits,
-                () -> 41, new Counters(), loop);
+        stream = new CoordinatorStream(
+                new Bootstrap().group(group).channel(NioSocketChannel.class), limits, () -> 41, new Counters(), loop);
         channel = new EmbeddedChannel();
         channel.freezeTime();
         channel.pipeline().addLast(stream.handlers());
--- a/src/test/java/pumicemoor/net/CrossingsTest.java
+++ b/src/test/java/pumicemoor/net/CrossingsTest.java
@@ -64,7 +64,7 @@
         server.terminate();
         assertEquals(3, client.next().type());
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
-        while (System.nanoTime() < end) {  // past the time in which it waits for requests on their way
+        while (System.nanoTime() < end) { // past the time in which it waits for requests on their way
             Thread.sleep(10);
         }
         cache.word = "data";
@@ -88,7 +88,7 @@
         Asked asked = lastOne(cache, client);
         assertEquals(3, resting.next().type());
         CountDownLatch letGo = holdLoop();
-        answer(cache, asked);  // after it nothing is open
+        answer(cache, asked); // after it nothing is open
         resting.request(2, "segment", new byte[0]);
         letGo.countDown();
         assertEquals(1, client.next().code());
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -31,7 +31,9 @@
         assertEquals(8, answer.type());
         assertEquals(1, answer.code());
         assertArrayEquals(cache.body, answer.body());
-        assertTrue(cache.next().line().startsWith("ASK 0000000000000001 cls=segment,item=7f3a9c21e0b4d655,chunk=3,limit="));
+        assertTrue(cache.next()
+                .line()
+                .startsWith("ASK 0000000000000001 cls=segment,item=7f3a9c21e0b4d655,chunk=3,limit="));
 
         byte[] write = new byte[48_000];
         new Random(2).nextBytes(write);
@@ -56,7 +58,8 @@
         }
         for (int i = 0; i < 8; i++) {
             Frame answer = client.next();
-            assertEquals(String.format("%016x", answer.stream()).repeat(10_000),
+            assertEquals(
+                    String.format("%016x", answer.stream()).repeat(10_000),
                     new String(answer.body(), StandardCharsets.US_ASCII));
         }
         assertEquals(1, cache.sockets.size());
@@ -93,12 +96,16 @@
         Coordinator coordinator = new Coordinator();
         start(coordinator.address(), NodeTestConfig.list(1, true, member("s-1", old, "box")));
         assertEquals("1", coordinator.lastEventIds.poll(PATIENCE, TimeUnit.MILLISECONDS));
-        coordinator.events.add("id: 2\ndata: " + NodeTestConfig.list(2, false, member("s-2", fresh, "box"),
-                NodeTestConfig.member("s-1", old.address(), "box", "left", 0)));
+        coordinator.events.add("id: 2\ndata: "
+                + NodeTestConfig.list(
+                        2,
+                        false,
+                        member("s-2", fresh, "box"),
+                        NodeTestConfig.member("s-1", old.address(), "box", "left", 0)));
         Client client = new Client();
         int stream = 0;
         byte[] got = {1};
-        while (got[0] == 1) {  // until the event has arrived
+        while (got[0] == 1) { // until the event has arrived
             client.request(++stream, "segment", new byte[0]);
             got = client.next().body();
         }
@@ -116,8 +123,12 @@
         client.request(1, "segment", new byte[0]);
         assertEquals(1, client.next().code());
         assertEquals(1, cache.sockets.size());
-        coordinator.events.add("id: 2\ndata: " + NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-1", cache.address(), "box", "left", 0), member("s-2", cache, "box")));
+        coordinator.events.add("id: 2\ndata: "
+                + NodeTestConfig.list(
+                        2,
+                        false,
+                        NodeTestConfig.member("s-1", cache.address(), "box", "left", 0),
+                        member("s-2", cache, "box")));
         int stream = 1;
         while (server.counters().get(Name.LINES_OPENED) < 2) {
             client.request(++stream, "segment", new byte[0]);
@@ -182,7 +193,7 @@
         }
         server.terminate();
         boolean listening = true;
-        while (listening) {  // until the router has begun to close
+        while (listening) { // until the router has begun to close
             try {
                 new Client().close();
             } catch (IOException e) {
@@ -198,8 +209,10 @@
 
     /** A router that may hold no more than 16 connections of clients. */
     private void startSmall(String... updates) throws Exception {
-        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "", updates)
-                .replace("\"sockets\":1024", "\"sockets\":32")), OperatorConfig.NONE);
+        server = new NodeServer(
+                NodeTestConfig.parse(
+                        NodeTestConfig.json("127.0.0.1:0", "", updates).replace("\"sockets\":1024", "\"sockets\":32")),
+                OperatorConfig.NONE);
         server.start();
     }
 
@@ -237,7 +250,10 @@
         while (server.counters().get(Name.UPDATES) < 2) {
             Thread.onSpinWait();
         }
-        server.reload(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)), OperatorConfig.NONE, null);
+        server.reload(
+                NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", after.address(), known)),
+                OperatorConfig.NONE,
+                null);
         assertEquals("2", after.lastEventIds.poll(PATIENCE, TimeUnit.MILLISECONDS));
         before.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
         after.events.add("id: 3\ndata: " + NodeTestConfig.list(3, false));
--- a/src/test/java/pumicemoor/net/RehearsalTest.java
+++ b/src/test/java/pumicemoor/net/RehearsalTest.java
@@ -16,16 +16,23 @@
     private static long run(int requests, long time, String... updates) throws Exception {
         NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "", updates));
         return new Rehearsal(config, ResourceLimits.of(config.words().settings(), config.figures()), NOW)
-                .run(requests, time, () -> { });
+                .run(requests, time, () -> {});
     }
 
     @Test
     void everyRequestGoesTheWholeWay() throws Exception {
-        assertEquals(500, run(500, 60_000_000, NodeTestConfig.list(1, true,
-                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
-                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
-                NodeTestConfig.member("p-1", "127.0.0.1:13", "shield", "active", 0),
-                NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
+        assertEquals(
+                500,
+                run(
+                        500,
+                        60_000_000,
+                        NodeTestConfig.list(
+                                1,
+                                true,
+                                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
+                                NodeTestConfig.member("p-1", "127.0.0.1:13", "shield", "active", 0),
+                                NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
     }
 
     @Test
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -30,8 +30,8 @@
 /** A whole router on loopback for tests, with small stand-ins for members, coordinator and clients. */
 abstract class SocketRig {
 
-    static final int COMMENT_EVERY = 200;  // milliseconds
-    static final int PATIENCE = 20_000;  // milliseconds; far above anything waited for here
+    static final int COMMENT_EVERY = 200; // milliseconds
+    static final int PATIENCE = 20_000; // milliseconds; far above anything waited for here
 
     final List<AutoCloseable> toClose = new ArrayList<>();
     NodeServer server;
@@ -48,8 +48,8 @@
     }
 
     void start(String coordinator, String... updates) throws Exception {
-        server = new NodeServer(NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", coordinator, updates)),
-                OperatorConfig.NONE);
+        server = new NodeServer(
+                NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", coordinator, updates)), OperatorConfig.NONE);
         server.start();
     }
 
@@ -61,7 +61,7 @@
             held.countDown();
             try {
                 letGo.await();
-                Thread.sleep(300);  // what the test has prepared is older than any look at the feed
+                Thread.sleep(300); // what the test has prepared is older than any look at the feed
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -122,7 +122,7 @@
         public void close() throws IOException {
             listener.close();
             try {
-                accepting.join(PATIENCE);  // the system accepts connections for as long as a thread waits for one
+                accepting.join(PATIENCE); // the system accepts connections for as long as a thread waits for one
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -203,8 +203,7 @@
         final BlockingQueue<String> events = new LinkedBlockingQueue<>();
         final AtomicInteger written = new AtomicInteger();
 
-        Coordinator() throws IOException {
-        }
+        Coordinator() throws IOException {}
 
         @Override
         void serve(Socket socket) throws IOException {
@@ -270,8 +269,19 @@
             DataOutputStream frame = new DataOutputStream(bytes);
             frame.writeByte(7);
             frame.writeInt(stream);
-            Map<String, String> fields = Map.of("op", requestClass, "call", id(stream), "ttl", "1800", "row",
-                    "7f3a9c21e0b4d655", "piece", "3", "lot", "17");
+            Map<String, String> fields = Map.of(
+                    "op",
+                    requestClass,
+                    "call",
+                    id(stream),
+                    "ttl",
+                    "1800",
+                    "row",
+                    "7f3a9c21e0b4d655",
+                    "piece",
+                    "3",
+                    "lot",
+                    "17");
             frame.writeByte(fields.size());
             for (Map.Entry<String, String> field : fields.entrySet()) {
                 frame.writeByte(field.getKey().length());
--- a/src/test/java/pumicemoor/node/BoundedLogTest.java
+++ b/src/test/java/pumicemoor/node/BoundedLogTest.java
@@ -14,8 +14,8 @@
     private final List<Object> left = new ArrayList<>();
 
     /** A logger that notes the number of lines left out that each line tells; 0 for none. */
-    private final Logger logger = (Logger) Proxy.newProxyInstance(Logger.class.getClassLoader(),
-            new Class<?>[] {Logger.class}, (proxy, method, arguments) -> {
+    private final Logger logger = (Logger) Proxy.newProxyInstance(
+            Logger.class.getClassLoader(), new Class<?>[] {Logger.class}, (proxy, method, arguments) -> {
                 left.add(arguments[2]);
                 return null;
             });
--- a/src/test/java/pumicemoor/node/DrainedMembersTest.java
+++ b/src/test/java/pumicemoor/node/DrainedMembersTest.java
@@ -28,20 +28,29 @@
     @Test
     void theListIsHeldBackUntilItIsKnownWhoIsOutAndFollowsThePlan() {
         DrainedMembers drained = new DrainedMembers();
-        assertTrue(drained.listed(list(ListKind.WHOLE, box(1, 5, State.READY), box(2, 5, State.READY))).isEmpty());
+        assertTrue(drained.listed(list(ListKind.WHOLE, box(1, 5, State.READY), box(2, 5, State.READY)))
+                .isEmpty());
         assertTrue(drained.follow(new View(false, Set.of(2L), Map.of())).isEmpty());
-        assertEquals(list(ListKind.WHOLE, box(1, 5, State.READY), box(2, 5, State.DRAINING)),
+        assertEquals(
+                list(ListKind.WHOLE, box(1, 5, State.READY), box(2, 5, State.DRAINING)),
                 drained.follow(new View(true, Set.of(2L), Map.of())).orElseThrow());
         assertTrue(drained.follow(new View(true, Set.of(2L), Map.of())).isEmpty());
         // back, and cold whatever the list says, until the list tells of a later start
-        assertEquals(list(ListKind.CHANGES, box(2, 90, State.READY)),
+        assertEquals(
+                list(ListKind.CHANGES, box(2, 90, State.READY)),
                 drained.follow(new View(true, Set.of(), Map.of(2L, 90L))).orElseThrow());
-        assertEquals(list(ListKind.CHANGES, box(2, 95, State.READY), box(1, 5, State.DRAINING)),
-                drained.listed(list(ListKind.CHANGES, box(2, 95, State.READY), box(1, 5, State.DRAINING))).orElseThrow());
-        assertEquals(list(ListKind.CHANGES, box(2, 0, State.GONE)),
+        assertEquals(
+                list(ListKind.CHANGES, box(2, 95, State.READY), box(1, 5, State.DRAINING)),
+                drained.listed(list(ListKind.CHANGES, box(2, 95, State.READY), box(1, 5, State.DRAINING)))
+                        .orElseThrow());
+        assertEquals(
+                list(ListKind.CHANGES, box(2, 0, State.GONE)),
                 drained.listed(list(ListKind.CHANGES, box(2, 0, State.GONE))).orElseThrow());
-        assertTrue(drained.follow(new View(true, Set.of(1L, 2L), Map.of())).isEmpty(), "who is gone, or drains by the list");
-        assertEquals(list(ListKind.WHOLE, box(2, 99, State.DRAINING)),
+        assertTrue(
+                drained.follow(new View(true, Set.of(1L, 2L), Map.of())).isEmpty(),
+                "who is gone, or drains by the list");
+        assertEquals(
+                list(ListKind.WHOLE, box(2, 99, State.DRAINING)),
                 drained.listed(list(ListKind.WHOLE, box(2, 99, State.READY))).orElseThrow());
     }
 }
--- a/src/test/java/pumicemoor/node/FleetPartsTest.java
+++ b/src/test/java/pumicemoor/node/FleetPartsTest.java
@@ -35,8 +35,18 @@
     };
 
     private static FleetPart part(Optional<DrainTimes> drains, Optional<CellSetup> cells) {
-        return FleetParts.of(new FleetSetup("c", new Membership.Setup("r", "127.0.0.1:7000", List.of(), 200_000, 3, 2,
-                600_000_000, 2_000), 8, new LeaseTimes(5_000_000, 500_000), List.of(), Optional.empty(), drains, cells), START, 7,
+        return FleetParts.of(
+                new FleetSetup(
+                        "c",
+                        new Membership.Setup("r", "127.0.0.1:7000", List.of(), 200_000, 3, 2, 600_000_000, 2_000),
+                        8,
+                        new LeaseTimes(5_000_000, 500_000),
+                        List.of(),
+                        Optional.empty(),
+                        drains,
+                        cells),
+                START,
+                7,
                 NOTHING);
     }
 
@@ -51,6 +61,7 @@
     void withoutCellsTheFleetIsFlatAndKeepsItsDrains() {
         assertInstanceOf(Fleet.class, part(Optional.empty(), Optional.empty()));
         assertFalse(part(Optional.empty(), Optional.empty()).fields().containsKey("fleet-cell"));
-        assertTrue(part(Optional.of(new DrainTimes(1, 2, 3, 4, 5, 6)), Optional.empty()).drains());
+        assertTrue(part(Optional.of(new DrainTimes(1, 2, 3, 4, 5, 6)), Optional.empty())
+                .drains());
     }
 }
--- a/src/test/java/pumicemoor/node/LongDayTest.java
+++ b/src/test/java/pumicemoor/node/LongDayTest.java
@@ -21,7 +21,7 @@
     private static final long MILLI = 1_000;
     private static final long SECOND = 1_000_000;
     private static final int EACH = 30_000;
-    private static final int OBJECTS = 20_000;  // what the module may remember
+    private static final int OBJECTS = 20_000; // what the module may remember
 
     private final Queue<Effect> effects = new ArrayDeque<>();
     private long now = 1_764_576_000 * SECOND;
@@ -69,17 +69,24 @@
 
     @Test
     void nothingOfTensOfThousandsOutlivesItsOwner() throws Exception {
-        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2",
-                NodeTestConfig.list(1, true, NodeTestConfig.member("s-0", "127.0.0.1:11", "box", "active", 0),
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json(
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                NodeTestConfig.list(
+                        1,
+                        true,
+                        NodeTestConfig.member("s-0", "127.0.0.1:11", "box", "active", 0),
                         NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
         RouterApi logic = new Logic(config.words().settings(), 1);
-        reducer = new Reducer(logic, config.words(), ResourceLimits.of(config.words().settings(), config.figures()),
-                new Counters());
+        reducer = new Reducer(
+                logic, config.words(), ResourceLimits.of(config.words().settings(), config.figures()), new Counters());
         reducer.known(now, config, effects::add);
         long index = 1;
         for (int i = 1; i <= EACH; i++) {
             pass(10 * MILLI);
-            take(new Input.Update(NodeTestConfig.list(++index, false,
+            take(new Input.Update(NodeTestConfig.list(
+                    ++index,
+                    false,
                     NodeTestConfig.member("s-" + i, "127.0.0.1:11", "box", "active", 0),
                     NodeTestConfig.member("s-" + (i - 1), "127.0.0.1:11", "box", "left", 0))));
             take(new Input.Update("{\"index\":" + ++index + ",\"evict\":{\"ref\":\"" + id(i) + "\",\"unix_ms\":"
--- a/src/test/java/pumicemoor/node/NodeTestConfig.java
+++ b/src/test/java/pumicemoor/node/NodeTestConfig.java
@@ -6,8 +6,7 @@
 /** Configurations for tests: a place with caches, a parent and an origin, a class kept and one that is not. */
 public final class NodeTestConfig {
 
-    private NodeTestConfig() {
-    }
+    private NodeTestConfig() {}
 
     /** One line of the coordinator's list. */
     public static String member(String instance, String address, String kind, String lifecycle, long started) {
@@ -48,7 +47,8 @@
                    "notice-time-us":500000,"purge-settles-us":6000000,"parent-starts-at":0.1,
                    "upper-cold-us":20000000,"parent-fall-multiple":2},
                   "telemetry":{"how":"answers","columns":["busy_reqs"]},"weights":"rough"}}
-                """.formatted(listen, coordinator, updates.length, String.join(",", updates), maxOpen);
+                """
+                .formatted(listen, coordinator, updates.length, String.join(",", updates), maxOpen);
     }
 
     public static NodeConfig parse(String json) throws WireException {
--- a/src/test/java/pumicemoor/node/ReducerDayTest.java
+++ b/src/test/java/pumicemoor/node/ReducerDayTest.java
@@ -86,8 +86,11 @@
             Long until = openUntil.remove(answer.stream());
             assertTrue(until != null, "an answer to what is not open");
             assertTrue(now <= until + 58 * MILLI, "an answer " + (now - until) + " us past the deadline");
-            assertTrue(answer.code() != Effect.Code.REFUSED || classes.get(answer.stream()).equals("segment")
-                    || !mayHaveRun.contains(answer.stream()), "refused though it may have run");
+            assertTrue(
+                    answer.code() != Effect.Code.REFUSED
+                            || classes.get(answer.stream()).equals("segment")
+                            || !mayHaveRun.contains(answer.stream()),
+                    "refused though it may have run");
         }
     }
 
@@ -113,9 +116,17 @@
             in(delay, () -> ends(ask, new Input.Broken(ask.attempt()), false));
         } else if (kind > 2) {
             Word word = kind < 9 ? WORDS[random.nextInt(WORDS.length)] : Word.DATA;
-            in(delay, () -> ends(ask, new Input.Answered(ask.attempt(), word, word == Word.DATA ? "mem" : null,
-                    Map.of(), word == Word.DATA ? new Counted() : Bytes.NONE),
-                    word == Word.ABSENT || word == Word.FULL || word == Word.MOOT));
+            in(
+                    delay,
+                    () -> ends(
+                            ask,
+                            new Input.Answered(
+                                    ask.attempt(),
+                                    word,
+                                    word == Word.DATA ? "mem" : null,
+                                    Map.of(),
+                                    word == Word.DATA ? new Counted() : Bytes.NONE),
+                            word == Word.ABSENT || word == Word.FULL || word == Word.MOOT));
         }
     }
 
@@ -135,11 +146,14 @@
         for (int i = 0; i < members.length; i++) {
             all.append(i == 0 ? "" : ",").append(line(members[i], "active", 0));
         }
-        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2",
-                NodeTestConfig.list(1, true, all.toString())));
+        NodeConfig config = NodeTestConfig.parse(
+                NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2", NodeTestConfig.list(1, true, all.toString())));
         Counters counters = new Counters();
-        reducer = new Reducer(new Logic(config.words().settings(), seed), config.words(),
-                ResourceLimits.of(config.words().settings(), config.figures()), counters);
+        reducer = new Reducer(
+                new Logic(config.words().settings(), seed),
+                config.words(),
+                ResourceLimits.of(config.words().settings(), config.figures()),
+                counters);
         reducer.known(now, config, this::carryOut);
         for (int i = 1; i <= 2_000; i++) {
             int stream = i;
@@ -153,8 +167,10 @@
                 drainedAt.put(member, now);
                 take(new Input.Update(NodeTestConfig.list(index, false, line(member, "leaving", 0))));
             });
-            in(at + 700 * MILLI, () -> take(new Input.Update("{\"index\":" + (index + 1)
-                    + ",\"evict\":{\"shard\":3,\"unix_ms\":" + (now / MILLI - 100) + "}}")));
+            in(
+                    at + 700 * MILLI,
+                    () -> take(new Input.Update("{\"index\":" + (index + 1) + ",\"evict\":{\"shard\":3,\"unix_ms\":"
+                            + (now / MILLI - 100) + "}}")));
             in(at + 1_500 * MILLI, () -> {
                 drainedAt.remove(member);
                 take(new Input.Update(NodeTestConfig.list(index + 2, false, line(member, "active", now / MILLI))));
@@ -185,8 +201,18 @@
         classes.put(stream, random.nextInt(4) == 0 ? "order" : "segment");
         openUntil.put(stream, now + ttl * MILLI);
         assertNull(answers.get(stream));
-        take(new Input.Request(1, stream, Integer.toString(stream), classes.get(stream), "o" + random.nextInt(300),
-                random.nextInt(3), random.nextInt(5), null, ttl, false, new Counted()));
+        take(new Input.Request(
+                1,
+                stream,
+                Integer.toString(stream),
+                classes.get(stream),
+                "o" + random.nextInt(300),
+                random.nextInt(3),
+                random.nextInt(5),
+                null,
+                ttl,
+                false,
+                new Counted()));
         if (random.nextInt(40) == 0) {
             in(random.nextInt(200_000), () -> {
                 if (openUntil.remove(stream) != null) {
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
 import pumicemoor.RouterApi.Cancel;
@@ -32,7 +33,6 @@
 import pumicemoor.RouterApi.SourcesGiven;
 import pumicemoor.RouterApi.State;
 import pumicemoor.RouterApi.TimerDue;
-import pumicemoor.RouterApi;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.Word;
 import pumicemoor.operator.OperatorConfig;
@@ -53,7 +53,7 @@
     private final List<Event> events = new ArrayList<>();
     private final List<Effect> effects = new ArrayList<>();
     private final Counters counters = new Counters();
-    private Consumer<Event> script = e -> { };
+    private Consumer<Event> script = e -> {};
     private Consumer<Action> act;
     private NodeConfig config;
     private ResourceLimits limits;
@@ -70,8 +70,14 @@
     }
 
     private void start(int maxOpen, boolean heard) throws Exception {
-        config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:2", maxOpen,
-                NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+        config = NodeTestConfig.parse(NodeTestConfig.json(
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                maxOpen,
+                NodeTestConfig.list(
+                        1,
+                        true,
+                        NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
                         NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
         limits = ResourceLimits.of(config.words().settings(), config.figures());
         RouterApi scripted = (time, event, sink) -> {
@@ -125,8 +131,8 @@
     }
 
     private void request(int stream, String requestClass, Bytes body) {
-        take(new Input.Request(1, stream, "9b1f03aa5c7e2d41", requestClass, "7f3a9c21e0b4d655", 3, 17, "4be0", 1500,
-                false, body));
+        take(new Input.Request(
+                1, stream, "9b1f03aa5c7e2d41", requestClass, "7f3a9c21e0b4d655", 3, 17, "4be0", 1500, false, body));
     }
 
     private <T> List<T> of(List<?> all, Class<T> type) {
@@ -215,8 +221,15 @@
 
     @Test
     void eachWordOfACacheIsTheOutcomeItProves() {
-        Map<Word, Outcome> expected = Map.of(Word.ABSENT, Outcome.MISS, Word.FULL, Outcome.FULL, Word.FAILED,
-                Outcome.ERROR, Word.MOOT, Outcome.MOOT);
+        Map<Word, Outcome> expected = Map.of(
+                Word.ABSENT,
+                Outcome.MISS,
+                Word.FULL,
+                Outcome.FULL,
+                Word.FAILED,
+                Outcome.ERROR,
+                Word.MOOT,
+                Outcome.MOOT);
         expected.forEach((word, outcome) -> {
             events.clear();
             fetchOnArrival(0, 0);
@@ -237,7 +250,9 @@
         request(2, "segment", Bytes.NONE);
         take(new Input.Written(ask().attempt()));
         take(new Input.Broken(ask().attempt()));
-        List<Outcome> outcomes = of(events, AttemptEnded.class).stream().map(AttemptEnded::outcome).toList();
+        List<Outcome> outcomes = of(events, AttemptEnded.class).stream()
+                .map(AttemptEnded::outcome)
+                .toList();
         assertEquals(List.of(Outcome.CONNECT_FAILED, Outcome.RESET), outcomes);
     }
 
@@ -248,7 +263,8 @@
         long attempt = ask().attempt();
         pass(limits.unwritten());
         assertEquals(attempt, of(effects, Effect.Quit.class).get(0).attempt());
-        assertEquals(Outcome.CONNECT_FAILED, of(events, AttemptEnded.class).get(0).outcome());
+        assertEquals(
+                Outcome.CONNECT_FAILED, of(events, AttemptEnded.class).get(0).outcome());
         assertTrue(limits.unwritten() < config.words().settings().rules().purgeGrace());
         assertTrue(limits.unwritten() < config.words().settings().rules().drainGrace());
     }
@@ -323,7 +339,8 @@
     void aRefusalSaysWhenToComeBackInWholeMilliseconds() {
         onArrival(r -> act.accept(new Refuse(r.id(), 200_001)));
         request(1, "segment", Bytes.NONE);
-        assertEquals(new Effect.Answer(1, 1, Code.REFUSED, false, 201, Bytes.NONE),
+        assertEquals(
+                new Effect.Answer(1, 1, Code.REFUSED, false, 201, Bytes.NONE),
                 of(effects, Effect.Answer.class).get(0));
     }
 
@@ -418,8 +435,11 @@
         request(2, "segment", Bytes.NONE);
         take(answered(ask().attempt(), Word.DATA, Bytes.NONE));
         pass(2 * SECOND);
-        assertEquals(List.of(Code.SERVED, Code.FAILED),
-                of(effects, Effect.Answer.class).stream().map(Effect.Answer::code).toList());
+        assertEquals(
+                List.of(Code.SERVED, Code.FAILED),
+                of(effects, Effect.Answer.class).stream()
+                        .map(Effect.Answer::code)
+                        .toList());
         assertEquals(1, counters.get(Counters.Name.FAULTS));
     }
 
@@ -436,8 +456,8 @@
     @Test
     void anEventThatCannotBeReadIsSkipped() {
         take(new Input.Update("{\"index\":2,"));
-        take(new Input.Update(NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-9", "127.0.0.1:19", "box", "sleeping", 0))));
+        take(new Input.Update(
+                NodeTestConfig.list(2, false, NodeTestConfig.member("s-9", "127.0.0.1:19", "box", "sleeping", 0))));
         assertTrue(events.isEmpty());
         assertEquals(2, counters.get(Counters.Name.BAD_INPUT));
     }
@@ -445,9 +465,13 @@
     @Test
     void aLineThatCannotBeReadCostsThatMembersNewsAloneAndNeitherTheOthersNorAPurge() {
         String s1 = NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0);
-        String[] bad = {NodeTestConfig.member("p-1", "127.0.0.1:12", "box", "sleeping", 0),
+        String[] bad = {
+            NodeTestConfig.member("p-1", "127.0.0.1:12", "box", "sleeping", 0),
             NodeTestConfig.member("p-1", "nowhere", "shield", "active", 0),
-            NodeTestConfig.member("p-1", "127.0.0.1:12", "cupboard", "active", 0), "{\"instanceId\":7}", "{}"};
+            NodeTestConfig.member("p-1", "127.0.0.1:12", "cupboard", "active", 0),
+            "{\"instanceId\":7}",
+            "{}"
+        };
         long index = 2;
         int skipped = 0;
         for (String line : bad) {
@@ -461,18 +485,23 @@
             assertEquals(1, of(events, MembersListed.class).get(0).members().size(), line);
             assertEquals(1, of(events, Purged.class).size(), line);
             boolean named = line.contains("p-1");
-            assertEquals(named, of(effects, Effect.Retire.class).stream().noneMatch(r -> r.instance().equals("p-1")),
+            assertEquals(
+                    named,
+                    of(effects, Effect.Retire.class).stream()
+                            .noneMatch(r -> r.instance().equals("p-1")),
                     "who is listed, if not readably, has not left: " + line);
             assertEquals(++skipped, counters.get(Counters.Name.BAD_INPUT));
-            take(new Input.Update(NodeTestConfig.list(index++, false,
-                    NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
+            take(new Input.Update(NodeTestConfig.list(
+                    index++, false, NodeTestConfig.member("p-1", "127.0.0.1:12", "shield", "active", 0))));
         }
     }
 
     @Test
     void aPurgeThatCannotBeReadCostsNoList() {
-        take(new Input.Update("{\"index\":2,\"evict\":{\"unix_ms\":\"soon\"},\"endpoints\":{\"generation\":1,\"reset\":false,"
-                + "\"instances\":[" + NodeTestConfig.member("s-7", "127.0.0.1:17", "box", "active", 0) + "]}}"));
+        take(new Input.Update(
+                "{\"index\":2,\"evict\":{\"unix_ms\":\"soon\"},\"endpoints\":{\"generation\":1,\"reset\":false,"
+                        + "\"instances\":[" + NodeTestConfig.member("s-7", "127.0.0.1:17", "box", "active", 0)
+                        + "]}}"));
         assertEquals(1, of(events, MembersListed.class).size());
         assertTrue(of(events, Purged.class).isEmpty());
         assertEquals(1, counters.get(Counters.Name.BAD_INPUT));
@@ -480,9 +509,11 @@
 
     @Test
     void aMemberThatLeavesOrStartsAnewLosesItsOldConnections() {
-        take(new Input.Update(NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", START / MILLI))));
-        take(new Input.Update(NodeTestConfig.list(3, false,
+        take(new Input.Update(NodeTestConfig.list(
+                2, false, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", START / MILLI))));
+        take(new Input.Update(NodeTestConfig.list(
+                3,
+                false,
                 NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "left", START / MILLI),
                 NodeTestConfig.member("s-2", "127.0.0.1:11", "box", "active", START / MILLI))));
         assertEquals(List.of(new Effect.Drop("s-1", START), new Effect.Retire("s-1")), effects);
@@ -497,7 +528,9 @@
 
     @Test
     void whoIsMissingFromAWholeListLosesItsConnections() {
-        take(new Input.Update(NodeTestConfig.list(2, true,
+        take(new Input.Update(NodeTestConfig.list(
+                2,
+                true,
                 NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
                 NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0))));
         assertEquals(List.of(new Effect.Retire("p-1")), effects);
@@ -583,8 +616,8 @@
     @Test
     void itIsNotReadyBeforeItHasCaughtUpWithTheCoordinator() throws Exception {
         start(1_000, false);
-        take(new Input.Update(NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", 0))));
+        take(new Input.Update(
+                NodeTestConfig.list(2, false, NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", 0))));
         assertFalse(reducer.ready(), "more may stand behind this event");
         take(new Input.FeedHeard());
         assertTrue(reducer.ready());
@@ -606,22 +639,28 @@
     void aPurgeIsTakenForTheLaterOneWhereTheWallClockWasStepped() {
         for (long step : new long[] {-3_600 * SECOND, -5 * SECOND, 5 * SECOND, 3_600 * SECOND}) {
             events.clear();
-            reducer.accept(now, now + step, new Input.Update("{\"index\":" + (reducer.lastUpdate() + 1)
-                    + ",\"evict\":{\"ref\":\"7f3a\",\"unix_ms\":" + (now - SECOND) / MILLI + "}}"), effects::add);
+            reducer.accept(
+                    now,
+                    now + step,
+                    new Input.Update("{\"index\":" + (reducer.lastUpdate() + 1)
+                            + ",\"evict\":{\"ref\":\"7f3a\",\"unix_ms\":" + (now - SECOND) / MILLI + "}}"),
+                    effects::add);
             assertEquals(step < 0 ? 0 : SECOND, of(events, Purged.class).get(0).age(), "a step of " + step);
         }
     }
 
     @Test
     void aStartIsTakenForTheLaterOneWhereTheWallClockWasSteppedAndKeptWhenToldAgain() {
-        String list = NodeTestConfig.list(2, false,
-                NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", (now - SECOND) / MILLI));
+        String list = NodeTestConfig.list(
+                2, false, NodeTestConfig.member("s-2", "127.0.0.1:13", "box", "active", (now - SECOND) / MILLI));
         reducer.accept(now, now - 3_600 * SECOND, new Input.Update(list), effects::add);
-        assertEquals(now, of(events, MembersListed.class).get(0).members().get(0).started());
+        assertEquals(
+                now, of(events, MembersListed.class).get(0).members().get(0).started());
         long first = now;
         now += 3 * SECOND;
         take(new Input.Update(list.replace("\"index\":2", "\"index\":3")));
-        assertEquals(first, of(events, MembersListed.class).get(1).members().get(0).started());
+        assertEquals(
+                first, of(events, MembersListed.class).get(1).members().get(0).started());
     }
 
     @Test
@@ -640,8 +679,11 @@
         fetchOnArrival(0, 0);
         request(1, "segment", Bytes.NONE);
         take(new Input.Crowded(ask().attempt()));
-        assertEquals(List.of(Outcome.FULL), of(events, AttemptEnded.class).stream().map(AttemptEnded::outcome)
-                .toList());
+        assertEquals(
+                List.of(Outcome.FULL),
+                of(events, AttemptEnded.class).stream()
+                        .map(AttemptEnded::outcome)
+                        .toList());
         assertTrue(Outcome.FULL.provesNotRun);
     }
 
@@ -650,14 +692,14 @@
         fetchOnArrival(0, 0);
         request(1, "segment", Bytes.NONE);
         effects.clear();
-        take(new Input.Request(2, 1, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false,
-                Bytes.NONE));
-        assertEquals(List.of(new Effect.Answer(2, 1, Code.FAILED, false, 0, Bytes.NONE), new Effect.Misused(2)),
-                effects);
+        take(new Input.Request(
+                2, 1, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false, Bytes.NONE));
+        assertEquals(
+                List.of(new Effect.Answer(2, 1, Code.FAILED, false, 0, Bytes.NONE), new Effect.Misused(2)), effects);
         take(new Input.Withdrawn(1, 1));
         effects.clear();
-        take(new Input.Request(2, 2, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false,
-                Bytes.NONE));
+        take(new Input.Request(
+                2, 2, "9b1f03aa5c7e2d41", "segment", "00000000000000ff", 0, 1, null, 1500, false, Bytes.NONE));
         assertEquals(1, of(effects, Effect.Ask.class).size(), "the id is free again");
     }
 
@@ -681,11 +723,16 @@
 
     @Test
     void aReloadFollowsTheNewCoordinatorAndNothingElse() throws Exception {
-        String json = NodeTestConfig.json("127.0.0.1:1", "127.0.0.1:3", 1_000,
+        String json = NodeTestConfig.json(
+                "127.0.0.1:1",
+                "127.0.0.1:3",
+                1_000,
                 NodeTestConfig.list(1, true, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0)));
         take(new Input.Reload(null, null, "no such file"));
-        take(new Input.Reload(NodeConfig.parse(json.replace("127.0.0.1:1\"", "127.0.0.1:9\"")), OperatorConfig.NONE, null));
-        take(new Input.Reload(NodeConfig.parse(json.replace("\"max-open\":1000", "\"max-open\":9")), OperatorConfig.NONE, null));
+        take(new Input.Reload(
+                NodeConfig.parse(json.replace("127.0.0.1:1\"", "127.0.0.1:9\"")), OperatorConfig.NONE, null));
+        take(new Input.Reload(
+                NodeConfig.parse(json.replace("\"max-open\":1000", "\"max-open\":9")), OperatorConfig.NONE, null));
         assertEquals(List.of(), effects);
         assertEquals(3, counters.get(Counters.Name.RELOADS_REFUSED));
         take(new Input.Reload(NodeConfig.parse(json), OperatorConfig.NONE, null));
@@ -695,7 +742,8 @@
         assertEquals(List.of(), of(events, MembersListed.class));
     }
 
-    private static final String OPERATOR = """
+    private static final String OPERATOR =
+            """
             hierarchy:
               news: %s
               lead-ms: 1000
@@ -715,21 +763,30 @@
     }
 
     private void operate(OperatorConfig operator) {
-        reducer = new Reducer((time, event, sink) -> {
-            events.add(event);
-            act = sink::accept;
-        }, config.words(), limits, counters);
+        reducer = new Reducer(
+                (time, event, sink) -> {
+                    events.add(event);
+                    act = sink::accept;
+                },
+                config.words(),
+                limits,
+                counters);
         reducer.operate(now, operator, "here", "n0", 1);
         reducer.known(now, config, effects::add);
-        take(new Input.Update(NodeTestConfig.list(2, false,
+        take(new Input.Update(NodeTestConfig.list(
+                2,
+                false,
                 NodeTestConfig.member("p-2", "127.0.0.1:13", "shield", "active", 0),
                 NodeTestConfig.member("o-1", "127.0.0.1:14", "store", "active", 0))));
     }
 
     /** The member that the last sources given name for this location; 0 where none are given. */
     private long lastGiven() {
-        SourcesGiven last = of(events, SourcesGiven.class).get(of(events, SourcesGiven.class).size() - 1);
-        return last.lists().isEmpty() ? 0 : last.lists().get(SourcesGiven.LOCATION).now().get(0).member();
+        SourcesGiven last = of(events, SourcesGiven.class)
+                .get(of(events, SourcesGiven.class).size() - 1);
+        return last.lists().isEmpty()
+                ? 0
+                : last.lists().get(SourcesGiven.LOCATION).now().get(0).member();
     }
 
     @Test
@@ -784,7 +841,8 @@
 
     @Test
     void theWayOfAFillIsHandedOnByName() {
-        onArrival(r -> act.accept(new Fetch(r.id(), CACHE, PARENT, 2, 0, true, false, false, false, 0, List.of(PARENT))));
+        onArrival(
+                r -> act.accept(new Fetch(r.id(), CACHE, PARENT, 2, 0, true, false, false, false, 0, List.of(PARENT))));
         request(1, "segment", new Counted());
         assertEquals(List.of("p-1"), of(effects, Effect.Ask.class).get(0).way());
     }
--- a/src/test/java/pumicemoor/node/SameChoicesTest.java
+++ b/src/test/java/pumicemoor/node/SameChoicesTest.java
@@ -21,24 +21,39 @@
         final boolean calls;
         final Reducer reducer;
         final List<String> chosen = new ArrayList<>();
-        final Map<Integer, Long> open = new LinkedHashMap<>();  // attempt keys by the order of their choice
+        final Map<Integer, Long> open = new LinkedHashMap<>(); // attempt keys by the order of their choice
         int choices;
 
         Side(boolean calls, NodeConfig config, long now) {
             this.calls = calls;
-            this.reducer = new Reducer(new Logic(config.words().settings(), 5), config.words(),
-                    ResourceLimits.of(config.words().settings(), config.figures()), new Counters());
+            this.reducer = new Reducer(
+                    new Logic(config.words().settings(), 5),
+                    config.words(),
+                    ResourceLimits.of(config.words().settings(), config.figures()),
+                    new Counters());
             reducer.known(now, config, this::take);
         }
 
         void take(Effect effect) {
             if (effect instanceof Effect.Ask a) {
                 a.body().release();
-                chose(a.attempt(), a.instance(), a.source(), a.keepRank(), a.withinMillis(), "" + a.join() + a.onlyIfHeld()
-                        + a.renew(), a.limitMillis());
+                chose(
+                        a.attempt(),
+                        a.instance(),
+                        a.source(),
+                        a.keepRank(),
+                        a.withinMillis(),
+                        "" + a.join() + a.onlyIfHeld() + a.renew(),
+                        a.limitMillis());
             } else if (effect instanceof Effect.Name n) {
-                chose(n.key(), n.instance(), n.source(), n.keepRank(), n.withinMillis(), "" + n.join() + n.onlyIfHeld()
-                        + n.renew(), n.limitMillis());
+                chose(
+                        n.key(),
+                        n.instance(),
+                        n.source(),
+                        n.keepRank(),
+                        n.withinMillis(),
+                        "" + n.join() + n.onlyIfHeld() + n.renew(),
+                        n.limitMillis());
             } else if (effect instanceof Effect.Answer a) {
                 chosen.add("answer " + a.code() + " " + a.pushbackMillis());
             }
@@ -50,10 +65,23 @@
         }
 
         void ask(long now, int number, String requestClass, String object) {
-            reducer.accept(now, calls
-                    ? new Input.Call(-number, "id" + number, requestClass, object, 0, -1, 1_500, false)
-                    : new Input.Request(number, 1, "id" + number, requestClass, object, 0, -1, null, 1_500, false,
-                            Bytes.NONE), this::take);
+            reducer.accept(
+                    now,
+                    calls
+                            ? new Input.Call(-number, "id" + number, requestClass, object, 0, -1, 1_500, false)
+                            : new Input.Request(
+                                    number,
+                                    1,
+                                    "id" + number,
+                                    requestClass,
+                                    object,
+                                    0,
+                                    -1,
+                                    null,
+                                    1_500,
+                                    false,
+                                    Bytes.NONE),
+                    this::take);
             reducer.accept(now, new Input.Due(), this::take);
         }
 
@@ -63,9 +91,19 @@
                 if (!calls) {
                     reducer.accept(now, new Input.Written(key), this::take);
                 }
-                reducer.accept(now, how == 0 ? new Input.Unreached(key) : how == 1 ? new Input.Broken(key)
-                        : new Input.Answered(key, how == 2 ? Word.FAILED : how == 3 ? Word.FULL : Word.DATA,
-                                how % 2 == 0 ? "mem" : "parent", Map.of(), Bytes.NONE), this::take);
+                reducer.accept(
+                        now,
+                        how == 0
+                                ? new Input.Unreached(key)
+                                : how == 1
+                                        ? new Input.Broken(key)
+                                        : new Input.Answered(
+                                                key,
+                                                how == 2 ? Word.FAILED : how == 3 ? Word.FULL : Word.DATA,
+                                                how % 2 == 0 ? "mem" : "parent",
+                                                Map.of(),
+                                                Bytes.NONE),
+                        this::take);
             }
         }
     }
@@ -73,13 +111,18 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void choicesAreTheSameByBothFronts(long seed) throws Exception {
-        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:1", "", NodeTestConfig.list(1, true,
-                NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
-                NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
-                NodeTestConfig.member("s-3", "127.0.0.1:13", "box", "active", 0),
-                NodeTestConfig.member("p-1", "127.0.0.1:14", "shield", "active", 0),
-                NodeTestConfig.member("p-2", "127.0.0.1:15", "shield", "active", 0),
-                NodeTestConfig.member("o-1", "127.0.0.1:16", "store", "active", 0))));
+        NodeConfig config = NodeTestConfig.parse(NodeTestConfig.json(
+                "127.0.0.1:1",
+                "",
+                NodeTestConfig.list(
+                        1,
+                        true,
+                        NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "active", 0),
+                        NodeTestConfig.member("s-2", "127.0.0.1:12", "box", "active", 0),
+                        NodeTestConfig.member("s-3", "127.0.0.1:13", "box", "active", 0),
+                        NodeTestConfig.member("p-1", "127.0.0.1:14", "shield", "active", 0),
+                        NodeTestConfig.member("p-2", "127.0.0.1:15", "shield", "active", 0),
+                        NodeTestConfig.member("o-1", "127.0.0.1:16", "store", "active", 0))));
         long now = 1_764_576_000_000_000L;
         Side platform = new Side(false, config, now);
         Side calls = new Side(true, config, now);
--- a/src/test/java/pumicemoor/operator/FleetSectionTest.java
+++ b/src/test/java/pumicemoor/operator/FleetSectionTest.java
@@ -16,7 +16,8 @@
 
 class FleetSectionTest {
 
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             fleet:
               cluster: west
               listen: 127.0.0.1:7946
@@ -43,40 +44,49 @@
         assertEquals(5_000_000, f.verdicts().orElseThrow().hold());
         assertEquals(4_000_000, f.drains().orElseThrow().drain());
         assertEquals(60_000_000, f.drains().orElseThrow().gone());
-        assertTrue(OperatorFile.parse("f", GOOD.replace("  drains: {drain-ms: 4000}\n", "")).fleet().orElseThrow().drains().isEmpty());
+        assertTrue(OperatorFile.parse("f", GOOD.replace("  drains: {drain-ms: 4000}\n", ""))
+                .fleet()
+                .orElseThrow()
+                .drains()
+                .isEmpty());
         assertTrue(OperatorFile.parse("f", "").fleet().isEmpty());
     }
 
     /** What is changed in the good section, and the line and words of the error. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "cluster: west|cluster: 'w st'|2|fleet.cluster",
-        "listen: 127.0.0.1:7946|listen: nowhere|3|fleet.listen: 'nowhere' is no address",
-        "listen: 127.0.0.1:7946|listen: 127.0.0.999:7946|3|fleet.listen",
-        "127.0.0.1:7947|127.0.0.1:0|4|fleet.seeds",
-        "size: 8|size: 0|5|fleet.size",
-        "size: 8|sise: 8|5|unknown key",
-        "lease-ms: 5000|lease-ms: 10|6|fleet.lease-ms: 10 is out of range",
-        "guard-ms: 500|guard-ms: 2600|7|fleet.guard-ms: it is over half of lease-ms",
-        "per-second: 100|per-second: 0|8|out of range",
-        "per-second: 100|per-second: 100, in-flight: 9|8|needs one of",
-        "in-flight: 16|in-flight: 7|8|whole parts among 8 routers",
-        "members: each-cache|members: across-zones|8|across-zones and kb-per-second go together",
-        "name: one|name: boxes|8|two limits have the name 'boxes'",
-        "most-out: 0.2|most-out: 1.2|11|fleet.verdicts.most-out",
-        "drain-ms: 4000|drain-ms: 5|12|fleet.drains.drain-ms: 5 is out of range",
-        "drain-ms: 4000|least-ms: 20000|12|fleet.drains.least-ms: it is over drain-ms",
-        "drain-ms: 4000|gone-ms: 9000|12|fleet.drains.gone-ms: it is under lease-ms",
-        "drain-ms: 4000|gone-ms: 700000|12|fleet.drains.gone-ms: it is over remember-ms",
-        "drain-ms: 4000|drain: 4000|12|unknown key",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "cluster: west|cluster: 'w st'|2|fleet.cluster",
+                "listen: 127.0.0.1:7946|listen: nowhere|3|fleet.listen: 'nowhere' is no address",
+                "listen: 127.0.0.1:7946|listen: 127.0.0.999:7946|3|fleet.listen",
+                "127.0.0.1:7947|127.0.0.1:0|4|fleet.seeds",
+                "size: 8|size: 0|5|fleet.size",
+                "size: 8|sise: 8|5|unknown key",
+                "lease-ms: 5000|lease-ms: 10|6|fleet.lease-ms: 10 is out of range",
+                "guard-ms: 500|guard-ms: 2600|7|fleet.guard-ms: it is over half of lease-ms",
+                "per-second: 100|per-second: 0|8|out of range",
+                "per-second: 100|per-second: 100, in-flight: 9|8|needs one of",
+                "in-flight: 16|in-flight: 7|8|whole parts among 8 routers",
+                "members: each-cache|members: across-zones|8|across-zones and kb-per-second go together",
+                "name: one|name: boxes|8|two limits have the name 'boxes'",
+                "most-out: 0.2|most-out: 1.2|11|fleet.verdicts.most-out",
+                "drain-ms: 4000|drain-ms: 5|12|fleet.drains.drain-ms: 5 is out of range",
+                "drain-ms: 4000|least-ms: 20000|12|fleet.drains.least-ms: it is over drain-ms",
+                "drain-ms: 4000|gone-ms: 9000|12|fleet.drains.gone-ms: it is under lease-ms",
+                "drain-ms: 4000|gone-ms: 700000|12|fleet.drains.gone-ms: it is over remember-ms",
+                "drain-ms: 4000|drain: 4000|12|unknown key",
+            })
     void anErrorNamesItsLineAndKey(String from, String to, int line, String words) {
         assertTrue(GOOD.contains(from));
-        OperatorException e = assertThrows(OperatorException.class, () -> OperatorFile.parse("f", GOOD.replace(from, to)));
-        assertTrue(e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
+        OperatorException e =
+                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", GOOD.replace(from, to)));
+        assertTrue(
+                e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
     }
 
-    private static final String CELLS = GOOD.replace("size: 8", "size: 18000").replace("in-flight: 16", "in-flight: 18000")
+    private static final String CELLS = GOOD.replace("size: 8", "size: 18000")
+            .replace("in-flight: 16", "in-flight: 18000")
             .replace("drains: {drain-ms: 4000}", "cells: {root: zone-a, most: 64, delegates: 3}");
 
     @Test
@@ -84,60 +94,89 @@
         FleetSection f = OperatorFile.parse("f", CELLS).fleet().orElseThrow();
         assertEquals(18_000, f.size());
         assertEquals(new CellSetup("zone-a", 64, 3), f.cells().orElseThrow());
-        assertEquals(new CellSetup("site_7", 96, 2), OperatorFile.parse("f", CELLS.replace(
-                "{root: zone-a, most: 64, delegates: 3}", "{root: site_7}")).fleet().orElseThrow().cells().orElseThrow());
-        assertEquals(100_000, OperatorFile.parse("f", CELLS.replace("18000", "100000")).fleet().orElseThrow().size());
+        assertEquals(
+                new CellSetup("site_7", 96, 2),
+                OperatorFile.parse("f", CELLS.replace("{root: zone-a, most: 64, delegates: 3}", "{root: site_7}"))
+                        .fleet()
+                        .orElseThrow()
+                        .cells()
+                        .orElseThrow());
+        assertEquals(
+                100_000,
+                OperatorFile.parse("f", CELLS.replace("18000", "100000"))
+                        .fleet()
+                        .orElseThrow()
+                        .size());
         assertTrue(OperatorFile.parse("f", GOOD).fleet().orElseThrow().cells().isEmpty(), "off unless it is there");
     }
 
     /** What a router's part is set up with carries the cells, and none where the section has none. */
     @Test
     void theSetupCarriesTheCells() throws Exception {
-        RouterApi.Rules rules = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "127.0.0.1:1")).words()
-                .settings().rules();
+        RouterApi.Rules rules = NodeTestConfig.parse(NodeTestConfig.json("127.0.0.1:0", "127.0.0.1:1"))
+                .words()
+                .settings()
+                .rules();
         FleetSetup cells = OperatorFile.parse("f", CELLS).fleet().orElseThrow().setup("r", rules);
         assertEquals("zone-a", cells.cells().orElseThrow().root());
         assertEquals(18_000, cells.size());
-        assertTrue(OperatorFile.parse("f", GOOD).fleet().orElseThrow().setup("r", rules).cells().isEmpty());
+        assertTrue(OperatorFile.parse("f", GOOD)
+                .fleet()
+                .orElseThrow()
+                .setup("r", rules)
+                .cells()
+                .isEmpty());
     }
 
     /** What is changed in the section with cells, and the line and words of the error. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "size: 18000|size: 100001|5|fleet.size: it is missing or out of range: 1 to 100000 routers",
-        "size: 18000|size: 0|5|fleet.size",
-        "in-flight: 18000|in-flight: 17999|8|whole parts among 18000 routers",
-        "root: zone-a, ||12|fleet.cells.root: it is missing",
-        "root: zone-a|root: zone.a|12|fleet.cells.root",
-        "root: zone-a|root: ''|12|fleet.cells.root",
-        "root: zone-a|root: abcdefghijklmnopqrstuvwxy|12|fleet.cells.root",
-        "root: zone-a|root: 7|12|wrong type",
-        "most: 64|most: 3|12|fleet.cells.most: 3 is out of range: 4 to 512",
-        "most: 64|most: 513|12|fleet.cells.most: 513 is out of range",
-        "most: 64|most: 6.5|12|a whole number",
-        "delegates: 3|delegates: 0|12|fleet.cells.delegates: 0 is out of range: 1 to 5",
-        "delegates: 3|delegates: 6|12|fleet.cells.delegates: 6 is out of range",
-        "delegates: 3|delegate: 3|12|unknown key; known here: delegates, most, root",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "size: 18000|size: 100001|5|fleet.size: it is missing or out of range: 1 to 100000 routers",
+                "size: 18000|size: 0|5|fleet.size",
+                "in-flight: 18000|in-flight: 17999|8|whole parts among 18000 routers",
+                "root: zone-a, ||12|fleet.cells.root: it is missing",
+                "root: zone-a|root: zone.a|12|fleet.cells.root",
+                "root: zone-a|root: ''|12|fleet.cells.root",
+                "root: zone-a|root: abcdefghijklmnopqrstuvwxy|12|fleet.cells.root",
+                "root: zone-a|root: 7|12|wrong type",
+                "most: 64|most: 3|12|fleet.cells.most: 3 is out of range: 4 to 512",
+                "most: 64|most: 513|12|fleet.cells.most: 513 is out of range",
+                "most: 64|most: 6.5|12|a whole number",
+                "delegates: 3|delegates: 0|12|fleet.cells.delegates: 0 is out of range: 1 to 5",
+                "delegates: 3|delegates: 6|12|fleet.cells.delegates: 6 is out of range",
+                "delegates: 3|delegate: 3|12|unknown key; known here: delegates, most, root",
+            })
     void anErrorInCellsNamesItsLineAndKey(String from, String to, int line, String words) {
         assertTrue(CELLS.contains(from));
-        OperatorException e = assertThrows(OperatorException.class,
-                () -> OperatorFile.parse("f", CELLS.replace(from, to == null ? "" : to)));
+        OperatorException e = assertThrows(
+                OperatorException.class, () -> OperatorFile.parse("f", CELLS.replace(from, to == null ? "" : to)));
         assertEquals(1, e.getMessage().lines().count(), e.getMessage());
-        assertTrue(e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
+        assertTrue(
+                e.getMessage().startsWith("f:" + line + ":") && e.getMessage().contains(words), e.getMessage());
     }
 
     @Test
     void aFlatFleetKeepsItsLargestSize() throws Exception {
         String flat = CELLS.replace("  cells: {root: zone-a, most: 64, delegates: 3}\n", "");
-        assertEquals(2_000, OperatorFile.parse("f", flat.replace("18000", "2000")).fleet().orElseThrow().size());
-        assertEquals("f:5: fleet.size: it is missing or out of range: 1 to 2000 routers, to 100000 with fleet.cells",
-                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", flat)).getMessage());
+        assertEquals(
+                2_000,
+                OperatorFile.parse("f", flat.replace("18000", "2000"))
+                        .fleet()
+                        .orElseThrow()
+                        .size());
+        assertEquals(
+                "f:5: fleet.size: it is missing or out of range: 1 to 2000 routers, to 100000 with fleet.cells",
+                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", flat))
+                        .getMessage());
     }
 
     @Test
     void drainsWithCellsAreRefusedInOneLine() {
-        assertEquals("f:13: fleet.drains: not together with fleet.cells: cells do not take members out in order yet",
-                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", CELLS + "  drains: {}\n")).getMessage());
+        assertEquals(
+                "f:13: fleet.drains: not together with fleet.cells: cells do not take members out in order yet",
+                assertThrows(OperatorException.class, () -> OperatorFile.parse("f", CELLS + "  drains: {}\n"))
+                        .getMessage());
     }
 }
--- a/src/test/java/pumicemoor/operator/OperatorFileTest.java
+++ b/src/test/java/pumicemoor/operator/OperatorFileTest.java
@@ -14,7 +14,8 @@
 
 class OperatorFileTest {
 
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             hierarchy:
               news: file
               lead-ms: 4000
@@ -43,7 +44,9 @@
 
     @Test
     void theExampleIsUsable() throws Exception {
-        assertTrue(OperatorFile.read(Path.of("deploy/operator.example.yaml")).hierarchy().isPresent());
+        assertTrue(OperatorFile.read(Path.of("deploy/operator.example.yaml"))
+                .hierarchy()
+                .isPresent());
     }
 
     /** The example's fleet is commented out; with the marks taken away, but for drains, each key of cells is read as it says. */
@@ -52,38 +55,45 @@
         String example = Files.readString(Path.of("deploy/operator.example.yaml"));
         String fleet = example.substring(example.indexOf("# fleet:")).replaceAll("(?m)^# ", "");
         String cells = fleet.substring(0, fleet.indexOf("  drains:")) + fleet.substring(fleet.indexOf("  cells:"));
-        assertEquals(new CellSetup("zone-a", 96, 2), OperatorFile.parse("f", cells).fleet().orElseThrow().cells().orElseThrow());
-        assertTrue(assertThrows(OperatorException.class, () -> OperatorFile.parse("f", fleet)).getMessage()
+        assertEquals(
+                new CellSetup("zone-a", 96, 2),
+                OperatorFile.parse("f", cells).fleet().orElseThrow().cells().orElseThrow());
+        assertTrue(assertThrows(OperatorException.class, () -> OperatorFile.parse("f", fleet))
+                .getMessage()
                 .contains("fleet.drains: not together with fleet.cells"));
     }
 
     /** What is changed in the good file, and the line and words that must stand in the one line of the error. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "news: file|knews: file|2|unknown key",
-        "news: file|news: letter|2|neither file nor feed",
-        "lead-ms: 4000|lead-ms: soon|3|a whole number",
-        "lead-ms: 4000|lead-ms: -1|3|out of range",
-        "lead-ms: 4000|lead-ms: 4.5|3|a whole number",
-        "lead-ms: 4000|'lead-ms: 4000\n  lead-ms: 5'|4|",
-        "lead-ms: 4000|last-piece: 4|3|news: feed only",
-        "version: 3|version: 0|5|under 1",
-        "2026-12-01T16:00:00Z|yesterday|6|no time",
-        "{origin-1: 1}|{hub-b: 1}|9|a loop",
-        "{origin-1: 1}|{origin-1: 0}|9|weight",
-        "{origin-1: 1}|{origin-1: }|9|without a weight",
-        "{hub-a: 2}|{hub-x: 2}|10|hub-x",
-        "{hub-a: 2}|{west: 2}|10|not above",
-        "{hub-a: 2}|{}|10|fills from nobody",
-        "hub-a: 1, hub-b: 0.5|origin-1: 1|12|past the hubs",
-        "west:|hub-a:|12|another unit",
-        "hierarchy:|'log: {format: xml}\nhierarchy:'|1|neither text nor json",
-        "hierarchy:|'hierarchy: ['|1|not YAML"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "news: file|knews: file|2|unknown key",
+                "news: file|news: letter|2|neither file nor feed",
+                "lead-ms: 4000|lead-ms: soon|3|a whole number",
+                "lead-ms: 4000|lead-ms: -1|3|out of range",
+                "lead-ms: 4000|lead-ms: 4.5|3|a whole number",
+                "lead-ms: 4000|'lead-ms: 4000\n  lead-ms: 5'|4|",
+                "lead-ms: 4000|last-piece: 4|3|news: feed only",
+                "version: 3|version: 0|5|under 1",
+                "2026-12-01T16:00:00Z|yesterday|6|no time",
+                "{origin-1: 1}|{hub-b: 1}|9|a loop",
+                "{origin-1: 1}|{origin-1: 0}|9|weight",
+                "{origin-1: 1}|{origin-1: }|9|without a weight",
+                "{hub-a: 2}|{hub-x: 2}|10|hub-x",
+                "{hub-a: 2}|{west: 2}|10|not above",
+                "{hub-a: 2}|{}|10|fills from nobody",
+                "hub-a: 1, hub-b: 0.5|origin-1: 1|12|past the hubs",
+                "west:|hub-a:|12|another unit",
+                "hierarchy:|'log: {format: xml}\nhierarchy:'|1|neither text nor json",
+                "hierarchy:|'hierarchy: ['|1|not YAML"
+            })
     void aBadFileIsToldWithFileLineAndKey(String good, String bad, int line, String words) {
         String text = GOOD.replace(good, bad);
         OperatorException e = assertThrows(OperatorException.class, () -> OperatorFile.parse("f.yaml", text), text);
         assertEquals(1, e.getMessage().lines().count(), e.getMessage());
-        assertTrue(e.getMessage().startsWith("f.yaml:" + line + ": ") || words != null && words.equals("not YAML"),
+        assertTrue(
+                e.getMessage().startsWith("f.yaml:" + line + ": ") || words != null && words.equals("not YAML"),
                 e.getMessage());
         assertTrue(words == null || e.getMessage().contains(words), e.getMessage());
     }
@@ -98,7 +108,8 @@
     void theVersionBeforeIsBelow() {
         String text = GOOD + "  before:\n    version: 3\n    origin: origin-1\n    depots:\n"
                 + "      west: {fill-from: {origin-1: 1}}\n";
-        assertTrue(assertThrows(OperatorException.class, () -> OperatorFile.parse("f", text)).getMessage()
+        assertTrue(assertThrows(OperatorException.class, () -> OperatorFile.parse("f", text))
+                .getMessage()
                 .contains("hierarchy.before.version"));
     }
 }
--- a/src/test/java/pumicemoor/wire/DrillTest.java
+++ b/src/test/java/pumicemoor/wire/DrillTest.java
@@ -21,11 +21,12 @@
 
     private static final String OPEN = "{\"msg\":\"Sync\",\"clock-us\":1000,\"round\":1}\n";
     private static final String TURN = "{\"msg\":\"YourTurn\"}\n";
-    private static final String BORN = "{\"msg\":\"Born\",\"router\":3,\"salt\":5,\"info\":{\"az\":\"a\",\"new-key\":[1,{}],"
-            + "\"classes\":[{\"name\":\"page\",\"aim-us\":100000,\"deadline-us\":900000,\"idempotency\":\"pure\"}],"
-            + "\"kinds\":[\"box\",\"hub\",\"origin\"],\"me\":0,\"siblings\":1,\"zones\":[\"a\",\"b\"],"
-            + "\"obligations\":{},\"policy-limits\":{\"most-tries\":4,\"max-open\":9},"
-            + "\"specifics\":{\"shield-kind\":1,\"store-kind\":2,\"sideways\":\"any\",\"note-level\":\"all\"}}}\n";
+    private static final String BORN =
+            "{\"msg\":\"Born\",\"router\":3,\"salt\":5,\"info\":{\"az\":\"a\",\"new-key\":[1,{}],"
+                    + "\"classes\":[{\"name\":\"page\",\"aim-us\":100000,\"deadline-us\":900000,\"idempotency\":\"pure\"}],"
+                    + "\"kinds\":[\"box\",\"hub\",\"origin\"],\"me\":0,\"siblings\":1,\"zones\":[\"a\",\"b\"],"
+                    + "\"obligations\":{},\"policy-limits\":{\"most-tries\":4,\"max-open\":9},"
+                    + "\"specifics\":{\"shield-kind\":1,\"store-kind\":2,\"sideways\":\"any\",\"note-level\":\"all\"}}}\n";
     private static final String FLEET = "{\"msg\":\"List\",\"sheet\":0,\"nodes-list\":["
             + "{\"area\":\"a\",\"server\":11,\"generation-hw\":\"box\",\"health\":\"in_service\"},"
             + "{\"area\":\"b\",\"server\":22,\"generation-hw\":\"hub\",\"health\":\"in_service\"}]}\n"
@@ -57,7 +58,8 @@
     @Test
     void requestIsSentToTheCacheWithItsParentAsSource() throws Exception {
         String reply = run(OPEN + BORN + FLEET + ARRIVAL + TURN);
-        assertTrue(reply.contains("{\"msg\":\"Get\",\"router\":3,\"id\":\"r-a\",\"server\":11,\"from-where\":22,"), reply);
+        assertTrue(
+                reply.contains("{\"msg\":\"Get\",\"router\":3,\"id\":\"r-a\",\"server\":11,\"from-where\":22,"), reply);
         assertTrue(reply.endsWith("{\"msg\":\"End\",\"round\":1}\n"), reply);
     }
 
@@ -73,19 +75,24 @@
         String reply = run(OPEN + BORN + FLEET + TURN, (settings, salt) -> (now, event, sink) -> {
             throw new IllegalStateException("no decision");
         });
-        assertTrue(reply.startsWith("{\"msg\":\"BailOut\",\"router\":3,\"message\":\"java.lang.IllegalStateException: "
-                + "no decision"), reply);
+        assertTrue(
+                reply.startsWith("{\"msg\":\"BailOut\",\"router\":3,\"message\":\"java.lang.IllegalStateException: "
+                        + "no decision"),
+                reply);
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "nonsense | line 2: not JSON",
-        "[1] | line 2: not a JSON object",
-        "{\"msg\":\"Nova\",\"router\":3} | line 2: 'Nova' for router 3, which was never born",
-        "{\"msg\":\"Arrival\",\"id\":\"r-a\"} | line 2: field 'router' is missing",
-        "{\"router\":3} | line 2: field 'msg' is missing",
-        "{\"msg\":\"Lapsed\",\"router\":9,\"id\":\"r-a\"} | line 2: 'Lapsed' for router 9, which was never born",
-        "{\"msg\":\"Sync\",\"clock-us\":2000,\"round\":2} | line 2: batch 2 opens within batch 1"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "nonsense | line 2: not JSON",
+                "[1] | line 2: not a JSON object",
+                "{\"msg\":\"Nova\",\"router\":3} | line 2: 'Nova' for router 3, which was never born",
+                "{\"msg\":\"Arrival\",\"id\":\"r-a\"} | line 2: field 'router' is missing",
+                "{\"router\":3} | line 2: field 'msg' is missing",
+                "{\"msg\":\"Lapsed\",\"router\":9,\"id\":\"r-a\"} | line 2: 'Lapsed' for router 9, which was never born",
+                "{\"msg\":\"Sync\",\"clock-us\":2000,\"round\":2} | line 2: batch 2 opens within batch 1"
+            })
     void badLineInABatchEndsWithOnePlainMessage(String line, String message) {
         WireException e = assertThrows(WireException.class, () -> run(OPEN + line + "\n" + TURN));
         assertTrue(e.getMessage().startsWith(message), e.getMessage());
@@ -93,10 +100,13 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "{\"msg\":\"Sync\",\"clock-us\":2000,\"round\":3} | line 3: batch 3 at 2000 is out of order",
-        "{\"msg\":\"Sync\",\"clock-us\":999,\"round\":2} | line 3: batch 2 at 999 is out of order",
-        "{\"msg\":\"YourTurn\"} | line 3: 'YourTurn' outside of a batch"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{\"msg\":\"Sync\",\"clock-us\":2000,\"round\":3} | line 3: batch 3 at 2000 is out of order",
+                "{\"msg\":\"Sync\",\"clock-us\":999,\"round\":2} | line 3: batch 2 at 999 is out of order",
+                "{\"msg\":\"YourTurn\"} | line 3: 'YourTurn' outside of a batch"
+            })
     void batchOutOfOrderEndsWithOnePlainMessage(String line, String message) {
         WireException e = assertThrows(WireException.class, () -> run(OPEN + TURN + line + "\n"));
         assertTrue(e.getMessage().startsWith(message), e.getMessage());
@@ -104,16 +114,17 @@
 
     @Test
     void missingOrStrangeFieldsAreNamed() {
-        WireException missing = assertThrows(WireException.class,
-                () -> run(OPEN + BORN + ARRIVAL.replace("\"grade\":\"page\",", "")));
+        WireException missing =
+                assertThrows(WireException.class, () -> run(OPEN + BORN + ARRIVAL.replace("\"grade\":\"page\",", "")));
         assertEquals("line 3: field 'grade' is missing", missing.getMessage());
-        WireException strange = assertThrows(WireException.class,
-                () -> run(OPEN + BORN + ARRIVAL.replace("800000", "\"soon\"")));
+        WireException strange =
+                assertThrows(WireException.class, () -> run(OPEN + BORN + ARRIVAL.replace("800000", "\"soon\"")));
         assertEquals("line 3: field 'time-left-us' has a value of the wrong type", strange.getMessage());
-        WireException unknown = assertThrows(WireException.class,
-                () -> run(OPEN + BORN + ARRIVAL.replace("\"page\"", "\"film\"")));
+        WireException unknown =
+                assertThrows(WireException.class, () -> run(OPEN + BORN + ARRIVAL.replace("\"page\"", "\"film\"")));
         assertEquals("line 3: unknown class 'film'", unknown.getMessage());
-        WireException deep = assertThrows(WireException.class, () -> run(OPEN + BORN.replace("\"aim-us\":100000,", "")));
+        WireException deep =
+                assertThrows(WireException.class, () -> run(OPEN + BORN.replace("\"aim-us\":100000,", "")));
         assertEquals("line 2: field 'info.classes[0].aim-us' is missing", deep.getMessage());
     }
 
