Follow new configurations in a process that was started with SIGHUP ignored

Cause: the JVM takes no signal that its parent had it ignore; the router said so once and went on. Fix: such a process looks at the contents of its files four times a second and reloads when they have changed. Others don't look. IgnoredHangUpProcessesTest, a real process under trap '' HUP whose coordinator moves, failed with the look left out (the draining cache was asked past its grace) and passes with it.

--- a/src/main/java/pumicemoor/cli/Main.java
+++ b/src/main/java/pumicemoor/cli/Main.java
@@ -8,8 +8,14 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -131,7 +137,8 @@
             Logging.choose(operator.log());
             Logger log = LoggerFactory.getLogger(Serve.class);
             if (deaf) { // as under nohup; the JVM takes no signal that its parent had it ignore, and says nothing
-                log.warn("this process was started with SIGHUP ignored: no configuration will be read anew");
+                log.warn("this process was started with SIGHUP ignored: its files are read again when they change");
+                watch(file, operatorFile, reload);
             }
             NodeConfig config = config(file);
             NodeServer server = new NodeServer(config, operator);
@@ -160,6 +167,29 @@
             return true;
         }
 
+        /** Asks for a reload whenever a file has changed. */
+        private static void watch(String file, String operatorFile, Semaphore reload) {
+            List<Path> files = Stream.of(file, operatorFile)
+                    .filter(Objects::nonNull)
+                    .map(Path::of)
+                    .toList();
+            ConfigWatch watch = new ConfigWatch(files);
+            ScheduledExecutorService watching = Executors.newSingleThreadScheduledExecutor(task -> {
+                Thread thread = new Thread(task, "config-watch");
+                thread.setDaemon(true);
+                return thread;
+            });
+            watching.scheduleWithFixedDelay(
+                    () -> {
+                        if (watch.changed()) {
+                            reload.release();
+                        }
+                    },
+                    ConfigWatch.INTERVAL,
+                    ConfigWatch.INTERVAL,
+                    TimeUnit.MILLISECONDS);
+        }
+
         /** Reads the file once for all the signals that have come by then, and hands over what it found. */
         private static void reload(NodeServer server, String file, String operatorFile, Semaphore asked) {
             try {
--- a/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
+++ b/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
@@ -65,6 +65,13 @@
         tell("\"shape\":{" + fields + "}");
     }
 
+    /** The fields of all events told so far, without their index. */
+    synchronized List<String> events() {
+        return events.stream()
+                .map(e -> e.data().substring(e.data().indexOf(',') + 1, e.data().length() - 1))
+                .toList();
+    }
+
     /** All that was told so far. */
     synchronized List<String> known() {
         return events.stream().map(Event::data).toList();
--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -45,6 +45,7 @@
     private final Integer cpu;
     private final List<String> machine;
     private Map<String, String> environment = Map.of();
+    private boolean hangUpIgnored;
     private Process process;
 
     /** The cpu is that core alone, where the system has taskset; null for any. */
@@ -65,11 +66,20 @@
         return "127.0.0.1:" + port;
     }
 
+    /** Its next starts find SIGHUP ignored, as under nohup. */
+    void ignoreHangUp() {
+        hangUpIgnored = true;
+    }
+
     /** What its next starts find in their environment beyond what they inherit. */
     void environment(Map<String, String> more) {
         environment = Map.copyOf(more);
     }
 
+    Path configFile() {
+        return folder.resolve(name + "-config.json");
+    }
+
     Path operatorFile() {
         return folder.resolve(name + "-operator.yaml");
     }
@@ -80,9 +90,12 @@
     }
 
     void start(String verb, String config, String operator) throws IOException {
-        Path file = Files.writeString(folder.resolve(name + "-config.json"), config);
+        Path file = Files.writeString(configFile(), config);
         Files.writeString(operatorFile(), operator);
         List<String> command = new ArrayList<>(cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString()));
+        if (hangUpIgnored) {
+            command.addAll(List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(machine);
         command.addAll(List.of(
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -1,6 +1,7 @@
 package pumicemoor.lab;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,7 +30,7 @@
         t.setDaemon(true);
         return t;
     });
-    final CoordinatorStandIn coordinator;
+    CoordinatorStandIn coordinator;
     private final Scenario scenario;
     private final IntFunction<String> fleets; // the end of the section, by router; empty: no such section
     private final List<Integer> seeds;
@@ -178,6 +179,16 @@
                                         + scenario.routers() + "\n" + fleet);
     }
 
+    /** A router's configuration names another coordinator, which knows what was told; the router is told nothing of it. */
+    void movesTo(int router, CoordinatorStandIn next) throws IOException {
+        coordinator.events().forEach(next::tell);
+        Path file = routers.get(router).configFile();
+        Files.writeString(file, Files.readString(file).replace(coordinator.address(), next.address()));
+        CoordinatorStandIn before = coordinator;
+        coordinator = next;
+        before.close();
+    }
+
     /** Tells all routers that a member drains. */
     void drain(String member) {
         tell(line(member(member)).replace("active", "leaving"));
