Hold requests after a pause until what was told meanwhile is known

Callers would see: a router that was stopped for 2.3 s, and whose coordinator's stream was reset meanwhile, sent the requests it found to a cache that had begun to drain during the pause. Cause: a loop that was held up reads the stream first, but a stream that is gone has nothing to read, and the requests were decided before the next one had opened. Fix: where the coordinator was heard just before a pause and not in it, requests stay in the inbox until a sign comes that all was told, 0.5 s at most; answers, departures and timers go on. A coordinator that was away before holds nothing. The inbox is a class of its own now. PausedRouterProcessesTest (SIGSTOP, a real process) failed before with 1 to 3 requests at the draining cache past its grace and passes now. Further attempts of requests that were open during the pause are not held. Some requests are refused after the pause; that is an answer at once and allowed. Run: PausedRouterProcessesTest, CrossingsTest, NodeServerTest, ClientConnectionTest, StaleStartProcessesTest.

--- a/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
+++ b/src/main/java/pumicemoor/lab/CoordinatorStandIn.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 
 /**
@@ -28,6 +30,7 @@
     private final int jitter;
     private final Random random;
     private final List<Event> events = new ArrayList<>();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private long lastPiece;
     private volatile long answerDelay; // milliseconds between a router's question and the first byte of the stream
     private volatile int resets; // connections still to be reset as soon as they ask
@@ -48,6 +51,14 @@
         answerDelay = millis;
     }
 
+    /** Resets all connections that are open now. */
+    void resetOpen() throws IOException {
+        for (Socket socket : List.copyOf(open)) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
     /** Resets so many of the next connections as soon as they have asked. */
     void resetNext(int connections) {
         resets = connections;
@@ -94,6 +105,7 @@
     }
 
     private void serve(Socket socket) {
+        open.add(socket);
         try (socket) {
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
@@ -129,6 +141,8 @@
             // the router has left
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            open.remove(socket);
         }
     }
 
--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -58,6 +58,7 @@
     private String streamAddress = "";
     private Future<?> nextAttempt;
     private int failedInARow; // connections that did not come up since the last stream
+    private long heardAt = Long.MIN_VALUE; // the last sign that all was told until then
     private boolean taking; // in the middle of what was read
 
     CoordinatorStream(
@@ -182,6 +183,11 @@
         open.stream().filter(Channel::isActive).forEach(c -> ((AbstractNioChannel.NioUnsafe) c.unsafe()).read());
     }
 
+    /** Whether there was a sign since this time (microseconds) that all was told until then. */
+    boolean heardSince(long time) {
+        return heardAt >= time;
+    }
+
     void close() {
         address = "";
         closeAttempts();
@@ -252,6 +258,7 @@
                 }
                 // the coordinator before may live on without being told anything: its comments are no sign
                 if (events.heard() && context.channel().isOpen() && streamAddress.equals(address)) {
+                    heardAt = loop.clock();
                     loop.submit(new Input.FeedHeard());
                 }
             }
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -18,7 +18,6 @@
 import io.netty.util.concurrent.PromiseCombiner;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -26,7 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
@@ -73,9 +71,7 @@
     private final Map<Long, ClientConnection> clients = new LinkedHashMap<>(); // the longest open first
     private final Set<ClientConnection> connections = new LinkedHashSet<>(); // those too that are being let go
     private final BoundedLog complaints;
-    private final Queue<Input> inbox = new ArrayDeque<>();
-    private final Queue<Input> news = new ArrayDeque<>(); // of the coordinator; goes before all else
-    private final Queue<Input> gone = new ArrayDeque<>(); // clients that wait no more; go before what is left
+    private final Inbox inbox = new Inbox();
     private final List<Effect> effects = new ArrayList<>();
     private final CountDownLatch synced = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -87,6 +83,7 @@
     private boolean draining;
     private long wakeAt = Long.MAX_VALUE;
     private long turnedAt, unreadFor, unreadUntil;
+    private long heldFrom, heldUntil; // requests, after a pause in which the coordinator was lost
 
     /** A router with the platform's configuration, and what the operator has set beyond it. */
     public NodeServer(NodeConfig config, OperatorConfig operator) {
@@ -312,9 +309,7 @@
     /** Takes an input on the loop's thread; one that comes while another is worked on waits its turn. */
     @Override
     public void submit(Input input) {
-        if (input instanceof Input.Update || input instanceof Input.FeedHeard) {
-            news.add(input);
-        } else if (input instanceof Input.ClientClosed c) {
+        if (input instanceof Input.ClientClosed c) {
             leave(c, r -> r.connection() == c.connection());
         } else if (input instanceof Input.Withdrawn w) {
             leave(w, r -> r.connection() == w.connection() && r.stream() == w.stream());
@@ -326,15 +321,7 @@
 
     /** A client waits no more: what of it was not worked on yet never will be. */
     private void leave(Input how, Predicate<Input.Request> whose) {
-        gone.add(how);
-        inbox.removeIf(i -> {
-            boolean its = i instanceof Input.Request r && whose.test(r);
-            if (its) {
-                counters.add(Name.WITHDRAWN);
-                ((Input.Request) i).body().release();
-            }
-            return its;
-        });
+        counters.add(Name.WITHDRAWN, inbox.leave(how, whose));
     }
 
     /**
@@ -345,21 +332,42 @@
     private Input next() {
         long now = clock();
         if (now - turnedAt > limits.heldUp()) {
-            long gap = turnedAt == 0 ? 0 : now - turnedAt;
-            turnedAt = now;
-            unreadUntil = 0;
-            coordinator.look();
-            List.copyOf(clients.values()).forEach(ClientConnection::look);
-            // nobody knows how long each of these has waited: as long as the loop was held up, at most
-            for (int i = inbox.size(); i > 0; i--) {
-                Input input = inbox.poll();
-                inbox.add(input instanceof Input.Request r ? r.unreadFor(gap) : input);
-            }
-            unreadFor = gap;
-            unreadUntil = now + limits.heldUp() / 3; // who is only accepted now
+            afterHoldUp(now);
         }
         turnedAt = now;
-        return !news.isEmpty() ? news.poll() : !gone.isEmpty() ? gone.poll() : inbox.poll();
+        Input urgent = inbox.nextUrgent();
+        if (urgent != null) {
+            return urgent;
+        }
+        if (inbox.holdsRequests() && (now >= heldUntil || coordinator.heardSince(heldFrom))) {
+            inbox.releaseRequests(now - heldFrom);
+        }
+        return inbox.nextOther();
+    }
+
+    private void afterHoldUp(long now) {
+        long gap = turnedAt == 0 ? 0 : now - turnedAt;
+        boolean heardBefore = coordinator.heardSince(turnedAt - limits.feedSilence());
+        turnedAt = now;
+        unreadUntil = 0;
+        coordinator.look();
+        List.copyOf(clients.values()).forEach(ClientConnection::look);
+        inbox.requestsUnreadFor(gap);
+        unreadFor = gap;
+        unreadUntil = now + limits.heldUp() / 3; // who is only accepted now
+        if (heardBefore && !coordinator.heardSince(now - limits.feedSilence())) {
+            holdRequests(now);
+        }
+    }
+
+    /** What was told during the pause is not known: requests wait until it is, for a bounded time. */
+    private void holdRequests(long now) {
+        counters.add(Name.HOLDS);
+        LOG.warn("the coordinator was lost while this process was held up: requests wait for it");
+        heldFrom = now;
+        heldUntil = now + limits.requestHold();
+        inbox.holdRequests();
+        loop.schedule(this::work, limits.requestHold(), TimeUnit.MICROSECONDS);
     }
 
     private void work() {
--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -41,6 +41,7 @@
         COORDINATOR_STREAMS,
         COORDINATOR_STREAMS_LOST,
         STARTED_UNSYNCED,
+        HOLDS,
         UPDATES,
         LIST_LINES,
         PURGES,
