--- a/src/main/java/pumicemoor/lab/RouterProcess.java
+++ b/src/main/java/pumicemoor/lab/RouterProcess.java
@@ -76,6 +76,11 @@
         environment = Map.copyOf(more);
     }
 
+    /** All that its starts have logged. */
+    Path logFile() {
+        return folder.resolve(name + ".log");
+    }
+
     Path configFile() {
         return folder.resolve(name + "-config.json");
     }
@@ -106,10 +111,8 @@
                 "--operator",
                 operatorFile().toString()));
         ProcessBuilder builder = new ProcessBuilder(command)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(
-                        folder.resolve(name + ".log").toFile()))
-                .redirectError(ProcessBuilder.Redirect.appendTo(
-                        folder.resolve(name + ".log").toFile()));
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile().toFile()))
+                .redirectError(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
         builder.environment().put("RELAY_CONFIG", file.toString());
         builder.environment().putAll(environment);
         process = builder.start();
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -131,6 +131,7 @@
                     coordinator.follow(config.coordinator());
                 })
                 .sync();
+        LOG.info("{}: the coordinator is being followed from event {} on", config.name(), config.knownIndex());
     }
 
     /** Listens once the router has caught up with the coordinator, or has given up waiting for that. */
@@ -147,6 +148,7 @@
         listener = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .handler(new AcceptFailures(counters, this))
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/test/java/pumicemoor/lab/FleetRig.java
+++ b/src/test/java/pumicemoor/lab/FleetRig.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -41,6 +42,7 @@
     private long asked;
     private double askedUntil;
     private long generation = 1;
+    private final Map<Integer, Long> loggedBeforeStart = new HashMap<>(); // bytes, by router
 
     @SafeVarargs
     FleetRig(Path folder, int routerCount, int caches, double rate, String fleet, UnaryOperator<String>... shapes)
@@ -164,6 +166,8 @@
     }
 
     void start(int i) throws IOException {
+        Path log = routers.get(i).logFile();
+        loggedBeforeStart.put(i, Files.exists(log) ? Files.size(log) : 0L);
         String fleet = fleets.apply(i);
         String asked = seeds.stream().map(network::advertise).collect(Collectors.joining(", "));
         String config =
@@ -179,6 +183,19 @@
                                         + scenario.routers() + "\n" + fleet);
     }
 
+    /** Waits until the log of a router has a line with this text behind all that it logged in earlier starts. */
+    void awaitLogged(int router, String text) throws IOException, InterruptedException {
+        Path log = routers.get(router).logFile();
+        long before = Files.exists(log) ? loggedBeforeStart.getOrDefault(router, 0L) : 0;
+        long end = System.nanoTime() + 30_000_000_000L;
+        while (Files.readString(log).substring((int) before).lines().noneMatch(l -> l.contains(text))) {
+            if (System.nanoTime() > end) {
+                throw new IOException("router " + router + " did not log '" + text + "'");
+            }
+            Thread.sleep(10);
+        }
+    }
+
     /** A router's configuration names another coordinator, which knows what was told; the router is told nothing of it. */
     void movesTo(int router, CoordinatorStandIn next) throws IOException {
         coordinator.events().forEach(next::tell);
@@ -195,6 +212,11 @@
         record.drained(member);
     }
 
+    /** Tells all routers that a member takes requests again. */
+    void undrain(String member) {
+        tell(line(member(member)));
+    }
+
     /** Starts a member anew, with nothing, and tells all routers. */
     void restart(String member) throws IOException {
         member(member).restart();
--- /dev/null
+++ b/src/test/java/pumicemoor/net/InboxTest.java
@@ -0,0 +1,60 @@
+package pumicemoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.api.Test;
+import pumicemoor.node.Bytes;
+import pumicemoor.node.Input;
+
+class InboxTest {
+
+    private final Inbox inbox = new Inbox();
+
+    private static Input.Request request(int stream) {
+        return new Input.Request(1, stream, "c" + stream, "segment", "o", 0, -1, null, 1_000, false, Bytes.NONE);
+    }
+
+    private static Input.Withdrawn withdrawn(int stream) {
+        return new Input.Withdrawn(1, stream);
+    }
+
+    @Test
+    void newsGoesBeforeDeparturesAndBothBeforeTheRest() {
+        inbox.add(request(1));
+        inbox.leave(withdrawn(9), r -> false);
+        inbox.add(new Input.FeedHeard());
+        assertEquals(new Input.FeedHeard(), inbox.nextUrgent());
+        assertEquals(withdrawn(9), inbox.nextUrgent());
+        assertNull(inbox.nextUrgent());
+        assertEquals(request(1), inbox.nextOther());
+    }
+
+    @Test
+    void heldRequestsKeepTheirOrderAndLoseTheTimeThatTheyWaited() {
+        inbox.holdRequests();
+        inbox.add(request(1));
+        inbox.add(new Input.Due());
+        inbox.add(request(2));
+        assertEquals(new Input.Due(), inbox.nextOther());
+        assertNull(inbox.nextOther());
+        inbox.add(request(3));
+        inbox.releaseRequests(300_000);
+        assertEquals(request(1).unreadFor(300_000), inbox.nextOther());
+        assertEquals(request(2).unreadFor(300_000), inbox.nextOther());
+        assertEquals(request(3), inbox.nextOther());
+    }
+
+    @Test
+    void aHeldRequestWhoseClientLeftNeverGoesOut() {
+        inbox.holdRequests();
+        inbox.add(request(1));
+        inbox.add(request(2));
+        assertNull(inbox.nextOther());
+        assertEquals(1, inbox.leave(withdrawn(1), r -> r.stream() == 1));
+        inbox.releaseRequests(0);
+        assertEquals(withdrawn(1), inbox.nextUrgent());
+        assertEquals(request(2), inbox.nextOther());
+        assertNull(inbox.nextOther());
+    }
+}
