--- a/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
+++ b/src/main/java/pumicemoor/lab/scale/ReaderRoles.java
@@ -236,6 +236,13 @@
         add("reader, single changes", members, figures);
     }
 
+    /** A reader that has heard that nothing was told behind its configuration. */
+    private static HollowReader caughtUp(String config) {
+        HollowReader reader = new HollowReader(config);
+        reader.take(new Input.FeedHeard());
+        return reader;
+    }
+
     /** From the text of the configuration to ready, of the reducer alone; 10 % of 18,000 routers at once at the sender. */
     private void coldStart(int members) {
         CoordinatorEvents events = new CoordinatorEvents(Layout.SITES, members, plan.seed());
@@ -244,13 +251,13 @@
         boolean ready = true;
         for (int i = 0; i < rounds.length; i++) {
             long before = THREADS.getCurrentThreadCpuTime();
-            ready &= new HollowReader(config).ready();
+            ready &= caughtUp(config).ready();
             rounds[i] = (THREADS.getCurrentThreadCpuTime() - before) / 1e6;
         }
         int routers = Math.max(2, Math.min(40, 20_000 / members));
         List<HollowReader> readers = new ArrayList<>();
         for (int i = 0; i < routers; i++) {
-            readers.add(new HollowReader(config));
+            readers.add(caughtUp(config));
             ready &= readers.get(i).ready();
         }
         Map<String, Double> figures = new TreeMap<>();
