--- a/review/rig/Case1.java
+++ b/review/rig/HalfFrames.java
@@ -12,7 +12,7 @@
  * Bad clients that each send one frame with a wrong length, the largest that the protocol allows, of which the last two
  * bytes never come. Usual clients ask on meanwhile; each of their requests is owed one final answer.
  */
-public final class Case1 {
+public final class HalfFrames {
 
     private static final int SOCKETS = 1_024;
     private static final int BAD_CLIENTS = 200; // with the usual ones under a third of the descriptors (341)
--- a/review/rig/Case2.java
+++ b/review/rig/SlowWriter.java
@@ -9,7 +9,7 @@
  * crowded link) when the client begins to write the next one. With the disruption this client writes slowly. Each
  * request whose last byte was written to a connection that had not ended is owed one final answer.
  */
-public final class Case2 {
+public final class SlowWriter {
 
     private static final int CLIENTS = 6;
     private static final long MEDIA_TTL = 6_000;
@@ -50,9 +50,9 @@
     private static void play(Rig rig) throws Exception {
         List<Rig.Member> members = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            members.add(rig.add(rig.new Member("box-" + i, "west", "cache", Case2::sendSlowly)));
+            members.add(rig.add(rig.new Member("box-" + i, "west", "cache", SlowWriter::sendSlowly)));
         }
-        members.add(rig.add(rig.new Member("hub-a", "hub", "hub", Case2::sendSlowly)));
+        members.add(rig.add(rig.new Member("hub-a", "hub", "hub", SlowWriter::sendSlowly)));
         members.add(rig.add(rig.new Member("store", "hub", "origin", ask -> {
             rig.say("store: runs %s, class %s, %d bytes", ask.id, ask.fields.get("cls"), ask.bodyBytes);
             ask.data(100, "mem");
--- a/review/rig/Case3.java
+++ b/review/rig/Withdrawal.java
@@ -13,7 +13,7 @@
  * A usual client asks for 32 large objects at once, over a link of the slowest pace that the brief gives, and with the
  * disruption gives up one of them early. Each of the others is owed one final answer.
  */
-public final class Case3 {
+public final class Withdrawal {
 
     private static final int ROUNDS = 3;
     private static final int OPEN_REQUESTS = 32;
