--- a/review/rig/SecondCopy.java
+++ b/review/rig/SecondCopy.java
@@ -15,7 +15,7 @@
  */
 public final class SecondCopy {
 
-    private static final int SOCKETS = 256;
+    private static final int SOCKETS = Integer.getInteger("sockets", 256);
     private static final int WORKERS = 2;
     private static final int REQUESTS = 3_000;
     private static final int GAP_MILLIS = 10; // in the mean; 100 requests a second
