--- a/review/rig/Withdrawal.java
+++ b/review/rig/Withdrawal.java
@@ -20,7 +20,7 @@
     private static final int OBJECT_BYTES = 240_000;
     private static final long MEDIA_TTL = 6_000;
     private static final int LINK_BYTES_PER_SECOND = 5_600_000;
-    private static final long GIVEN_UP_AFTER_MILLIS = 500;
+    private static final long GIVEN_UP_AFTER_MILLIS = 200;
 
     public static void main(String[] args) throws Exception {
         Rig rig = new Rig(args);
