--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -161,6 +161,7 @@
             builder.environment().put("RELAY_NAME", name);
             builder.environment().put("RELAY_LISTEN", "127.0.0.1:" + port);
             process = builder.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly)); // if the case is ended early
             say("router %s: process %d, listens on port %d", name, process.pid(), port);
         }
 
