Log what a stalled event loop held, and why a connection closes over unsent answers

Change: one line and the counter loop-stalls for each stall of the loop, with the direct memory allocated and in use and the number of half frames; the longest stall in status; a close at once names its place, the bytes not sent and the requests open; an error other than a reset names its cause.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -175,7 +176,7 @@
         activeAt = loop.clock();
         partialFrameSince = -1;
         if (!context.channel().isWritable() && backlogBytes() > 2L * limits.clientBacklogBytes()) {
-            closeNow("its answers are not read");
+            closeNow("a frame arrived while answers wait");
             return;
         }
         if (frame.readableBytes() < 5) {
@@ -361,6 +362,12 @@
         return !sentValidRequest;
     }
 
+    /** Whether a frame has been received in part. */
+    boolean hasPartialFrame() {
+        FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
+        return decoder != null && decoder.hasPartialFrame();
+    }
+
     /** The time (microseconds) since which no request is open; Long.MAX_VALUE while one is. */
     long idleSince() {
         return openStreams.isEmpty() ? activeAt : Long.MAX_VALUE;
@@ -403,10 +410,11 @@
                 : backlog.totalPendingWriteBytes() - backlog.currentProgress();
     }
 
-    /** Closes at once, without a message to the client. */
+    /** Closes at once, without a message to the client; answers that are owed or not sent yet are lost. */
     void closeNow(String reason) {
         counters.add(Name.TURNED_OUT);
-        loop.reportError("a client's connection is closed: " + reason);
+        loop.reportError("a client's connection is closed: " + reason + " (" + backlogBytes() + " bytes not sent, "
+                + openStreams.size() + " requests open)");
         context.close();
     }
 
@@ -420,11 +428,9 @@
             lastBacklogBytes = backlog;
             activeAt = backlog == 0 ? activeAt : now;
         }
-        FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
-        partialFrameSince =
-                decoder == null || !decoder.hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
+        partialFrameSince = !hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
         if (backlog > 0 && now - activeAt > limits.clientStallTimeout()) {
-            closeNow("its answers are not read");
+            closeNow("its answers are not read for " + (now - activeAt) / 1_000 + " ms");
         } else if (partialFrameSince >= 0 && now - partialFrameSince > limits.clientRequestTimeout()) {
             closeWithError("a frame was sent only in part");
         } else if (!sentValidRequest && openStreams.isEmpty() && now - openedAt > limits.clientRequestTimeout()) {
@@ -454,6 +460,9 @@
                 closeWithError(cause.getMessage());
             }
         } else {
+            if (!(cause instanceof IOException)) { // a reset by the client is an IOException
+                closeNow(cause.toString());
+            }
             ctx.close();
         }
     }
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -83,6 +83,7 @@
     private boolean draining;
     private long timerDueAt = Long.MAX_VALUE;
     private long lastTurnAt; // when the loop last took an input
+    private long longestStallMicros;
     private long unreadDelayMicros; // the length of the last stall
     private long unreadDelayUntil; // requests received before this time may have waited unread during the last stall
     // the time during which requests are held back, after a stall in which contact with the coordinator was lost
@@ -278,6 +279,7 @@
     @Override
     public Map<String, String> state() {
         Map<String, String> state = new LinkedHashMap<>(reducer.statusFields());
+        state.put("longest-stall-ms", Long.toString(longestStallMicros / 1_000));
         callFront.ifPresent(f -> state.putAll(f.statusFields()));
         return state;
     }
@@ -377,6 +379,9 @@
 
     private void recoverFromStall(long now) {
         long stallMicros = lastTurnAt == 0 ? 0 : now - lastTurnAt;
+        if (stallMicros > 0) {
+            reportStall(stallMicros);
+        }
         boolean inContactBefore = coordinator.heartbeatSince(lastTurnAt - limits.coordinatorSilenceTimeout());
         lastTurnAt = now;
         unreadDelayUntil = 0;
@@ -390,6 +395,19 @@
         }
     }
 
+    private void reportStall(long stallMicros) {
+        counters.add(Name.LOOP_STALLS);
+        longestStallMicros = Math.max(longestStallMicros, stallMicros);
+        PooledByteBufAllocator allocator = PooledByteBufAllocator.DEFAULT;
+        reportError("the event loop was stalled for " + stallMicros / 1_000 + " ms; direct buffers: "
+                + allocator.metric().usedDirectMemory() + " bytes allocated, " + allocator.pinnedDirectMemory()
+                + " in use; client connections: " + clients.size() + ", "
+                + clients.values().stream()
+                        .filter(ClientConnection::hasPartialFrame)
+                        .count()
+                + " with a frame received in part");
+    }
+
     /** Updates sent during the stall may be missing: requests wait until contact is restored, for a limited time. */
     private void holdRequests(long now) {
         counters.add(Name.HOLDS);
--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -42,6 +42,7 @@
         COORDINATOR_STREAMS_LOST,
         STARTED_UNSYNCED,
         HOLDS,
+        LOOP_STALLS,
         ACCEPT_FAILED,
         UPDATES,
         LIST_LINES,
