Bound the memory of client frames that are received in part

Cause: each connection collected its own frame, rounded up to 512 KB, and nothing bounded the sum. 92 such frames used up the 48 MB of direct memory; then each read slept 0.5 s in the JDK before it failed, on the router's only loop. Class: memory held for a peer that no bound counts. Ruled out: collections and a flood of reads (the loop slept), the budget of bodies (it delays reads of caches and refuses, it never stops the loop). Change: frames are decoded out of the read itself; what is left of one is copied into a buffer that grows with its bytes. PartialFrames counts these buffers and drops the largest past a thirty-second of the memory limit; a dropped frame is skipped, its request is refused at its end. Why it works: the sum can't pass the bound, whatever lengths the frames name, and a small frame is never dropped while a larger one is held.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -60,6 +60,7 @@
     private final Set<Integer> openStreams = new HashSet<>();
     private final TreeSet<Integer> usedStreams = new TreeSet<>(Integer::compareUnsigned); // those above usedStreamsUpTo
     private ChannelHandlerContext context;
+    private final FrameDecoder decoder;
     private int usedStreamsUpTo; // every stream up to this number is used, or too old to be new
     // the requests of the current read, by stream
     private final Map<Integer, Input.Request> receivedRequests = new LinkedHashMap<>();
@@ -67,14 +68,21 @@
     private boolean sentValidRequest;
     private boolean reading;
     private Stage stage = Stage.OPENING;
-    private long discardedBytes; // bytes received after the last accepted frame
     private long openedAt;
     private long activeAt;
     private long partialFrameSince = -1; // -1 while no frame is partly received
     private long lastBacklogBytes; // the backlog at the last sweep
 
-    ClientConnection(long connectionId, ResourceLimits limits, BufferBudget budget, Counters counters, Loop loop) {
+    /** Handles the frames of a decoder, which must precede this handler in the pipeline. */
+    ClientConnection(
+            long connectionId,
+            FrameDecoder decoder,
+            ResourceLimits limits,
+            BufferBudget budget,
+            Counters counters,
+            Loop loop) {
         this.connectionId = connectionId;
+        this.decoder = decoder;
         this.limits = limits;
         this.budget = budget;
         this.counters = counters;
@@ -113,13 +121,13 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         reading = true;
         try {
-            if (stage == Stage.OPEN || stage == Stage.DRAINING) { // later input is ignored
-                handleFrame((ByteBuf) message);
+            if (stage != Stage.OPEN && stage != Stage.DRAINING) {
+                return; // the last frame of a read whose earlier frames have ended this stage
+            }
+            if (message instanceof FrameDecoder.DroppedFrame dropped) {
+                handleDroppedFrame(dropped);
             } else {
-                discardedBytes += ((ByteBuf) message).readableBytes();
-                if (discardedBytes > limits.maxFrameBytes()) {
-                    ctx.close();
-                }
+                handleFrame((ByteBuf) message);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -130,6 +138,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
+        if (decoder.discardedBytes() > limits.maxFrameBytes()) {
+            ctx.close();
+        }
         while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
             loop.submit(
                     receivedRequests.remove(receivedRequests.keySet().iterator().next()));
@@ -152,7 +163,6 @@
                 || !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
             return;
         }
-        FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
         int readsBefore = -1;
         for (int i = 0;
                 i < MAX_DIRECT_READS
@@ -202,6 +212,17 @@
         }
     }
 
+    /** Refuses a request that was dropped while it was received, for lack of memory; it never ran. */
+    private void handleDroppedFrame(FrameDecoder.DroppedFrame dropped) {
+        activeAt = loop.clock();
+        partialFrameSince = -1;
+        if (dropped.type() != ClientFrame.REQUEST) {
+            throw new CorruptedFrameException("long frame of type " + dropped.type());
+        }
+        acceptStream(dropped.stream());
+        refuse(dropped.stream());
+    }
+
     private void handleReadinessRequest(int stream, ByteBuf frame) {
         sentValidRequest = true;
         if (!context.channel().isWritable()) {
@@ -245,11 +266,7 @@
     }
 
     private void handleRequest(int stream, ByteBuf frame) {
-        if (!markUsed(stream)) {
-            throw new CorruptedFrameException(
-                    "request on stream " + Integer.toUnsignedString(stream) + ", which is already used or too low");
-        }
-        openStreams.add(stream);
+        acceptStream(stream);
         Input.Request request;
         try {
             request = ClientFrame.request(connectionId, stream, frame, limits);
@@ -266,9 +283,8 @@
         if (tooMany
                 || !context.channel().isWritable()
                 || !budget.hasCapacity(request.body().size())) {
-            counters.add(Name.TURNED_AWAY);
             request.body().release();
-            answer(new Effect.Answer(connectionId, stream, Code.REFUSED, false, limits.retryAfterMillis(), Bytes.NONE));
+            refuse(stream);
             if (tooMany) {
                 onInvalidRequest();
             }
@@ -278,6 +294,21 @@
         receivedRequests.put(stream, request);
     }
 
+    /** Opens a stream for a request. */
+    private void acceptStream(int stream) {
+        if (!markUsed(stream)) {
+            throw new CorruptedFrameException(
+                    "request on stream " + Integer.toUnsignedString(stream) + ", which is already used or too low");
+        }
+        openStreams.add(stream);
+    }
+
+    /** Refuses a request for lack of capacity, before the reducer has seen it. */
+    private void refuse(int stream) {
+        counters.add(Name.TURNED_AWAY);
+        answer(new Effect.Answer(connectionId, stream, Code.REFUSED, false, limits.retryAfterMillis(), Bytes.NONE));
+    }
+
     /**
      * Marks a stream as used; returns false if it already was. Clients number their streams upwards, so only the newest
      * are kept one by one, whatever the age of the connection.
@@ -330,6 +361,7 @@
     /** Accepts no more frames; closes once all open requests are answered. */
     private void closeAfterAnswers() {
         stage = Stage.ENDING;
+        decoder.discardInput();
         if (openStreams.isEmpty()) {
             closeGracefully();
         }
@@ -342,6 +374,7 @@
     ChannelFuture closeGracefully() {
         if (stage.compareTo(Stage.RELEASING) < 0) {
             stage = Stage.RELEASING;
+            decoder.discardInput();
             loop.clientClosed(connectionId);
             releaseReceived();
             context.writeAndFlush(context.alloc().buffer(0)).addListener(done -> {
@@ -362,12 +395,6 @@
         return !sentValidRequest;
     }
 
-    /** Whether a frame has been received in part. */
-    boolean hasPartialFrame() {
-        FrameDecoder decoder = context.pipeline().get(FrameDecoder.class);
-        return decoder != null && decoder.hasPartialFrame();
-    }
-
     /** The time (microseconds) since which no request is open; Long.MAX_VALUE while one is. */
     long idleSince() {
         return openStreams.isEmpty() ? activeAt : Long.MAX_VALUE;
@@ -428,7 +455,7 @@
             lastBacklogBytes = backlog;
             activeAt = backlog == 0 ? activeAt : now;
         }
-        partialFrameSince = !hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
+        partialFrameSince = !decoder.hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
         if (backlog > 0 && now - activeAt > limits.clientStallTimeout()) {
             closeNow("its answers are not read for " + (now - activeAt) / 1_000 + " ms");
         } else if (partialFrameSince >= 0 && now - partialFrameSince > limits.clientRequestTimeout()) {
--- a/src/main/java/pumicemoor/net/FrameDecoder.java
+++ b/src/main/java/pumicemoor/net/FrameDecoder.java
@@ -1,24 +1,175 @@
 package pumicemoor.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.TooLongFrameException;
 
 /**
- * Splits a client's input into frames and strips their length field. It owns the frame being received and must never
- * let a length field determine how much is buffered: a length over the limit ends the connection.
+ * Splits a client's input into frames and strips their length field. It owns the frame being received, which it copies
+ * into a buffer that grows with the bytes received; all such buffers together are limited by PartialFrames. A frame
+ * that is dropped for that limit is skipped as its bytes arrive, and reported at its end. It must never let a length
+ * field determine how much is buffered: a length over the limit ends the decoding.
  */
-final class FrameDecoder extends LengthFieldBasedFrameDecoder {
+final class FrameDecoder extends ChannelInboundHandlerAdapter {
 
+    /** The end of a frame that was dropped, since the frames received in part needed too much memory. */
+    record DroppedFrame(int type, int stream) {}
+
+    private static final int HEADER_BYTES = ClientFrame.LENGTH_BYTES + 1 + 4; // length, type, stream
+    private static final int MIN_BUFFER_BYTES = 256;
+
+    private final int maxFrameBytes;
+    private final PartialFrames partialFrames;
+    private ByteBuf partial; // the frame being received, with its length field; null if none is, or if it was dropped
+    private DroppedFrame dropped; // the frame being skipped; null if none is
+    private int bytesToSkip; // of the frame being skipped
+    private boolean discarding; // nothing more is decoded
+    private long discardedBytes;
     private int reads;
 
-    FrameDecoder(int maxFrameBytes) {
-        super(maxFrameBytes + ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES, 0, ClientFrame.LENGTH_BYTES);
+    FrameDecoder(int maxFrameBytes, PartialFrames partialFrames) {
+        this.maxFrameBytes = maxFrameBytes;
+        this.partialFrames = partialFrames;
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf in = (ByteBuf) message;
         reads++;
-        super.channelRead(ctx, message);
+        try {
+            decode(ctx, in);
+        } finally {
+            in.release();
+        }
+    }
+
+    private void decode(ChannelHandlerContext ctx, ByteBuf in) {
+        while (in.isReadable()) {
+            if (discarding || ctx.isRemoved()) {
+                discardedBytes += in.readableBytes();
+                return;
+            }
+            try {
+                if (dropped != null) {
+                    skip(ctx, in);
+                } else if (partial != null) {
+                    continuePartial(ctx, in);
+                } else if (isWhole(in)) {
+                    int frameBytes = checkedLength(in);
+                    ctx.fireChannelRead(in.skipBytes(ClientFrame.LENGTH_BYTES).readRetainedSlice(frameBytes));
+                } else {
+                    beginPartial(ctx, in);
+                }
+            } catch (DecoderException e) {
+                discardInput(); // after an error, nothing that follows can be decoded
+                ctx.fireExceptionCaught(e);
+            }
+        }
+    }
+
+    private boolean isWhole(ByteBuf in) {
+        return in.readableBytes() >= ClientFrame.LENGTH_BYTES
+                && in.readableBytes() - ClientFrame.LENGTH_BYTES >= checkedLength(in);
+    }
+
+    /** The length field at the reader index: the number of bytes that follow it. */
+    private int checkedLength(ByteBuf in) {
+        long length = in.getUnsignedInt(in.readerIndex());
+        if (length > maxFrameBytes) {
+            throw new TooLongFrameException("frame of " + length + " bytes exceeds " + maxFrameBytes);
+        }
+        if (length == 0) {
+            throw new CorruptedFrameException("frame of 0 bytes is shorter than its header");
+        }
+        return (int) length;
+    }
+
+    private void beginPartial(ChannelHandlerContext ctx, ByteBuf in) {
+        partial = ctx.alloc().ioBuffer(Math.max(MIN_BUFFER_BYTES, in.readableBytes()));
+        partial.writeBytes(in);
+        partialFrames.add(this, partial.capacity());
+    }
+
+    private void continuePartial(ChannelHandlerContext ctx, ByteBuf in) {
+        int wanted = partial.readableBytes() < ClientFrame.LENGTH_BYTES
+                ? ClientFrame.LENGTH_BYTES
+                : ClientFrame.LENGTH_BYTES + checkedLength(partial);
+        int added = Math.min(wanted - partial.readableBytes(), in.readableBytes());
+        int heldBefore = partial.capacity();
+        reserve(added, wanted);
+        partial.writeBytes(in, added);
+        partialFrames.add(this, partial.capacity() - heldBefore);
+        if (partial != null
+                && partial.readableBytes() >= ClientFrame.LENGTH_BYTES
+                && partial.readableBytes() == ClientFrame.LENGTH_BYTES + checkedLength(partial)) {
+            ByteBuf frame = partial;
+            partial = null;
+            partialFrames.remove(this, frame.capacity());
+            ctx.fireChannelRead(frame.skipBytes(ClientFrame.LENGTH_BYTES));
+        }
+    }
+
+    /** Makes room for more bytes: doubles the buffer, but never beyond the frame. */
+    private void reserve(int added, int frameBytes) {
+        int needed = partial.readableBytes() + added;
+        if (needed > partial.capacity()) {
+            partial.capacity(Math.max(needed, Math.min(frameBytes, 2 * partial.capacity())));
+        }
+    }
+
+    private void skip(ChannelHandlerContext ctx, ByteBuf in) {
+        int skipped = Math.min(bytesToSkip, in.readableBytes());
+        in.skipBytes(skipped);
+        bytesToSkip -= skipped;
+        if (bytesToSkip == 0) {
+            DroppedFrame end = dropped;
+            dropped = null;
+            ctx.fireChannelRead(end);
+        }
+    }
+
+    /** Whether the frame being received can be dropped: its length, type and stream are known. */
+    boolean canDrop() {
+        return partial != null && partial.readableBytes() >= HEADER_BYTES;
+    }
+
+    /** Drops the part of a frame that is held, and skips the rest as it arrives; only if {@link #canDrop}. */
+    void drop() {
+        int start = partial.readerIndex();
+        dropped = new DroppedFrame(
+                partial.getUnsignedByte(start + ClientFrame.LENGTH_BYTES),
+                partial.getInt(start + ClientFrame.LENGTH_BYTES + 1));
+        bytesToSkip = ClientFrame.LENGTH_BYTES + checkedLength(partial) - partial.readableBytes();
+        releasePartial();
+    }
+
+    private void releasePartial() {
+        if (partial != null) {
+            ByteBuf released = partial;
+            partial = null;
+            partialFrames.remove(this, released.capacity());
+            released.release();
+        }
+    }
+
+    /** Decodes nothing more: all later input is read and discarded. */
+    void discardInput() {
+        discarding = true;
+        dropped = null;
+        releasePartial();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        releasePartial();
+    }
+
+    /** The memory in bytes that the frame received in part uses. */
+    int heldBytes() {
+        return partial == null ? 0 : partial.capacity();
     }
 
     /** The number of reads that have delivered bytes so far. */
@@ -26,8 +177,13 @@
         return reads;
     }
 
+    /** The number of bytes that were read and discarded after the last decoded frame. */
+    long discardedBytes() {
+        return discardedBytes;
+    }
+
     /** Whether a frame has been received in part. */
     boolean hasPartialFrame() {
-        return actualReadableBytes() > 0;
+        return partial != null || dropped != null;
     }
 }
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -66,6 +66,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BufferBudget budget;
+    private final PartialFrames partialFrames;
     private final CacheConnections cacheConnections;
     private final CoordinatorStream coordinator;
     private final Map<Long, ClientConnection> clients = new LinkedHashMap<>(); // by connection id, the oldest first
@@ -106,6 +107,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
         this.budget = new BufferBudget(PooledByteBufAllocator.DEFAULT::pinnedDirectMemory, limits.maxBufferedBytes());
+        this.partialFrames = new PartialFrames(limits.maxPartialFrameBytes(), counters);
         this.cacheConnections = new CacheConnections(bootstrap, limits, budget, counters, this);
         this.coordinator = new CoordinatorStream(bootstrap, limits, reducer::lastEventIndex, counters, this);
     }
@@ -180,11 +182,12 @@
                         ch.config()
                                 .setWriteBufferWaterMark(new WriteBufferWaterMark(
                                         limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
-                        ClientConnection client =
-                                new ClientConnection(++lastConnectionId, limits, budget, counters, NodeServer.this);
+                        FrameDecoder decoder = new FrameDecoder(limits.maxFrameBytes(), partialFrames);
+                        ClientConnection client = new ClientConnection(
+                                ++lastConnectionId, decoder, limits, budget, counters, NodeServer.this);
                         allClients.add(client);
                         ch.closeFuture().addListener(done -> allClients.remove(client));
-                        ch.pipeline().addLast(new FrameDecoder(limits.maxFrameBytes()), client);
+                        ch.pipeline().addLast(decoder, client);
                     }
                 })
                 .bind(new InetSocketAddress(
@@ -402,10 +405,7 @@
         reportError("the event loop was stalled for " + stallMicros / 1_000 + " ms; direct buffers: "
                 + allocator.metric().usedDirectMemory() + " bytes allocated, " + allocator.pinnedDirectMemory()
                 + " in use; client connections: " + clients.size() + ", "
-                + clients.values().stream()
-                        .filter(ClientConnection::hasPartialFrame)
-                        .count()
-                + " with a frame received in part");
+                + partialFrames.connections() + " with a frame received in part (" + partialFrames.bytes() + " bytes)");
     }
 
     /** Updates sent during the stall may be missing: requests wait until contact is restored, for a limited time. */
--- a/src/main/java/pumicemoor/net/WarmUp.java
+++ b/src/main/java/pumicemoor/net/WarmUp.java
@@ -56,8 +56,10 @@
                 config.settingsReader(),
                 limits,
                 counters);
-        client = new ClientConnection(1, limits, budget, counters, this);
-        fromClient = new EmbeddedChannel(new FrameDecoder(limits.maxFrameBytes()), client);
+        FrameDecoder decoder =
+                new FrameDecoder(limits.maxFrameBytes(), new PartialFrames(limits.maxPartialFrameBytes(), counters));
+        client = new ClientConnection(1, decoder, limits, budget, counters, this);
+        fromClient = new EmbeddedChannel(decoder, client);
         fromCache =
                 new EmbeddedChannel(new AnswerDecoder(limits.maxAnswerHeaderBytes(), limits.maxAnswerBytes(), budget));
         reducer.applyInitialUpdates(clock, config, effects::add);
--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -51,6 +51,7 @@
         RELOADS,
         RELOADS_REFUSED,
         BAD_INPUT,
+        FRAMES_DROPPED,
         FAULTS,
         BYTES_IN,
         BYTES_OUT,
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -17,6 +17,7 @@
         int maxAnswerBytes, // largest body of an answer
         int maxAnswerHeaderBytes, // longest header line of an answer
         long maxBufferedBytes, // memory of all network buffers together
+        long maxPartialFrameBytes, // memory of all client frames received in part, within maxBufferedBytes
         int clientBacklogBytes, // high-water mark of the write buffer of a client connection
         int memberBacklogBytes, // high-water mark of the write buffer of a connection to a member
         long sweepInterval, // interval of the checks for idle and dead connections
@@ -54,6 +55,7 @@
         int fleetLogLinesPerSecond // lines a second of the fleet's log, and of the log of endpoint changes
         ) {
 
+    private static final long BYTES_PER_MB = 1_048_576;
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long MICROS_PER_SECOND = 1_000_000;
     // half of the time in which a restarted router must be ready
@@ -96,7 +98,8 @@
                 48_000,
                 240_000,
                 4_096,
-                resources.memoryMb() * 1_048_576L / 8,
+                resources.memoryMb() * BYTES_PER_MB / 8,
+                resources.memoryMb() * BYTES_PER_MB / 32,
                 1_048_576,
                 131_072,
                 200 * MICROS_PER_MILLI,
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -51,6 +51,7 @@
             + "0003" + ByteBufUtil.hexDump("500".getBytes(StandardCharsets.US_ASCII));
 
     private final TestLoop loop = new TestLoop();
+    private final PartialFrames partialFrames = new PartialFrames(1_000_000, new Counters());
     private ResourceLimits limits;
     private long usedBytes;
     private ClientConnection connection;
@@ -65,9 +66,10 @@
 
     private void open() {
         loop.inputs.clear();
-        connection =
-                new ClientConnection(1, limits, new BufferBudget(() -> usedBytes, 1_000_000), new Counters(), loop);
-        channel = new EmbeddedChannel(new FrameDecoder(limits.maxFrameBytes()), connection);
+        FrameDecoder decoder = new FrameDecoder(limits.maxFrameBytes(), partialFrames);
+        connection = new ClientConnection(
+                1, decoder, limits, new BufferBudget(() -> usedBytes, 1_000_000), new Counters(), loop);
+        channel = new EmbeddedChannel(decoder, connection);
     }
 
     @AfterEach
@@ -361,6 +363,19 @@
         assertEquals("00000007" + "02" + "00000003" + "0100" + "00000007" + "02" + "00000004" + "0000", written());
     }
 
+    @Test
+    void requestWhoseFrameWasDroppedForLackOfMemoryIsRefusedAtItsEnd() {
+        byte[] whole = frame(7, 5, FIELDS, new byte[40_000]);
+        write(java.util.Arrays.copyOf(whole, 30_000));
+        channel.pipeline().get(FrameDecoder.class).drop();
+        assertEquals("", written(), "its last byte has not arrived");
+        write(java.util.Arrays.copyOfRange(whole, 30_000, whole.length));
+        assertEquals("00000015" + "08" + "00000005" + "0001" + PUSHBACK, written());
+        write(request(6));
+        assertEquals(1, loop.inputs.size());
+        ((Input.Request) inputs().get(0)).body().release();
+    }
+
     @Test
     void drainIsSentOnStreamZero() {
         connection.drain();
@@ -420,15 +435,16 @@
 
     @Test
     void clientThatDoesNotReadIsDisconnectedAfterItsTimeout() {
-        connection =
-                new ClientConnection(1, limits, new BufferBudget(() -> usedBytes, 1_000_000), new Counters(), loop);
-        channel = new EmbeddedChannel(connection) {
+        FrameDecoder decoder = new FrameDecoder(limits.maxFrameBytes(), partialFrames);
+        connection = new ClientConnection(
+                1, decoder, limits, new BufferBudget(() -> usedBytes, 1_000_000), new Counters(), loop);
+        channel = new EmbeddedChannel(decoder, connection) {
             @Override
             protected void doWrite(ChannelOutboundBuffer in) {
                 // the socket accepts no bytes
             }
         };
-        channel.writeInbound(Unpooled.copiedBuffer(request(5), 4, request(5).length - 4));
+        write(request(5));
         checkRequest();
         connection.answer(
                 new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
