Keep a reading client's connection whatever its backlog

Cause: ClientConnection.handleFrame closed the connection on any frame that came while over 2 MB of answers waited, whatever progress the client made; 32 allowed answers are 7.7 MB. Class: a close that takes a backlog for a peer that is gone. Change: no close on a frame. ClientOutput owns what waits: progress is what the socket takes, and nothing else; the router's own replies, which a client can cause without end, are bound to 4 KB by not reading the connection meanwhile. What is admitted is bounded as before (32 requests, the bytes held by bodies). Why it works: the only close for a backlog left is after 4 s in which the socket took no byte.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CorruptedFrameException;
@@ -18,7 +17,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import pumicemoor.node.Bytes;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect;
@@ -60,6 +58,7 @@
     private final Set<Integer> openStreams = new HashSet<>();
     private final TreeSet<Integer> usedStreams = new TreeSet<>(Integer::compareUnsigned); // those above usedStreamsUpTo
     private ChannelHandlerContext context;
+    private ClientOutput output;
     private final FrameDecoder decoder;
     private int usedStreamsUpTo; // every stream up to this number is used, or too old to be new
     // the requests of the current read, by stream
@@ -71,7 +70,6 @@
     private long openedAt;
     private long activeAt;
     private long partialFrameSince = -1; // -1 while no frame is partly received
-    private long lastBacklogBytes; // the backlog at the last sweep
 
     /** Handles the frames of a decoder, which must precede this handler in the pipeline. */
     ClientConnection(
@@ -92,6 +90,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        output = new ClientOutput(ctx, limits.maxWaitingReplyBytes());
     }
 
     @Override
@@ -160,6 +159,7 @@
     void readAvailable() {
         if (reading
                 || !context.channel().isActive()
+                || !context.channel().config().isAutoRead()
                 || !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
             return;
         }
@@ -185,10 +185,6 @@
         counters.add(Name.BYTES_IN, frame.readableBytes());
         activeAt = loop.clock();
         partialFrameSince = -1;
-        if (!context.channel().isWritable() && backlogBytes() > 2L * limits.clientBacklogBytes()) {
-            closeNow("a frame arrived while answers wait");
-            return;
-        }
         if (frame.readableBytes() < 5) {
             throw new CorruptedFrameException(
                     "frame of " + frame.readableBytes() + " bytes is shorter than its header");
@@ -225,7 +221,7 @@
 
     private void handleReadinessRequest(int stream, ByteBuf frame) {
         sentValidRequest = true;
-        if (!context.channel().isWritable()) {
+        if (output.isFull()) {
             return; // the client does not read its earlier answers
         }
         Map<String, String> fields = new LinkedHashMap<>();
@@ -242,8 +238,7 @@
             loop.rows(requested.get("rows")).ifPresent(rows -> ClientFrame.split(rows)
                     .forEach(part -> fields.put("rows-" + fields.size(), part)));
         }
-        context.writeAndFlush(
-                ClientFrame.readiness(context.alloc(), stream, loop.ready(), fields), context.voidPromise());
+        output.writeReply(ClientFrame.readiness(context.alloc(), stream, loop.ready(), fields), loop.clock());
     }
 
     /** Accepts operator commands from the router's own machine only: remote clients must not drain members. */
@@ -260,9 +255,9 @@
 
     /** Writes the reply to a command. */
     void writeReply(Effect.CommandReply reply) {
-        context.writeAndFlush(
+        output.writeReply(
                 ClientFrame.readiness(context.alloc(), reply.stream(), loop.ready(), Map.of("said", reply.text())),
-                context.voidPromise());
+                loop.clock());
     }
 
     private void handleRequest(int stream, ByteBuf frame) {
@@ -273,16 +268,14 @@
         } catch (CorruptedFrameException e) {
             counters.add(Name.BAD_INPUT);
             loop.reportError("invalid request answered with FAILED: " + e.getMessage());
-            answer(new Effect.Answer(connectionId, stream, Code.FAILED, false, 0, Bytes.NONE));
+            replyWithoutRequest(stream, Code.FAILED, 0);
             onInvalidRequest();
             return;
         }
         boolean tooMany = openStreams.size() > limits.maxOpenRequestsPerClient();
         // a client that does not read its answers is refused, but its connection is still read, so that its close is
         // seen
-        if (tooMany
-                || !context.channel().isWritable()
-                || !budget.hasCapacity(request.body().size())) {
+        if (tooMany || output.isFull() || !budget.hasCapacity(request.body().size())) {
             request.body().release();
             refuse(stream);
             if (tooMany) {
@@ -306,7 +299,15 @@
     /** Refuses a request for lack of capacity, before the reducer has seen it. */
     private void refuse(int stream) {
         counters.add(Name.TURNED_AWAY);
-        answer(new Effect.Answer(connectionId, stream, Code.REFUSED, false, limits.retryAfterMillis(), Bytes.NONE));
+        replyWithoutRequest(stream, Code.REFUSED, limits.retryAfterMillis());
+    }
+
+    /** Answers a request that was not admitted. */
+    private void replyWithoutRequest(int stream, Code code, long retryAfterMillis) {
+        openStreams.remove(stream);
+        ByteBuf reply = ClientFrame.answerHead(context.alloc(), stream, code, false, retryAfterMillis, 0);
+        counters.add(Name.BYTES_OUT, reply.readableBytes());
+        output.writeReply(reply, loop.clock());
     }
 
     /**
@@ -338,8 +339,7 @@
         }
         counters.add(Name.TURNED_OUT);
         loop.reportError("a client's connection is closed: " + reason);
-        context.write(ClientFrame.answerHead(context.alloc(), 0, Code.FAILED, false, 0, 0), context.voidPromise());
-        context.flush();
+        output.writeReply(ClientFrame.answerHead(context.alloc(), 0, Code.FAILED, false, 0, 0), loop.clock());
         closeAfterAnswers();
     }
 
@@ -361,12 +361,18 @@
     /** Accepts no more frames; closes once all open requests are answered. */
     private void closeAfterAnswers() {
         stage = Stage.ENDING;
-        decoder.discardInput();
+        discardInput();
         if (openStreams.isEmpty()) {
             closeGracefully();
         }
     }
 
+    /** Decodes no more input; it is still read, so that the end of the client is seen. */
+    private void discardInput() {
+        decoder.discardInput();
+        output.resumeReading();
+    }
+
     /**
      * Closes gracefully: flushes all writes, shuts down the output, then reads and discards input until the client
      * closes. Closing a socket with unread bytes would reset the connection and lose the last answers.
@@ -374,7 +380,7 @@
     ChannelFuture closeGracefully() {
         if (stage.compareTo(Stage.RELEASING) < 0) {
             stage = Stage.RELEASING;
-            decoder.discardInput();
+            discardInput();
             loop.clientClosed(connectionId);
             releaseReceived();
             context.writeAndFlush(context.alloc().buffer(0)).addListener(done -> {
@@ -413,12 +419,7 @@
                 answer.retryAfterMillis(),
                 answer.body().size());
         counters.add(Name.BYTES_OUT, head.readableBytes() + answer.body().size());
-        ByteBuf body = NettyBytes.buffer(answer.body());
-        context.write(head, context.voidPromise());
-        if (body != null) {
-            context.write(body, context.voidPromise());
-        }
-        context.flush();
+        output.writeAnswer(head, NettyBytes.buffer(answer.body()), loop.clock());
         if (stage == Stage.ENDING && openStreams.isEmpty()) {
             closeGracefully();
         }
@@ -429,19 +430,11 @@
         context.writeAndFlush(ClientFrame.drain(context.alloc()), context.voidPromise());
     }
 
-    /** Bytes that are written but not yet passed to the socket. */
-    private long backlogBytes() {
-        ChannelOutboundBuffer backlog = context.channel().unsafe().outboundBuffer();
-        return backlog == null || backlog.totalPendingWriteBytes() == 0
-                ? 0
-                : backlog.totalPendingWriteBytes() - backlog.currentProgress();
-    }
-
     /** Closes at once, without a message to the client; answers that are owed or not sent yet are lost. */
     void closeNow(String reason) {
         counters.add(Name.TURNED_OUT);
-        loop.reportError("a client's connection is closed: " + reason + " (" + backlogBytes() + " bytes not sent, "
-                + openStreams.size() + " requests open)");
+        loop.reportError("a client's connection is closed: " + reason + " (" + output.waitingBytes()
+                + " bytes not sent, " + openStreams.size() + " requests open)");
         context.close();
     }
 
@@ -450,19 +443,17 @@
         if (stage == Stage.RELEASING || stage == Stage.CLOSED) {
             return;
         }
-        long backlog = backlogBytes();
-        if (backlog == 0 || backlog != lastBacklogBytes) {
-            lastBacklogBytes = backlog;
-            activeAt = backlog == 0 ? activeAt : now;
-        }
+        long stalledFor = output.stalledFor(now);
+        boolean answersWait = output.waitingBytes() > 0;
+        activeAt = answersWait ? now : activeAt;
         partialFrameSince = !decoder.hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
-        if (backlog > 0 && now - activeAt > limits.clientStallTimeout()) {
-            closeNow("its answers are not read for " + (now - activeAt) / 1_000 + " ms");
+        if (stalledFor > limits.clientStallTimeout()) {
+            closeNow("its answers are not read for " + stalledFor / 1_000 + " ms");
         } else if (partialFrameSince >= 0 && now - partialFrameSince > limits.clientRequestTimeout()) {
             closeWithError("a frame was sent only in part");
         } else if (!sentValidRequest && openStreams.isEmpty() && now - openedAt > limits.clientRequestTimeout()) {
             closeWithError("no valid request was sent");
-        } else if (backlog == 0 && openStreams.isEmpty() && now - activeAt > limits.clientIdleTimeout()) {
+        } else if (!answersWait && openStreams.isEmpty() && now - activeAt > limits.clientIdleTimeout()) {
             closeIdle(now);
         }
     }
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -19,6 +19,7 @@
         long maxBufferedBytes, // memory of all network buffers together
         long maxPartialFrameBytes, // memory of all client frames received in part, within maxBufferedBytes
         int clientBacklogBytes, // high-water mark of the write buffer of a client connection
+        int maxWaitingReplyBytes, // refusals and other replies of the router's own that wait for one client
         int memberBacklogBytes, // high-water mark of the write buffer of a connection to a member
         long sweepInterval, // interval of the checks for idle and dead connections
         long clientRequestTimeout, // wait for the first request of a client, and for the rest of a frame
@@ -101,6 +102,7 @@
                 resources.memoryMb() * BYTES_PER_MB / 8,
                 resources.memoryMb() * BYTES_PER_MB / 32,
                 1_048_576,
+                4_096,
                 131_072,
                 200 * MICROS_PER_MILLI,
                 1_800 * MICROS_PER_MILLI,
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -53,6 +53,7 @@
     private final TestLoop loop = new TestLoop();
     private final PartialFrames partialFrames = new PartialFrames(1_000_000, new Counters());
     private ResourceLimits limits;
+    private boolean socketAcceptsBytes;
     private long usedBytes;
     private ClientConnection connection;
     private EmbeddedChannel channel;
@@ -457,6 +458,76 @@
         assertFalse(channel.isOpen());
     }
 
+    /** A client whose socket accepts bytes only while {@link #socketAcceptsBytes} is set. */
+    private void openWithStoppedReader() {
+        loop.inputs.clear();
+        FrameDecoder decoder = new FrameDecoder(limits.maxFrameBytes(), partialFrames);
+        connection = new ClientConnection(
+                1, decoder, limits, new BufferBudget(() -> usedBytes, 1_000_000), new Counters(), loop);
+        channel = new EmbeddedChannel(decoder, connection) {
+            @Override
+            protected void doWrite(ChannelOutboundBuffer in) throws Exception {
+                if (socketAcceptsBytes) {
+                    super.doWrite(in);
+                }
+            }
+        };
+    }
+
+    /** Guards against a connection that is closed over its backlog when a frame arrives (review case 3). */
+    @Test
+    void cancellationBehindALargeBacklogEndsItsOwnRequestAlone() {
+        openWithStoppedReader();
+        for (int stream = 1; stream <= 32; stream++) {
+            write(request(stream));
+        }
+        loop.inputs.forEach(input -> ((Input.Request) input).body().release());
+        for (int stream = 1; stream <= 31; stream++) {
+            connection.answer(new Effect.Answer(
+                    1, stream, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(new byte[240_000]))));
+        }
+        write(frame(9, 32, null, new byte[0]));
+        assertTrue(channel.isOpen());
+        assertTrue(loop.inputs.contains(new Input.RequestCancelled(1, 32)));
+        write(frame(1, 33, null, new byte[0]));
+        assertTrue(channel.isOpen());
+        socketAcceptsBytes = true;
+        channel.flush();
+        assertEquals(31 * (4 + 7 + 240_000), written().length() / 2, "all answers but the cancelled one");
+    }
+
+    /** Guards against a client that is never closed although it reads nothing, since it goes on sending. */
+    @Test
+    void clientThatSendsButDoesNotReadIsDisconnectedAfterItsTimeout() {
+        openWithStoppedReader();
+        write(request(5));
+        checkRequest();
+        connection.answer(
+                new Effect.Answer(1, 5, Code.SERVED, false, 0, NettyBytes.of(Unpooled.copiedBuffer(new byte[100]))));
+        long endMicros = loop.time + limits.clientStallTimeout() + limits.sweepInterval();
+        for (int stream = 1_000; channel.isOpen() && loop.time <= endMicros; stream++) {
+            loop.time += limits.sweepInterval();
+            write(frame(9, stream, null, new byte[0]));
+            connection.sweep(loop.time);
+        }
+        assertFalse(channel.isOpen());
+    }
+
+    /** Guards against replies without limit to a client that sends requests and reads nothing. */
+    @Test
+    void clientIsNotReadWhileTooManyRepliesWaitForIt() {
+        openWithStoppedReader();
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        for (int stream = 1; channel.config().isAutoRead() && stream <= 1_000; stream++) {
+            write(request(stream));
+        }
+        assertFalse(channel.config().isAutoRead());
+        socketAcceptsBytes = true;
+        channel.flush();
+        assertTrue(channel.config().isAutoRead());
+        assertTrue(written().length() / 2 <= limits.maxWaitingReplyBytes() + 100);
+    }
+
     @Test
     void idleConnectionIsClosedButNotOneWithAnOpenRequest() {
         write(request(5));
