Never take the slot of a connection on which answers still wait

Seen: a client that read slowly while its connection was being released lost what waited for it as soon as some other clients were connecting (11 of 32 answers came). Cause: at the bound on connections NodeServer.reserveClientSlot closed the oldest one in stage RELEASING, whatever waited on it. Change: only a connection whose answers have all been passed to the system gives up its slot; where there is none, the new connection is closed unread. Test, red before: NodeServerTest.answersReachASlowClientWhoseConnectionIsBeingClosedWhileOthersNeedItsSlot (11 of 32).

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -177,8 +177,9 @@
         }
     }
 
-    Stage stage() {
-        return stage;
+    /** Whether the connection is being released and all its answers have been passed to the system. */
+    boolean isReleasedAndSent() {
+        return stage == Stage.RELEASING && output.waitingBytes() == 0;
     }
 
     private void handleFrame(ByteBuf frame) {
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -217,10 +217,13 @@
     private boolean reserveClientSlot() {
         // at most an eighth more, which are closing
         if (allClients.size() >= limits.maxClients() + limits.maxClients() / 8) {
-            allClients.stream()
-                    .filter(c -> c.stage() == ClientConnection.Stage.RELEASING)
-                    .findFirst()
-                    .ifPresent(c -> c.closeNow("it is already being closed, and its slot is needed"));
+            Optional<ClientConnection> released = allClients.stream()
+                    .filter(ClientConnection::isReleasedAndSent)
+                    .findFirst();
+            if (released.isEmpty()) {
+                return false; // answers still wait for each of them
+            }
+            released.get().closeNow("it is already being closed, and its slot is needed");
         }
         if (clients.size() < limits.maxClients()) {
             return true;
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -18,6 +18,8 @@
 /** The complete router on loopback, with stubs for members, coordinator and clients. */
 class NodeServerTest extends SocketRig {
 
+    private static final int UNKNOWN_FRAME_TYPE = 42;
+
     @Test
     void bodiesArePassedOnUnalteredInBothDirections() throws Exception {
         Cache cache = new Cache("data");
@@ -228,6 +230,35 @@
         assertEquals(1, newClient.next().code());
     }
 
+    /** Guards against answers that are lost because the slot of the connection on which they wait is needed. */
+    @Test
+    void answersReachASlowClientWhoseConnectionIsBeingClosedWhileOthersNeedItsSlot() throws Exception {
+        Cache cache = new Cache("data");
+        cache.body = new byte[240_000];
+        startSmall(NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        Client slow = new Client(4_096);
+        for (int stream = 1; stream <= 32; stream++) {
+            slow.request(stream, "segment", new byte[0]);
+        }
+        while (server.counters().get(Name.SERVED) + server.counters().get(Name.REFUSED) < 32) {
+            Thread.onSpinWait();
+        }
+        slow.send(UNKNOWN_FRAME_TYPE, 33); // no frame is accepted any more
+        for (int i = 0; i < 60; i++) {
+            Client other = new Client();
+            try {
+                other.send(UNKNOWN_FRAME_TYPE, 1);
+            } catch (IOException e) {
+                // there was no slot for it
+            }
+        }
+        int answers = 0;
+        for (Frame frame = slow.next(); frame != null; frame = slow.next()) {
+            answers += frame.type() == ClientFrame.ANSWER && frame.stream() != 0 ? 1 : 0;
+        }
+        assertEquals(32, answers);
+    }
+
     @Test
     void newClientIsAcceptedWhileIdleClientsHoldAllConnections() throws Exception {
         Cache cache = new Cache("data");
