Answer open requests of a client that goes on sending after an error

Seen: after an unreadable frame the requests that were open on the connection are still answered, unless the client sent over 262,144 bytes more: then the connection was closed at once. Cause: the bound on discarded input closed the connection without a look at what was owed. Change: with an answer owed the connection is read only every 50 ms past the bound, so that the end of the client is still seen; with nothing owed it is closed as before. Test, red before (ClosedChannelException): ClientConnectionTest.answerIsWrittenToAClientThatGoesOnSendingAfterAnError.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -49,6 +49,8 @@
     }
 
     private static final int MAX_DIRECT_READS = 16; // in a row, outside of the selector's reads
+    // for which a client that sends what is discarded is not read; short enough to notice its end
+    private static final long DISCARD_PAUSE_MILLIS = 50;
 
     private final long connectionId;
     private final ResourceLimits limits;
@@ -66,6 +68,7 @@
     private int invalidRequests;
     private boolean sentValidRequest;
     private boolean reading;
+    private long discardedBytesAllowed; // until the client is read more slowly, or its connection is closed
     private Stage stage = Stage.OPENING;
     private long openedAt;
     private long activeAt;
@@ -85,6 +88,7 @@
         this.budget = budget;
         this.counters = counters;
         this.loop = loop;
+        this.discardedBytesAllowed = limits.maxFrameBytes();
     }
 
     @Override
@@ -137,8 +141,8 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
-        if (decoder.discardedBytes() > limits.maxFrameBytes()) {
-            ctx.close();
+        if (decoder.discardedBytes() > discardedBytesAllowed) {
+            limitDiscardedInput();
         }
         while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
             loop.submit(
@@ -147,6 +151,20 @@
         ctx.fireChannelReadComplete();
     }
 
+    /**
+     * Closes the connection of a client that goes on sending what is discarded; while an answer is owed to it, the
+     * connection is read more slowly instead.
+     */
+    private void limitDiscardedInput() {
+        if (openStreams.isEmpty() && output.waitingBytes() == 0) {
+            context.close();
+            return;
+        }
+        discardedBytesAllowed = decoder.discardedBytes() + limits.maxFrameBytes();
+        context.channel().config().setAutoRead(false);
+        context.executor().schedule(output::resumeReading, DISCARD_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void releaseReceived() {
         receivedRequests.values().forEach(request -> request.body().release());
         receivedRequests.clear();
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -320,6 +320,22 @@
         assertTrue(loop.inputs.contains(new Input.ClientClosed(1)));
     }
 
+    /** Guards against an answer that is lost because its client goes on sending after an error on its connection. */
+    @Test
+    void answerIsWrittenToAClientThatGoesOnSendingAfterAnError() {
+        write(request(5));
+        checkRequest();
+        write(frame(42, 6, null, new byte[0]));
+        assertEquals("0000000708000000000900", written());
+        for (int i = 0; i < 20; i++) {
+            write(new byte[100_000]);
+        }
+        assertTrue(channel.isOpen());
+        connection.answer(new Effect.Answer(1, 5, Code.SERVED, false, 0, Bytes.NONE));
+        assertEquals("00000007" + "08" + "00000005" + "0100", written());
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void answerIsOneFrameAndIsWrittenOnce() {
         write(request(5));
