End the connection of a client that reads nothing also while it is being released

Seen: a router that was told to end (SIGTERM) never exited while one client left its last answers unread (not within 20 s); such a connection held its slot and its answers for ever. Test, red before (not ended after 20 s): NodeServerTest.routerEndsAlthoughAClientNeverReadsItsAnswers.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -459,7 +459,7 @@
 
     /** Disconnects a client that leaves its connection unused, stalls, or sends no valid request. */
     void sweep(long now) {
-        if (stage == Stage.RELEASING || stage == Stage.CLOSED) {
+        if (stage == Stage.CLOSED) {
             return;
         }
         long stalledFor = output.stalledFor(now);
@@ -468,6 +468,8 @@
         partialFrameSince = !decoder.hasPartialFrame() ? -1 : partialFrameSince < 0 ? now : partialFrameSince;
         if (stalledFor > limits.clientStallTimeout()) {
             closeNow("its answers are not read for " + stalledFor / 1_000 + " ms");
+        } else if (stage == Stage.RELEASING) {
+            return; // closed once all is sent
         } else if (partialFrameSince >= 0 && now - partialFrameSince > limits.clientRequestTimeout()) {
             closeWithError("a frame was sent only in part");
         } else if (!sentValidRequest && openStreams.isEmpty() && now - openedAt > limits.clientRequestTimeout()) {
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -244,7 +244,7 @@
     private void sweep() {
         long now = clock();
         cacheConnections.sweep(now);
-        clients.values().stream().toList().forEach(c -> c.sweep(now));
+        List.copyOf(allClients).forEach(c -> c.sweep(now));
     }
 
     /** Shuts the router down gracefully: accepts no new requests, answers all open ones, then exits. */
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -209,6 +209,24 @@
         assertEquals(32, answers);
     }
 
+    /** Guards against a router that never ends, since a client whose connection is being closed reads nothing. */
+    @Test
+    void routerEndsAlthoughAClientNeverReadsItsAnswers() throws Exception {
+        Cache cache = new Cache("data");
+        cache.body = new byte[240_000];
+        start("", NodeTestConfig.list(1, true, member("s-1", cache, "box")));
+        Client stopped = new Client(4_096);
+        for (int stream = 1; stream <= 32; stream++) {
+            stopped.request(stream, "segment", new byte[0]);
+        }
+        while (server.counters().get(Name.SERVED) + server.counters().get(Name.REFUSED) < 32) {
+            Thread.onSpinWait();
+        }
+        server.terminate();
+        assertTrue(server.awaitEnd(TIMEOUT_MILLIS));
+        assertEquals(1, server.counters().get(Name.TURNED_OUT));
+    }
+
     /** Starts a router with a limit of 16 client connections. */
     private void startSmall(String... updates) throws Exception {
         server = new NodeServer(
