Take the slots of clients that never asked before those on which answers wait

Cause of the descriptors: a connection of a silent client that only the error on stream 0 still waited for counted as one on which answers wait, so new connections were accepted and shut in its place. Change: a client that never sent a request is owed no answer, and its connection may be closed for its slot while it is released.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -195,9 +195,10 @@
         }
     }
 
-    /** Whether the connection is being released and all its answers have been passed to the system. */
+    /** Whether the connection is being released and no answer to a request waits on it for the socket. */
     boolean isReleasedAndSent() {
-        return stage == Stage.RELEASING && output.waitingBytes() == 0;
+        boolean neverRequested = usedStreamsUpTo == 0 && usedStreams.isEmpty();
+        return stage == Stage.RELEASING && (neverRequested || output.waitingBytes() == 0);
     }
 
     private void handleFrame(ByteBuf frame) {
