--- a/review/rig-2/src/review2/Member.java
+++ b/review/rig-2/src/review2/Member.java
@@ -24,7 +24,8 @@
  * Stand-in for a cache server, a parent or the origin, in the lines of the protocol page. It runs every request whose
  * line and body have come whole, and answers it with data, a tag and the time of the copy when its work is done, unless
  * it was given up (QUIT) or the connection has ended.
- * Its answers carry one note: it holds every object, or fills each.
+ * Its answers carry one note: it holds every object, or holds none and
+ * fills each from the source that the request names.
  */
 final class Member implements AutoCloseable {
 
@@ -119,6 +120,11 @@
     private void answer(OutputStream out, Set<String> open, Ask ask) {
         if (open.remove(ask.id())) {
             try {
+                if (!tell.equals("mem") && !ask.fields().containsKey("miss")) {
+                    write(out, ask.id() + " absent - 0\r\n", new byte[0]);
+                    rig.note(name + ": absent for " + ask.id());
+                    return;
+                }
                 byte[] body = bodyOf(ask);
                 write(
                         out,
