Log how long reading all connections after a stall took, and coordinator connections given up

Change: a line and the counter long-recoveries where the reads after a stall take longer than what counts as a stall, longest-recovery-ms in status; a line and the counter coordinator-attempts-abandoned for a connection to the coordinator that is closed before its answer has come.

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -102,7 +102,7 @@
             return;
         }
         if (pendingAttempts.size() >= MAX_PENDING_ATTEMPTS) {
-            pendingAttempts.remove(0).close();
+            abandonOldestAttempt();
         }
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting = bootstrap.connect(
@@ -119,6 +119,17 @@
         }));
     }
 
+    private void abandonOldestAttempt() {
+        Channel oldest = pendingAttempts.remove(0);
+        counters.add(Name.COORDINATOR_ATTEMPTS_ABANDONED);
+        LOG.warn(
+                "a connection to the coordinator at {} is closed before its answer has come ({}connected, {} others wait)",
+                address,
+                oldest.isActive() ? "" : "not ",
+                pendingAttempts.size());
+        oldest.close();
+    }
+
     private void connectAfter(long micros) {
         cancelScheduledConnect();
         scheduledConnect = bootstrap.config().group().next().schedule(this::connect, micros, TimeUnit.MICROSECONDS);
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -85,6 +85,7 @@
     private long timerDueAt = Long.MAX_VALUE;
     private long lastTurnAt; // when the loop last took an input
     private long longestStallMicros;
+    private long longestRecoveryMicros; // of the reads after a stall
     private long unreadDelayMicros; // the length of the last stall
     private long unreadDelayUntil; // requests received before this time may have waited unread during the last stall
     // the time during which requests are held back, after a stall in which contact with the coordinator was lost
@@ -286,6 +287,7 @@
     public Map<String, String> state() {
         Map<String, String> state = new LinkedHashMap<>(reducer.statusFields());
         state.put("longest-stall-ms", Long.toString(longestStallMicros / 1_000));
+        state.put("longest-recovery-ms", Long.toString(longestRecoveryMicros / 1_000));
         callFront.ifPresent(f -> state.putAll(f.statusFields()));
         return state;
     }
@@ -393,6 +395,7 @@
         unreadDelayUntil = 0;
         coordinator.readAvailable();
         List.copyOf(clients.values()).forEach(ClientConnection::readAvailable);
+        reportRecovery(clock() - now);
         inbox.addUnreadDelay(stallMicros);
         unreadDelayMicros = stallMicros;
         unreadDelayUntil = now + limits.loopStallThreshold() / 3; // for connections that are accepted only now
@@ -411,6 +414,16 @@
                 + partialFrames.connections() + " with a frame received in part (" + partialFrames.bytes() + " bytes)");
     }
 
+    /** Logs a recovery that itself took as long as a stall. */
+    private void reportRecovery(long micros) {
+        longestRecoveryMicros = Math.max(longestRecoveryMicros, micros);
+        if (micros > limits.loopStallThreshold()) {
+            counters.add(Name.LONG_RECOVERIES);
+            reportError("reading all connections after a stall took " + micros / 1_000 + " ms; client connections: "
+                    + clients.size());
+        }
+    }
+
     /** Updates sent during the stall may be missing: requests wait until contact is restored, for a limited time. */
     private void holdRequests(long now) {
         counters.add(Name.HOLDS);
