Read clients for a limited time after a stall of the event loop

Cause: after a stall NodeServer.recoverFromStall read every client to its end, 16 reads of 16 buffers each in a row, before the next input. While clients send this takes seconds, and since the clock of the loop was set before it, the next input found another stall and read them all again: one input for each such round. Class: work of one turn of the loop that grows with what peers send. Change: clients are read one read at a time, in turns, until nothing more is there or 20 ms have passed (a twelfth of the time in which an attempt has to be written, if less); the time of the recovery no longer counts as a stall.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -171,28 +171,33 @@
     }
 
     /**
-     * Reads all input that is available now, including the close of the connection. Called after a stall of the loop,
-     * or before an apparently idle connection is closed.
+     * Reads the input that is available now, including the close of the connection, as far as a limited number of reads
+     * goes. Called before an apparently idle connection is closed.
      */
     void readAvailable() {
+        for (int i = 0; i < MAX_DIRECT_READS && readOnce(); i++) {
+            // each read is one of the limited number
+        }
+    }
+
+    /**
+     * Reads once outside of the selector's reads, and notices the close of the connection; returns whether the read has
+     * delivered bytes, so that more may be available.
+     */
+    boolean readOnce() {
         if (reading
                 || !context.channel().isActive()
                 || !context.channel().config().isAutoRead()
                 || !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
-            return;
-        }
-        int readsBefore = -1;
-        for (int i = 0;
-                i < MAX_DIRECT_READS
-                        && readsBefore != decoder.reads()
-                        && context.channel().isActive();
-                i++) {
-            readsBefore = decoder.reads();
-            unsafe.read();
+            return false;
         }
+        int readsBefore = decoder.reads();
+        unsafe.read();
         if (!context.channel().isActive()) {
             onClosed(); // channelInactive is called only after the current task
+            return false;
         }
+        return decoder.reads() != readsBefore;
     }
 
     /** Whether the connection is being released and no answer to a request waits on it for the socket. */
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -18,8 +18,10 @@
 import io.netty.util.concurrent.PromiseCombiner;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -366,8 +368,8 @@
     /**
      * The next input: coordinator updates first, then cancellations, then all inputs whose processing may depend on
      * them. The decision module sets its timers at such short intervals that only a stalled loop exceeds the limit
-     * between two calls of this method. A loop that was stalled, for whatever reason, first reads all input that has
-     * arrived since.
+     * between two calls of this method. A loop that was stalled, for whatever reason, first reads the input that has
+     * arrived since, for a limited time.
      */
     private Input next() {
         long now = clock();
@@ -391,19 +393,33 @@
             reportStall(stallMicros);
         }
         boolean inContactBefore = coordinator.heartbeatSince(lastTurnAt - limits.coordinatorSilenceTimeout());
-        lastTurnAt = now;
         unreadDelayUntil = 0;
         coordinator.readAvailable();
-        List.copyOf(clients.values()).forEach(ClientConnection::readAvailable);
-        reportRecovery(clock() - now);
+        readClients(now + limits.maxRecoveryTime());
+        lastTurnAt = clock(); // the recovery itself is no stall
+        reportRecovery(lastTurnAt - now);
         inbox.addUnreadDelay(stallMicros);
         unreadDelayMicros = stallMicros;
-        unreadDelayUntil = now + limits.loopStallThreshold() / 3; // for connections that are accepted only now
+        unreadDelayUntil = lastTurnAt + limits.loopStallThreshold() / 3; // for what is accepted or read only now
         if (inContactBefore && !coordinator.heartbeatSince(now - limits.coordinatorSilenceTimeout())) {
             holdRequests(now);
         }
     }
 
+    /**
+     * Reads the clients in rounds, one read of each at a time, until no more input is available or this time
+     * (microseconds) has come: clients that send without a pause must not keep the loop from everything else.
+     */
+    private void readClients(long until) {
+        Deque<ClientConnection> unread = new ArrayDeque<>(clients.values());
+        while (!unread.isEmpty() && clock() < until) {
+            ClientConnection client = unread.poll();
+            if (client.readOnce()) {
+                unread.add(client);
+            }
+        }
+    }
+
     private void reportStall(long stallMicros) {
         counters.add(Name.LOOP_STALLS);
         longestStallMicros = Math.max(longestStallMicros, stallMicros);
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -48,6 +48,7 @@
         long syncTimeout, // to catch up with the coordinator after the start
         long maxRequestHold, // longest wait of requests for the coordinator after a stall
         long loopStallThreshold, // between two iterations of the event loop for it to count as stalled
+        long maxRecoveryTime, // longest time for which clients are read after a stall
         long overdueAnswerMargin, // from its deadline until an unanswered request is failed
         long minTimeBeforeExit, // shortest time from SIGTERM to the exit, even if no request is open
         long exitDeadline, // from SIGTERM until all requests still open are failed
@@ -131,6 +132,7 @@
                 SYNC_MICROS,
                 500 * MICROS_PER_MILLI,
                 Math.min(60 * MICROS_PER_MILLI, writeTimeout / 4),
+                Math.min(20 * MICROS_PER_MILLI, writeTimeout / 12),
                 settings.rules().answerSlack() + 20 * MICROS_PER_MILLI,
                 720 * MICROS_PER_MILLI,
                 Math.min(longestDeadline, 3 * MICROS_PER_SECOND) + 450 * MICROS_PER_MILLI,
