Read one buffer of a client in a turn of the event loop

Cause: the selector read up to 16 buffers of 64 KB of a connection in a row, 1 MB: over 100,000 frames of 9 bytes, or 10,000 requests, before any other client, cache, timer or event had its turn. Such a turn was long enough to count as a stall, whose recovery read as much again. Class: a turn that grows with what one peer sends. Change: ClientReadSizes: one read of 8 KB (what the heads of all requests that may be open on a connection need), or of what the frame being received still lacks, 64 KB at most. Why it works: a turn now takes one buffer of each client, in the order of the selector, however much each has sent.

--- a/src/main/java/pumicemoor/net/FrameDecoder.java
+++ b/src/main/java/pumicemoor/net/FrameDecoder.java
@@ -172,6 +172,16 @@
         return partial == null ? 0 : partial.capacity();
     }
 
+    /** The number of bytes that the frame being received still lacks, as far as its length is known; else 0. */
+    int missingBytes() {
+        if (dropped != null) {
+            return bytesToSkip;
+        }
+        return partial == null || partial.readableBytes() < ClientFrame.LENGTH_BYTES
+                ? 0
+                : ClientFrame.LENGTH_BYTES + checkedLength(partial) - partial.readableBytes();
+    }
+
     /** The number of reads that have delivered bytes so far. */
     int reads() {
         return reads;
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -186,6 +186,7 @@
                                 .setWriteBufferWaterMark(new WriteBufferWaterMark(
                                         limits.clientBacklogBytes() / 2, limits.clientBacklogBytes()));
                         FrameDecoder decoder = new FrameDecoder(limits.maxFrameBytes(), partialFrames);
+                        ch.config().setRecvByteBufAllocator(new ClientReadSizes(decoder));
                         ClientConnection client = new ClientConnection(
                                 ++lastConnectionId, decoder, limits, budget, counters, NodeServer.this);
                         allClients.add(client);
--- a/src/test/java/pumicemoor/lab/FrameFloodProcessesTest.java
+++ b/src/test/java/pumicemoor/lab/FrameFloodProcessesTest.java
@@ -39,12 +39,30 @@
     @TempDir
     Path folder;
 
+    /** Guards against clients whose small frames take the event loop from all others (review case 6). */
+    @Test
+    void requestsAreAnsweredWhileClientsCancelTheirRequestsAtOnce() throws Exception {
+        assertRequestsAreAnswered(20, stream -> List.of(requests(stream), cancellations(stream)));
+    }
+
     /** Guards against a recovery from a stall that is a stall itself, as clients send all the while (review case 6). */
     @Test
     void requestsAreAnsweredWhileOneClientSendsCancellations() throws Exception {
         assertRequestsAreAnswered(1, stream -> List.of(cancellations(1)));
     }
 
+    /** Guards against one client whose small frames take the event loop from all others. */
+    @Test
+    void requestsAreAnsweredWhileOneClientAsksForReadiness() throws Exception {
+        assertRequestsAreAnswered(1, stream -> List.of(repeated(frame(1, stream, NO_FIELDS))));
+    }
+
+    /** Guards against one client whose small frames take the event loop from all others. */
+    @Test
+    void requestsAreAnsweredWhileOneClientAsksForCounters() throws Exception {
+        assertRequestsAreAnswered(1, stream -> List.of(repeated(frame(1, stream, COUNTERS_FIELD))));
+    }
+
     /** Runs load while clients send what the function gives for their next stream, part by part, again and again. */
     private void assertRequestsAreAnswered(int badClients, IntFunction<List<byte[]>> burst) throws Exception {
         try (FleetRig rig = FleetRig.ofSmallProcesses(folder, 1, 1, 4, 50, router -> "", List.of(0))) {
