Wait for a coordinator that takes seconds to answer a stream request

Cause: CoordinatorStream.connect opened another connection every 1.6 s and, with three of them waiting, closed the oldest, the one nearest to its answer. A coordinator that takes over 4.8 s was never heard. Class: an attempt that progresses is ended for a younger one. Change: a request waits for its answer until 12.8 s have passed without a byte, well over the 7 s after which an event counts as told; another one is sent each 1.6 s meanwhile, eight at once, so none has to end for a younger one. A gap in the events no longer closes requests that wait: they have asked for all that is missing.

--- a/src/main/java/pumicemoor/net/CoordinatorStream.java
+++ b/src/main/java/pumicemoor/net/CoordinatorStream.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -37,15 +38,16 @@
 
 /**
  * The stream of events from the coordinator, kept open while the router runs. It owns the connection that is read and
- * the connection attempts that are to replace it. If the coordinator is slow to answer, a second and a third
- * connection are tried, and the first one that answers is read; until then, the stream from the previous coordinator
- * is still read. It must never parse an event: each is passed on as the text received.
+ * the connection attempts that are to replace it. While the coordinator does not answer, further connections are
+ * opened beside those that wait, and the first one that answers is read; until then, the stream from the previous
+ * coordinator is still read. An attempt ends by its own time limit only, never in favor of a younger one. It must never
+ * parse an event: each is passed on as the text received.
  */
 final class CoordinatorStream {
 
     private static final Logger LOG = LoggerFactory.getLogger(CoordinatorStream.class);
     private static final String PATH = "/v2/stream";
-    private static final int MAX_PENDING_ATTEMPTS = 3; // connections that wait for an answer at the same time
+    private static final int MAX_PENDING_ATTEMPTS = 8; // connections that wait for an answer at the same time
 
     private final Bootstrap bootstrap;
     private final ResourceLimits limits;
@@ -88,7 +90,11 @@
      * requested again from the last applied event on, and the old connection is closed.
      */
     void follow(String newAddress) {
-        closeAttempts();
+        if (newAddress.equals(address)) {
+            cancelScheduledConnect(); // attempts that wait have asked for all events that are missing now
+        } else {
+            closeAttempts();
+        }
         if (newAddress.isEmpty() || newAddress.equals(address)) {
             closeStream();
         }
@@ -102,7 +108,8 @@
             return;
         }
         if (pendingAttempts.size() >= MAX_PENDING_ATTEMPTS) {
-            abandonOldestAttempt();
+            connectAfter(limits.coordinatorSilenceTimeout());
+            return;
         }
         int colon = address.lastIndexOf(':');
         ChannelFuture connecting = bootstrap.connect(
@@ -119,17 +126,6 @@
         }));
     }
 
-    private void abandonOldestAttempt() {
-        Channel oldest = pendingAttempts.remove(0);
-        counters.add(Name.COORDINATOR_ATTEMPTS_ABANDONED);
-        LOG.warn(
-                "a connection to the coordinator at {} is closed before its answer has come ({}connected, {} others wait)",
-                address,
-                oldest.isActive() ? "" : "not ",
-                pendingAttempts.size());
-        oldest.close();
-    }
-
     private void connectAfter(long micros) {
         cancelScheduledConnect();
         scheduledConnect = bootstrap.config().group().next().schedule(this::connect, micros, TimeUnit.MICROSECONDS);
@@ -232,6 +228,10 @@
             context = ctx;
         }
 
+        private ReadTimeoutHandler silenceLimit(long micros) {
+            return new ReadTimeoutHandler(micros, TimeUnit.MICROSECONDS);
+        }
+
         private void submitEvent(String event) {
             if (context.channel().isOpen()) { // events after the close are requested again
                 loop.submit(new Input.CoordinatorUpdate(event));
@@ -240,6 +240,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            ctx.pipeline().addFirst(silenceLimit(limits.coordinatorAnswerTimeout()));
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH);
             request.headers()
                     .set(HttpHeaderNames.HOST, address)
@@ -253,9 +254,8 @@
             if (message instanceof HttpResponse response) {
                 answered = response.status().equals(HttpResponseStatus.OK);
                 if (answered) {
-                    ctx.pipeline()
-                            .addFirst(
-                                    new ReadTimeoutHandler(limits.coordinatorSilenceTimeout(), TimeUnit.MICROSECONDS));
+                    ctx.pipeline().remove(ReadTimeoutHandler.class);
+                    ctx.pipeline().addFirst(silenceLimit(limits.coordinatorSilenceTimeout()));
                     onAnswer(ctx.channel());
                 } else {
                     LOG.warn("the coordinator answered the stream request with status {}", response.status());
@@ -285,7 +285,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.warn("the coordinator's stream failed and is reopened: {}", cause.toString());
+            if (!answered && cause instanceof ReadTimeoutException) {
+                counters.add(Name.COORDINATOR_ATTEMPTS_ABANDONED);
+                LOG.warn("the coordinator at {} has not answered the stream request in time", address);
+            } else {
+                LOG.warn("the coordinator's stream failed and is reopened: {}", cause.toString());
+            }
             ctx.close();
         }
     }
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -43,6 +43,7 @@
         long livenessProbeTimeout, // until a probe that gets no reply closes the connection
         long endedIdRetention, // for which the id of an ended attempt is remembered on its connection
         long coordinatorSilenceTimeout, // without data until the coordinator stream counts as lost
+        long coordinatorAnswerTimeout, // without data until a stream request to the coordinator counts as failed
         long coordinatorConnectTimeout, // for a connection to the coordinator
         long coordinatorRetryDelay, // mean delay before the coordinator stream is opened again
         long syncTimeout, // to catch up with the coordinator after the start
@@ -127,6 +128,7 @@
                 500 * MICROS_PER_MILLI,
                 longestDeadline + MICROS_PER_SECOND,
                 1_600 * MICROS_PER_MILLI,
+                12_800 * MICROS_PER_MILLI,
                 500 * MICROS_PER_MILLI,
                 100 * MICROS_PER_MILLI,
                 SYNC_MICROS,
--- a/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
+++ b/src/test/java/pumicemoor/net/CoordinatorStreamTest.java
@@ -84,6 +84,15 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void requestIsWaitedForLongerThanItsAnswerMayTakeAndNotForever() {
+        advanceTime(limits.coordinatorAnswerTimeout() - 1_000);
+        assertTrue(channel.isOpen());
+        assertTrue(limits.coordinatorAnswerTimeout() > 7_000_000, "events count as told after seven seconds");
+        advanceTime(2_000);
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void eventsArePassedOnUnparsed() {
         receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 42\ndata: {\"i\r\n");
