Fail a request whose id must not run twice and may have run already

Cause: the reducer forgot a request with its last attempt. An id was looked at only against open requests, and only for another object: two open requests for the same object under one id were both sent. Class: an effect twice. Change: PossiblyExecutedIds keeps the ids of ended requests of classes that are not safe to repeat, unless every attempt is known not to have run; 16,384 ids, each for ten times the longest deadline (60 s at least), the oldest forgotten first (counter ids-forgotten). Such an id, or one that is open, is answered 'failed' at once, which promises nothing, and counts as an invalid request (counter repeated-ids). Calls of proxies have had a registry of their own for that. Measured: ReducerTest.anUnsafeRequestIsNotSentAgainUnderAnIdThatMayHaveRun and anUnsafeRequestIsNotSentWhileItsIdIsOpen, both red before, green with this.

--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -53,6 +53,8 @@
         RELOADS,
         RELOADS_REFUSED,
         BAD_INPUT,
+        REPEATED_IDS,
+        IDS_FORGOTTEN,
         FRAMES_DROPPED,
         FAULTS,
         BYTES_IN,
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -28,6 +28,7 @@
 import pumicemoor.RouterApi.Fail;
 import pumicemoor.RouterApi.Fetch;
 import pumicemoor.RouterApi.FillResult;
+import pumicemoor.RouterApi.Idempotency;
 import pumicemoor.RouterApi.LimitDemand;
 import pumicemoor.RouterApi.Log;
 import pumicemoor.RouterApi.Lookup;
@@ -114,6 +115,7 @@
     private final Map<String, Request> requestsById = new HashMap<>(); // closed ones until their last attempt ends
     private final Map<StreamKey, Request> unanswered = new LinkedHashMap<>();
     private final Map<String, Request> unansweredByClientId = new HashMap<>(); // key: the id that the client chose
+    private final PossiblyExecutedIds possiblyExecutedIds;
     private final RateLimitedLog warningLog;
     private final Map<Long, Attempt> attemptsByKey = new HashMap<>();
     private final Map<Long, Endpoint> endpointsByMember = new HashMap<>();
@@ -188,6 +190,8 @@
         long deadline;
         boolean closed;
         boolean sentByProxy; // attempts are announced to the calling proxy, which sends them itself
+        boolean mustNotRepeat; // its class is not safe to repeat
+        boolean mayHaveRun; // an attempt has ended without proof that it never ran
         int attemptsStarted;
         int requestClass;
         final Map<Integer, Attempt> openAttempts = new LinkedHashMap<>();
@@ -210,6 +214,7 @@
         this.settingsReader = settingsReader;
         this.limits = limits;
         this.counters = counters;
+        this.possiblyExecutedIds = new PossiblyExecutedIds(limits.maxExecutedIds(), limits.executedIdRetention());
         this.warningLog = new RateLimitedLog(LOG, limits.warningsPerSecond());
         this.fleetLog = new RateLimitedLog(LOG, limits.fleetLogLinesPerSecond());
         this.endpointLog = new RateLimitedLog(LOG, limits.fleetLogLinesPerSecond());
@@ -346,15 +351,14 @@
         unanswered.put(stream, request);
         RequestTrace.arrived(input, input.ttlMillis());
         int requestClass = requestClass(input);
-        Request openRequest = unansweredByClientId.putIfAbsent(input.clientRequestId(), request);
-        if (requestClass < 0
-                || openRequest != null && !openRequest.input.object().equals(input.object())) {
+        request.mustNotRepeat = requestClass >= 0
+                && !sentByProxy // calls of proxies have their own registry of ids
+                && settings.classes().get(requestClass).idempotency() != Idempotency.SAFE;
+        String problem = findProblem(request, requestClass);
+        unansweredByClientId.putIfAbsent(input.clientRequestId(), request);
+        if (problem != null) {
             counters.add(Name.BAD_INPUT);
-            warningLog.warn(
-                    now,
-                    requestClass < 0
-                            ? "a request fails: unknown class '" + input.requestClass() + "'"
-                            : "a request fails: its id belongs to an open request for another object");
+            warningLog.warn(now, "a request fails: " + problem);
             answer(request, Code.FAILED, false, 0, Bytes.NONE);
             if (!sentByProxy) {
                 effectSink.accept(new Effect.ReportProtocolError(input.connection()));
@@ -383,6 +387,24 @@
         }
     }
 
+    /** Why a request fails before it reaches the decision module, or null if it does not. */
+    private String findProblem(Request request, int requestClass) {
+        Input.Request input = request.input;
+        if (requestClass < 0) {
+            return "unknown class '" + input.requestClass() + "'";
+        }
+        Request openRequest = unansweredByClientId.get(input.clientRequestId());
+        if (openRequest != null && !openRequest.input.object().equals(input.object())) {
+            return "its id belongs to an open request for another object";
+        }
+        if (request.mustNotRepeat
+                && (openRequest != null || possiblyExecutedIds.contains(now, input.clientRequestId()))) {
+            counters.add(Name.REPEATED_IDS);
+            return "its id belongs to a request that is open or may have run, and must not run twice";
+        }
+        return null;
+    }
+
     private int requestClass(Input.Request input) {
         try {
             return settingsReader.requestClass(input.requestClass());
@@ -428,9 +450,17 @@
         request.input.body().release();
         unanswered.remove(request.stream);
         unansweredByClientId.remove(request.input.clientRequestId(), request);
+        rememberIfExecuted(request);
         removeIfDone(request);
     }
 
+    /** Remembers the id of a closed request that must not run twice and of which an attempt may have run. */
+    private void rememberIfExecuted(Request request) {
+        if (request.closed && request.mustNotRepeat && (request.mayHaveRun || !request.openAttempts.isEmpty())) {
+            counters.add(Name.IDS_FORGOTTEN, possiblyExecutedIds.add(now, request.input.clientRequestId()));
+        }
+    }
+
     private void removeIfDone(Request request) {
         if (request.closed && request.openAttempts.isEmpty()) {
             requestsById.remove(request.id);
@@ -618,6 +648,7 @@
         Request request = attempt.request;
         attemptsByKey.remove(attempt.key);
         request.openAttempts.remove(attempt.number);
+        request.mayHaveRun |= !outcome.provesNotRun;
         counters.add(Name.valueOf(outcome.name()));
         RequestTrace.attemptEnded(
                 request.input.clientRequestId(),
@@ -640,6 +671,7 @@
                 0,
                 load,
                 bodyKb));
+        rememberIfExecuted(request);
         removeIfDone(request);
     }
 
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -29,6 +29,8 @@
         long clientStallTimeout, // for which a client may leave its answers unread
         int maxTrackedStreams, // stream numbers remembered per client
         int maxProtocolErrors, // protocol errors after which a client is disconnected
+        int maxExecutedIds, // ids remembered of ended requests that may have run and must not run twice
+        long executedIdRetention, // for which such an id is remembered
         long maxTtl, // longest time to live that a client may give a request
         long retryAfterMillis, // milliseconds after which a refused client may retry, 0 for no advice
         int warningsPerSecond, // warnings about peers per second
@@ -114,6 +116,8 @@
                 4 * MICROS_PER_SECOND,
                 256,
                 16,
+                16_384,
+                Math.max(10 * longestDeadline, 60 * MICROS_PER_SECOND),
                 Math.max(10 * longestDeadline, 60 * MICROS_PER_SECOND),
                 retryAfterMillis,
                 5,
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -730,6 +730,54 @@
         assertEquals(1, ofType(effects, Effect.SendAttempt.class).size(), "the id may be used again");
     }
 
+    /** Guards against an unsafe request that runs twice: its id comes again after its client has left. */
+    @Test
+    void anUnsafeRequestIsNotSentAgainUnderAnIdThatMayHaveRun() {
+        fetchOnArrivedRequest(0, 0);
+        sendRequest(1, "order", Bytes.NONE);
+        accept(new Input.AttemptWritten(lastSent().attempt()));
+        accept(new Input.ClientClosed(1));
+        effects.clear();
+        sendRequest(2, "order", Bytes.NONE);
+        assertEquals(
+                List.of(new Effect.Answer(1, 2, Code.FAILED, false, 0, Bytes.NONE), new Effect.ReportProtocolError(1)),
+                effects);
+        assertEquals(1, counters.get(Counters.Name.REPEATED_IDS));
+        advance(limits.executedIdRetention() + 2 * MICROS_PER_SECOND); // the time runs from the end of the attempt
+        effects.clear();
+        sendRequest(3, "order", Bytes.NONE);
+        assertEquals(1, ofType(effects, Effect.SendAttempt.class).size());
+    }
+
+    /** Guards against an unsafe request that runs twice: two requests are open under one id. */
+    @Test
+    void anUnsafeRequestIsNotSentWhileItsIdIsOpen() {
+        fetchOnArrivedRequest(0, 0);
+        sendRequest(1, "order", Bytes.NONE);
+        effects.clear();
+        sendRequest(2, "order", Bytes.NONE);
+        assertEquals(Code.FAILED, ofType(effects, Effect.Answer.class).get(0).code());
+        assertTrue(ofType(effects, Effect.SendAttempt.class).isEmpty());
+    }
+
+    /** Guards against a memory of ids that refuses more than it must: an attempt that never ran does not count. */
+    @Test
+    void anUnsafeRequestIsSentAgainUnderAnIdThatNeverRan() {
+        onEvent = e -> {
+            if (e instanceof RequestArrived r) {
+                actions.accept(new Fetch(r.id(), CACHE, PARENT, 0, 0, false, false, false, false, 0));
+            } else if (e instanceof AttemptEnded end && !end.closed()) {
+                actions.accept(new Refuse(end.id(), 0));
+            }
+        };
+        sendRequest(1, "order", Bytes.NONE);
+        accept(new Input.AttemptNeverSent(lastSent().attempt()));
+        assertEquals(Code.REFUSED, ofType(effects, Effect.Answer.class).get(0).code());
+        effects.clear();
+        sendRequest(2, "order", Bytes.NONE);
+        assertEquals(1, ofType(effects, Effect.SendAttempt.class).size());
+    }
+
     @Test
     void anEventIsAppliedOnceAndAGapIsRequestedOnce() {
         String third = NodeTestConfig.list(3, false, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "left", 0));
