Remove the timers of ended requests and attempts at once

Cause: a priority queue without removal; stale timers went only from its head. Class: entries a peer makes the router keep that no bound counts. Change: TimerQueue, a module of its own with removal in O(log n). A request's timer goes with its answer, an attempt's with its end, the write timer once the attempt is written, those of the hierarchy and the fleet when they are replaced; so the pending ones are bounded by the open requests and attempts. Measured: ReducerTest.withdrawnRequestsLeaveNoTimers, red before (100 more after 50 withdrawn requests, 0 expected), green with this. Memory and pace under 20 clients for 100 s were not measured in this commit.

--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
 import java.util.TreeMap;
@@ -53,6 +52,7 @@
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.AnswerStatus;
+import pumicemoor.node.TimerQueue.Timer;
 import pumicemoor.operator.HierarchySection;
 import pumicemoor.operator.OperatorConfig;
 import pumicemoor.wire.InvalidInputException;
@@ -121,21 +121,24 @@
     private final Map<Long, Endpoint> endpointsByMember = new HashMap<>();
     // listed members, as passed to the fleet
     private final Map<Long, Fleet.ListedMember> fleetMembers = new TreeMap<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final TimerQueue timers = new TimerQueue();
     private final Queue<Event> pendingEvents = new ArrayDeque<>();
     private Consumer<Effect> effectSink;
     private long now;
     private long wallNow; // the machine's wall clock, which may be stepped
     private long lastNumber; // the last number given to a request, an attempt or a timer
     private long lastEventIndex;
+    private Timer syncTimer;
     private boolean synced; // has caught up with the coordinator since the start, or has stopped waiting for that
     private long gapDetectedAfter = -1; // index of the last event before the most recent gap; -1 for none
     private NodeConfig config;
     private OperatorConfig operatorConfig = OperatorConfig.NONE;
     private Optional<Hierarchy> hierarchy = Optional.empty();
     private long hierarchyDue = Long.MAX_VALUE;
+    private Timer hierarchyTimer;
     private Optional<FleetParticipant> fleet = Optional.empty();
     private long fleetDue = Long.MAX_VALUE;
+    private Timer fleetTimer;
     private Optional<DrainedMembers> drainedMembers = Optional.empty();
     private final HitCount hitCount = new HitCount();
     private final RateLimitedLog fleetLog;
@@ -159,29 +162,6 @@
         DONE
     }
 
-    private enum TimerKind {
-        DECISION_MODULE,
-        ATTEMPT_TIMEOUT,
-        WRITE_TIMEOUT,
-        ANSWER_OVERDUE,
-        HIERARCHY,
-        FLEET,
-        SYNC_TIMEOUT,
-        EXIT_IF_QUIET,
-        EXIT_DEADLINE
-    }
-
-    /**
-     * A timer. Depending on its kind, the subject is the token of the decision module, an attempt key, a request number
-     * or 0.
-     */
-    private record Timer(long dueAt, long sequence, TimerKind kind, long subject) implements Comparable<Timer> {
-        @Override
-        public int compareTo(Timer other) {
-            return dueAt != other.dueAt ? Long.compare(dueAt, other.dueAt) : Long.compare(sequence, other.sequence);
-        }
-    }
-
     /** A request that is not yet answered or still has open attempts. */
     private static final class Request {
         Input.Request input;
@@ -194,6 +174,7 @@
         boolean mayHaveRun; // an attempt has ended without proof that it never ran
         int attemptsStarted;
         int requestClass;
+        Timer overdueTimer; // null before the decision module has the request
         final Map<Integer, Attempt> openAttempts = new LinkedHashMap<>();
     }
 
@@ -206,6 +187,8 @@
         List<Long> fillPath;
         int number;
         boolean written;
+        Timer timeoutTimer; // null for an attempt that is not sent
+        Timer writeTimer; // null for an attempt that is not sent, or that a proxy sends
     }
 
     public Reducer(RouterApi router, SettingsReader settingsReader, ResourceLimits limits, Counters counters) {
@@ -222,10 +205,11 @@
 
     /** Returns the time at which the next {@link Input.TimerFired} is due; Long.MAX_VALUE for never. */
     public long nextDue() {
-        while (!timers.isEmpty() && isStale(timers.peek())) {
-            timers.poll();
-        }
-        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt();
+        return timers.nextDue();
+    }
+
+    int pendingTimers() {
+        return timers.size();
     }
 
     /** Returns the index of the last coordinator event that was applied. */
@@ -276,6 +260,7 @@
         } else if (input instanceof Input.AttemptWritten written) {
             if (attemptsByKey.get(written.attempt()) != null) {
                 attemptsByKey.get(written.attempt()).written = true;
+                timers.cancel(attemptsByKey.get(written.attempt()).writeTimer);
             }
         } else if (input instanceof Input.TimerFired) {
             fireTimers();
@@ -371,9 +356,9 @@
         } else {
             request.requestClass = requestClass;
             requestsById.put(request.id, request);
-            addTimer(
+            request.overdueTimer = timers.add(
                     request.deadline + limits.overdueAnswerMargin(),
-                    TimerKind.ANSWER_OVERDUE,
+                    TimerQueue.Kind.ANSWER_OVERDUE,
                     Long.parseLong(request.id));
             pendingEvents.add(new RequestArrived(
                     request.id,
@@ -447,6 +432,7 @@
 
     private void close(Request request) {
         request.closed = true;
+        timers.cancel(request.overdueTimer);
         request.input.body().release();
         unanswered.remove(request.stream);
         unansweredByClientId.remove(request.input.clientRequestId(), request);
@@ -503,7 +489,7 @@
         } else if (action instanceof Fail fail) {
             answer(requestsById.get(fail.id()), Code.FAILED, false, 0, Bytes.NONE);
         } else if (action instanceof SetTimer timer) {
-            addTimer(now + Math.max(1, timer.delay()), TimerKind.DECISION_MODULE, timer.token());
+            timers.add(now + Math.max(1, timer.delay()), TimerQueue.Kind.DECISION_MODULE, timer.token());
         } else if (action instanceof CloseIdle closeIdle && endpointsByMember.containsKey(closeIdle.member())) {
             effectSink.accept(new Effect.CloseIdleConnections(
                     endpointsByMember.get(closeIdle.member()).instance()));
@@ -544,7 +530,7 @@
             return;
         }
         counters.add(Name.ATTEMPTS);
-        addTimer(timeoutAt, TimerKind.ATTEMPT_TIMEOUT, attempt.key);
+        attempt.timeoutTimer = timers.add(timeoutAt, TimerQueue.Kind.ATTEMPT_TIMEOUT, attempt.key);
         Input.Request input = request.input;
         List<String> fillPath = fetch.fillPath().stream()
                 .map(endpointsByMember::get)
@@ -578,7 +564,7 @@
                     fetch.renew()));
             return;
         }
-        addTimer(now + limits.writeTimeout(), TimerKind.WRITE_TIMEOUT, attempt.key);
+        attempt.writeTimer = timers.add(now + limits.writeTimeout(), TimerQueue.Kind.WRITE_TIMEOUT, attempt.key);
         effectSink.accept(new Effect.SendAttempt(
                 attempt.key,
                 target.instance(),
@@ -647,6 +633,8 @@
         }
         Request request = attempt.request;
         attemptsByKey.remove(attempt.key);
+        timers.cancel(attempt.timeoutTimer);
+        timers.cancel(attempt.writeTimer);
         request.openAttempts.remove(attempt.number);
         request.mayHaveRun |= !outcome.provesNotRun;
         counters.add(Name.valueOf(outcome.name()));
@@ -677,27 +665,8 @@
 
     // ---- timers ---------------------------------------------------------------------------------------
 
-    private void addTimer(long dueAt, TimerKind kind, long subject) {
-        timers.add(new Timer(dueAt, ++lastNumber, kind, subject));
-    }
-
-    /** Whether the subject of a timer has ended or has a newer timer, so that the router need not wake up for it. */
-    private boolean isStale(Timer timer) {
-        return switch (timer.kind()) {
-            case ATTEMPT_TIMEOUT -> !attemptsByKey.containsKey(timer.subject());
-            case WRITE_TIMEOUT ->
-                !attemptsByKey.containsKey(timer.subject()) || attemptsByKey.get(timer.subject()).written;
-            case ANSWER_OVERDUE -> !requestsById.containsKey(Long.toString(timer.subject()));
-            case HIERARCHY -> timer.dueAt() != hierarchyDue;
-            case FLEET -> timer.dueAt() != fleetDue;
-            case SYNC_TIMEOUT -> synced;
-            default -> false;
-        };
-    }
-
     private void fireTimers() {
-        while (!timers.isEmpty() && timers.peek().dueAt() <= now) {
-            Timer timer = timers.poll();
+        for (Timer timer = timers.pollDue(now); timer != null; timer = timers.pollDue(now)) {
             Attempt attempt = attemptsByKey.get(timer.subject());
             switch (timer.kind()) {
                 case DECISION_MODULE -> pendingEvents.add(new TimerDue(timer.subject()));
@@ -735,8 +704,8 @@
     private void terminate() {
         if (terminatedAt < 0) {
             terminatedAt = now;
-            addTimer(now + limits.minTimeBeforeExit(), TimerKind.EXIT_IF_QUIET, 0);
-            addTimer(now + limits.exitDeadline(), TimerKind.EXIT_DEADLINE, 0);
+            timers.add(now + limits.minTimeBeforeExit(), TimerQueue.Kind.EXIT_IF_QUIET, 0);
+            timers.add(now + limits.exitDeadline(), TimerQueue.Kind.EXIT_DEADLINE, 0);
             effectSink.accept(new Effect.DrainClients());
             fleet.ifPresent(f -> f.leave(now));
         }
@@ -773,6 +742,7 @@
     private void markSynced() {
         if (!synced) {
             synced = true;
+            timers.cancel(syncTimer);
             LOG.info("caught up with the coordinator at event {}", lastEventIndex);
         }
     }
@@ -807,7 +777,7 @@
         dispatchEvents();
         this.config = config;
         synced = config.coordinator().isEmpty();
-        addTimer(now + limits.syncTimeout(), TimerKind.SYNC_TIMEOUT, 0);
+        syncTimer = timers.add(now + limits.syncTimeout(), TimerQueue.Kind.SYNC_TIMEOUT, 0);
         advanceHierarchy();
         advanceFleet();
     }
@@ -868,7 +838,8 @@
         }
         long due = current.nextDue();
         if (due != hierarchyDue && due < Long.MAX_VALUE) {
-            addTimer(due, TimerKind.HIERARCHY, 0);
+            timers.cancel(hierarchyTimer);
+            hierarchyTimer = timers.add(due, TimerQueue.Kind.HIERARCHY, 0);
         }
         hierarchyDue = due;
     }
@@ -901,7 +872,8 @@
         participant.takeLogEvents().forEach(e -> fleetLog.info(now, e.text(), e.fields()));
         long due = participant.nextDue();
         if (due != fleetDue) {
-            addTimer(due, TimerKind.FLEET, 0);
+            timers.cancel(fleetTimer);
+            fleetTimer = timers.add(due, TimerQueue.Kind.FLEET, 0);
         }
         fleetDue = due;
     }
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -700,6 +700,25 @@
         assertEquals(Long.MAX_VALUE, reducer.nextDue());
     }
 
+    /** Guards against timers of withdrawn requests that fill the memory until they are due. */
+    @Test
+    void withdrawnRequestsLeaveNoTimers() {
+        fetchOnArrivedRequest(0, 0);
+        Consumer<Event> fetch = onEvent;
+        onEvent = e -> {
+            fetch.accept(e);
+            if (e instanceof RequestAbandoned abandoned) {
+                actions.accept(new Cancel(abandoned.id(), 0));
+            }
+        };
+        int before = reducer.pendingTimers();
+        for (int i = 1; i <= 50; i++) {
+            sendRequest(i, "segment", Bytes.NONE);
+            accept(new Input.RequestCancelled(1, i));
+        }
+        assertEquals(before, reducer.pendingTimers());
+    }
+
     @Test
     void anAttemptWithoutAFreeConnectionNeverRanAndIsNoFailureOfTheMember() {
         fetchOnArrivedRequest(0, 0);
