Submit a client's requests once all of its available input has been read

Cause: requests were submitted at the end of each read, though the withdrawal or the close could stand behind it, and even when the same read had met the close. Class: work for a client that has left. The wait counts as time unread. At the end of the process what waits is submitted before the last look.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -4,15 +4,18 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -63,11 +66,15 @@
     private ClientOutput output;
     private final FrameDecoder decoder;
     private int usedStreamsUpTo; // every stream up to this number is used, or too old to be new
-    // the requests of the current read, by stream
+    // requests that are not submitted yet, by stream: more input of this client may be waiting
     private final Map<Integer, Input.Request> receivedRequests = new LinkedHashMap<>();
+    private long receivedSince; // when the oldest of them was received
+    private Future<?> submission; // of the received requests, at the latest; null while none is held
+    private int unreadFrames; // since all input that was available had been read
     private int invalidRequests;
     private boolean sentValidRequest;
     private boolean reading;
+    private boolean probing; // while a read looks for more input before requests are submitted
     private long discardedBytesAllowed; // until the client is read more slowly, or its connection is closed
     private Stage stage = Stage.OPENING;
     private long openedAt;
@@ -137,20 +144,76 @@
         }
     }
 
-    /** Submits the requests of this read; one that was cancelled in the same read is never processed. */
+    /**
+     * Submits the received requests once all available input has been read, or a short time has passed: the client may
+     * have cancelled them, or have left, in what it sent after them. A client that goes on sending more than its open
+     * requests and their cancellations without a pause gets no new request accepted meanwhile.
+     */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
         if (decoder.discardedBytes() > discardedBytesAllowed) {
             limitDiscardedInput();
         }
-        while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
-            loop.submit(
-                    receivedRequests.remove(receivedRequests.keySet().iterator().next()));
+        if (probing) {
+            return; // the read that looks for more input has ended
+        }
+        if (allInputRead()) {
+            unreadFrames = 0;
+            submitReceived();
+        } else if (unreadFrames > limits.maxUnreadFrames()) {
+            refuseReceived();
+        } else if (!receivedRequests.isEmpty() && submission == null) {
+            submission = ctx.executor().schedule(this::submitReceived, limits.maxReceivedHold(), TimeUnit.MICROSECONDS);
         }
         ctx.fireChannelReadComplete();
     }
 
+    /**
+     * Whether no more input of the client is available. If requests wait to be submitted, this reads once more: the
+     * client may have cancelled them or left just now.
+     */
+    private boolean allInputRead() {
+        RecvByteBufAllocator.Handle lastRead = context.channel().unsafe().recvBufAllocHandle();
+        if (lastRead.lastBytesRead() > 0 && lastRead.lastBytesRead() == lastRead.attemptedBytesRead()) {
+            return false; // the buffer was filled
+        }
+        if (receivedRequests.isEmpty()) {
+            return true;
+        }
+        probing = true;
+        try {
+            return !readOnce();
+        } finally {
+            probing = false;
+        }
+    }
+
+    /** Submits the received requests, with the time for which they were held here. */
+    void submitReceived() {
+        cancelSubmission();
+        long heldMicros = receivedRequests.isEmpty() ? 0 : loop.clock() - receivedSince;
+        while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
+            Input.Request request =
+                    receivedRequests.remove(receivedRequests.keySet().iterator().next());
+            loop.submit(heldMicros == 0 ? request : request.withUnreadDelay(heldMicros));
+        }
+    }
+
+    private void refuseReceived() {
+        cancelSubmission();
+        List<Integer> streams = List.copyOf(receivedRequests.keySet());
+        releaseReceived();
+        streams.forEach(this::refuse);
+    }
+
+    private void cancelSubmission() {
+        if (submission != null) {
+            submission.cancel(false);
+            submission = null;
+        }
+    }
+
     /**
      * Closes the connection of a client that goes on sending what is discarded; while an answer is owed to it, the
      * connection is read more slowly instead.
@@ -166,6 +229,7 @@
     }
 
     private void releaseReceived() {
+        cancelSubmission();
         receivedRequests.values().forEach(request -> request.body().release());
         receivedRequests.clear();
     }
@@ -210,6 +274,7 @@
         counters.add(Name.BYTES_IN, frame.readableBytes());
         activeAt = loop.clock();
         partialFrameSince = -1;
+        unreadFrames++;
         if (frame.readableBytes() < 5) {
             throw new CorruptedFrameException(
                     "frame of " + frame.readableBytes() + " bytes is shorter than its header");
@@ -287,6 +352,10 @@
 
     private void handleRequest(int stream, ByteBuf frame) {
         acceptStream(stream);
+        if (unreadFrames > limits.maxUnreadFrames()) {
+            refuse(stream);
+            return;
+        }
         Input.Request request;
         try {
             request = ClientFrame.request(connectionId, stream, frame, limits);
@@ -309,6 +378,7 @@
             return;
         }
         sentValidRequest = true;
+        receivedSince = receivedRequests.isEmpty() ? activeAt : receivedSince;
         receivedRequests.put(stream, request);
     }
 
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -546,6 +546,7 @@
             ((AbstractNioChannel.NioUnsafe) listener.unsafe()).read();
         }
         List.copyOf(clients.values()).forEach(ClientConnection::readAvailable);
+        List.copyOf(clients.values()).forEach(ClientConnection::submitReceived);
         submit(new Input.ClientReadsCompleted());
     }
 
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -243,6 +243,43 @@
         }
     }
 
+    /** The frame of a request, whose id follows from its stream. */
+    static byte[] requestFrame(int stream, String requestClass, byte[] body) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream frame = new DataOutputStream(bytes);
+        frame.writeByte(7);
+        frame.writeInt(stream);
+        Map<String, String> fields = Map.of(
+                "op",
+                requestClass,
+                "call",
+                id(stream),
+                "ttl",
+                "1800",
+                "row",
+                "7f3a9c21e0b4d655",
+                "piece",
+                "3",
+                "lot",
+                "17");
+        frame.writeByte(fields.size());
+        for (Map.Entry<String, String> field : fields.entrySet()) {
+            frame.writeByte(field.getKey().length());
+            frame.writeBytes(field.getKey());
+            frame.writeShort(field.getValue().length());
+            frame.writeBytes(field.getValue());
+        }
+        frame.write(body);
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        new DataOutputStream(all).writeInt(bytes.size());
+        bytes.writeTo(all);
+        return all.toByteArray();
+    }
+
+    static String id(int stream) {
+        return String.format("%016x", stream);
+    }
+
     /** A client that sends requests and reads frames. */
     final class Client implements AutoCloseable {
         final Socket socket = new Socket();
@@ -265,38 +302,8 @@
             out = new DataOutputStream(socket.getOutputStream());
         }
 
-        String id(int stream) {
-            return String.format("%016x", stream);
-        }
-
         void request(int stream, String requestClass, byte[] body) throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            DataOutputStream frame = new DataOutputStream(bytes);
-            frame.writeByte(7);
-            frame.writeInt(stream);
-            Map<String, String> fields = Map.of(
-                    "op",
-                    requestClass,
-                    "call",
-                    id(stream),
-                    "ttl",
-                    "1800",
-                    "row",
-                    "7f3a9c21e0b4d655",
-                    "piece",
-                    "3",
-                    "lot",
-                    "17");
-            frame.writeByte(fields.size());
-            for (Map.Entry<String, String> field : fields.entrySet()) {
-                frame.writeByte(field.getKey().length());
-                frame.writeBytes(field.getKey());
-                frame.writeShort(field.getValue().length());
-                frame.writeBytes(field.getValue());
-            }
-            frame.write(body);
-            out.writeInt(bytes.size());
-            bytes.writeTo(out);
+            out.write(requestFrame(stream, requestClass, body));
             out.flush();
         }
 
