Close connections to a member that has gone before they are established

Cause: retiring a member's connections closed the idle ones alone; one that is still being established has attempts queued and stayed. Class: an address taken for an instance. Change: CacheConnections.retire closes what is not established; its attempts end as never sent and go elsewhere. Measured: CacheConnectionsTest.requestWhoseMemberGoesBeforeItsConnectionIsEstablishedIsNotSent, red before (written), green with this. On loopback no order of real processes was found that keeps a connection unestablished for long enough (a lost SYN is sent again after 1 s, an attempt waits for 0.4 s).

--- a/src/main/java/pumicemoor/net/CacheConnections.java
+++ b/src/main/java/pumicemoor/net/CacheConnections.java
@@ -129,7 +129,14 @@
                 .forEach(Connection::close);
     }
 
+    /**
+     * Lets the connections to a member that is gone, or has moved, end with their last attempts. One that is not
+     * established yet is closed: whoever accepts it may be another process at the same address.
+     */
     void retire(String instance) {
+        List.copyOf(connectionsByInstance.getOrDefault(instance, List.of())).stream()
+                .filter(c -> !c.connected)
+                .forEach(Connection::close);
         connectionsByInstance.getOrDefault(instance, List.of()).forEach(c -> c.retired = true);
         closeIdle(instance);
     }
--- a/src/test/java/pumicemoor/net/CacheConnectionsTest.java
+++ b/src/test/java/pumicemoor/net/CacheConnectionsTest.java
@@ -202,6 +202,21 @@
                 received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).line());
     }
 
+    /** Guards against a request to a member that has gone that reaches another process at its address. */
+    @Test
+    void requestWhoseMemberGoesBeforeItsConnectionIsEstablishedIsNotSent() throws Exception {
+        onLoop(() -> {
+            connections.send(attempt(1, "a")); // the connection is not established yet
+            connections.retire("s-1");
+            connections.send(attempt(2, "b"));
+        });
+        assertEquals(new Input.AttemptNeverSent(1), next());
+        assertEquals(new Input.AttemptWritten(2), next());
+        assertEquals(
+                "ASK b cls=segment,item=o,chunk=0,limit=100 0",
+                received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).line());
+    }
+
     @Test
     void requestQueuedForTooLongIsNotSentThoughItsTimeoutHasNotFiredYet() throws Exception {
         onLoop(() -> {
