Take a member as gone once the list names a later one at its address

Cause: the reducer kept members by instance and never compared addresses; an instance that moved kept its connections to its former address as well. Change: an entry that started later than another listed member at its address replaces it: that one is gone for decisions, connections and the fleet (counter members-replaced, one log line). A member whose address changes gets new connections; the old ones end with what is open on them. Not mended: until the list tells, a process that has died and another at its address can't be told apart on the wire; its requests go there.

--- a/src/main/java/pumicemoor/node/Counters.java
+++ b/src/main/java/pumicemoor/node/Counters.java
@@ -48,6 +48,7 @@
         ACCEPT_FAILED,
         UPDATES,
         LIST_LINES,
+        MEMBERS_REPLACED,
         PURGES,
         GAPS,
         RELOADS,
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -1120,8 +1120,12 @@
                 removeMember(member.id());
             } else if (before != null && before.started() != member.startedAt()) {
                 effectSink.accept(new Effect.DropConnections(instance, member.startedAt()));
+            } else if (before != null
+                    && !before.address().equals(entry.endpoint().address())) {
+                effectSink.accept(new Effect.RetireConnections(instance));
             }
         }
+        members.addAll(removeReplacedMembers(entries));
         if (snapshot) { // members that a full list lacks have been removed
             Set<Long> listed = members.stream().map(Member::id).collect(Collectors.toSet());
             listed.addAll(unreadable);
@@ -1143,6 +1147,35 @@
         }
     }
 
+    /**
+     * Removes the members at whose address an entry lists another member that started later: one process listens at an
+     * address, so the earlier one is gone, though the coordinator has not said so yet. Returns them as gone.
+     */
+    private List<Member> removeReplacedMembers(List<ListEntry> entries) {
+        Set<Long> listed = entries.stream().map(e -> e.member().id()).collect(Collectors.toSet());
+        Map<String, Endpoint> currentByAddress = new HashMap<>();
+        entries.stream()
+                .filter(e -> e.member().state() != State.GONE)
+                .forEach(e -> currentByAddress.put(e.endpoint().address(), e.endpoint()));
+        List<Member> replaced = new ArrayList<>();
+        List.copyOf(endpointsByMember.entrySet()).forEach(each -> {
+            Endpoint endpoint = each.getValue();
+            Endpoint current = currentByAddress.get(endpoint.address());
+            if (current != null && !listed.contains(each.getKey()) && endpoint.started() < current.started()) {
+                counters.add(Name.MEMBERS_REPLACED);
+                endpointLog.info(
+                        now,
+                        "event " + lastEventIndex + ": endpoint " + endpoint.instance() + " is gone: "
+                                + current.instance() + " has its address",
+                        Map.of());
+                Fleet.ListedMember member = fleetMembers.remove(each.getKey());
+                replaced.add(new Member(each.getKey(), member.role(), 0, 0, 1, endpoint.started(), State.GONE));
+                removeMember(each.getKey());
+            }
+        });
+        return replaced;
+    }
+
     /** Logs an endpoint whose state or process start changed; the list in the configuration is not logged. */
     private void logEndpointChange(Endpoint before, Endpoint after) {
         if (config != null
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -541,6 +541,34 @@
         assertEquals("s-2", lastSent().instance());
     }
 
+    /** Guards against a new process at the address of one that has gone that is taken for the old one. */
+    @Test
+    void aMemberWhoseAddressBelongsToALaterOneIsGone() {
+        accept(new Input.CoordinatorUpdate(NodeTestConfig.list(
+                2,
+                false,
+                NodeTestConfig.member("s-2", "127.0.0.1:11", "box", "active", START_MICROS / MICROS_PER_MILLI))));
+        assertEquals(List.of(new Effect.RetireConnections("s-1")), effects);
+        List<RouterApi.Member> members =
+                ofType(events, MemberListUpdate.class).get(0).members();
+        assertEquals(
+                List.of(Reducer.memberId("s-2"), CACHE),
+                members.stream().map(RouterApi.Member::id).toList());
+        assertEquals(State.GONE, members.get(1).state());
+        assertEquals(1, counters.get(Counters.Name.MEMBERS_REPLACED));
+    }
+
+    /** Guards against connections that stay with the address of a member that has moved. */
+    @Test
+    void aMemberWithANewAddressGetsNewConnections() {
+        accept(new Input.CoordinatorUpdate(
+                NodeTestConfig.list(2, false, NodeTestConfig.member("s-1", "127.0.0.1:13", "box", "active", 0))));
+        assertEquals(List.of(new Effect.RetireConnections("s-1")), effects);
+        fetchOnArrivedRequest(0, 0);
+        sendRequest(1, "segment", Bytes.NONE);
+        assertEquals("127.0.0.1:13", lastSent().address());
+    }
+
     @Test
     void aMemberMissingFromASnapshotLosesItsConnections() {
         accept(new Input.CoordinatorUpdate(NodeTestConfig.list(
