Accept a request that is written slowly beside an open one

Class: an attempt that progresses is ended. Change: the 1.8 s run from the last byte, the longest deadline bounds a frame in all. Beside an open request a frame that stops no longer ends the connection: its memory is given back and its request refused at its end, should that come. With nothing open the connection is closed with an error, as before.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -81,6 +81,8 @@
     private long openedAt;
     private long activeAt;
     private long partialFrameSince = -1; // -1 while no frame is partly received
+    private long partialFrameReadAt; // when a check last found that more of it had been read
+    private int readsAtLastCheck;
 
     /** Handles the frames of a decoder, which must precede this handler in the pipeline. */
     ClientConnection(
@@ -551,15 +553,16 @@
         long stalledFor = output.stalledFor(now);
         boolean answersWait = output.waitingBytes() > 0;
         activeAt = answersWait ? now : activeAt;
-        partialFrameSince = !decoder.hasPartialFrame() || decoder.hasUnread()
-                ? -1
-                : partialFrameSince < 0 ? now : partialFrameSince;
+        boolean partialFrameStopped = checkPartialFrame(now);
         if (stalledFor > limits.clientStallTimeout()) {
             closeNow("its answers are not read for " + stalledFor / 1_000 + " ms");
         } else if (stage == Stage.RELEASING) {
             return; // closed once all is sent
-        } else if (partialFrameSince >= 0 && now - partialFrameSince > limits.clientRequestTimeout()) {
+        } else if (partialFrameStopped && openStreams.isEmpty()) {
             closeWithError("a frame was sent only in part");
+        } else if (partialFrameStopped && decoder.canDrop()) {
+            counters.add(Name.FRAMES_DROPPED);
+            decoder.drop(); // refused at its end: the connection has to stay until its open requests are answered
         } else if (!sentValidRequest && isIdle() && now - openedAt > limits.clientRequestTimeout()) {
             closeWithError("no valid request was sent");
         } else if (!answersWait && isIdle() && now - activeAt > limits.clientIdleTimeout()) {
@@ -567,6 +570,24 @@
         }
     }
 
+    /**
+     * Whether a frame has been received in part, and no more of it has come for a while or its client no longer waits.
+     */
+    private boolean checkPartialFrame(long now) {
+        if (!decoder.hasPartialFrame() || decoder.hasUnread()) {
+            partialFrameSince = -1;
+        } else if (partialFrameSince < 0) {
+            partialFrameSince = now;
+            partialFrameReadAt = now;
+        } else if (decoder.reads() != readsAtLastCheck) {
+            partialFrameReadAt = now;
+        }
+        readsAtLastCheck = decoder.reads();
+        return partialFrameSince >= 0
+                && (now - partialFrameReadAt > limits.clientRequestTimeout()
+                        || now - partialFrameSince > limits.maxFrameTime());
+    }
+
     /** Asks an idle client to send no new requests before it closes, so that no request is lost in the close. */
     private void closeIdle(long now) {
         if (stage == Stage.OPEN) {
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -22,7 +22,8 @@
         int maxWaitingReplyBytes, // refusals and other replies of the router's own that wait for one client
         int memberBacklogBytes, // high-water mark of the write buffer of a connection to a member
         long sweepInterval, // interval of the checks for idle and dead connections
-        long clientRequestTimeout, // wait for the first request of a client, and for the rest of a frame
+        long clientRequestTimeout, // wait for the first request of a client, and for more of a frame
+        long maxFrameTime, // for which a frame may go on being received
         long clientIdleTimeout, // without requests until a client connection counts as idle
         long clientDrainTime, // from the signal to an idle client to leave until its connection is closed
         long clientCloseDelay, // delay before a released client connection is closed
@@ -112,6 +113,7 @@
                 131_072,
                 200 * MICROS_PER_MILLI,
                 1_800 * MICROS_PER_MILLI,
+                Math.max(longestDeadline, 1_800 * MICROS_PER_MILLI),
                 5 * MICROS_PER_SECOND,
                 MICROS_PER_SECOND,
                 150 * MICROS_PER_MILLI,
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -263,6 +263,37 @@
         written();
     }
 
+    /** Guards against a request that is written slowly beside an open one and dropped unread (review case 8). */
+    @Test
+    void requestThatIsWrittenSlowlyBesideAnOpenOneIsAccepted() {
+        write(request(5));
+        byte[] slow = request(6);
+        for (byte next : slow) {
+            write(new byte[] {next});
+            loop.time += limits.maxFrameTime() / (slow.length + 1);
+            connection.sweep(loop.time);
+        }
+        assertEquals(2, inputs().size());
+        inputs().forEach(i -> ((Input.Request) i).body().release());
+    }
+
+    /** Guards against a request that stops half way beside an open one and is dropped unread when it goes on. */
+    @Test
+    void requestThatStopsBesideAnOpenOneIsRefusedAtItsEnd() {
+        write(request(5));
+        byte[] slow = request(6);
+        write(java.util.Arrays.copyOf(slow, 30));
+        connection.sweep(loop.time);
+        loop.time += limits.clientRequestTimeout() + 1;
+        connection.sweep(loop.time);
+        assertTrue(channel.isOpen());
+        assertEquals("", written());
+        write(java.util.Arrays.copyOfRange(slow, 30, slow.length));
+        assertEquals("0000001508" + "00000006" + "0001" + PUSHBACK, written());
+        assertEquals(1, inputs().size());
+        inputs().forEach(i -> ((Input.Request) i).body().release());
+    }
+
     @Test
     void tagWithIllegalCharactersIsNotPassedOn() {
         write(request(5, "ver", "a,b"));
