--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -70,7 +70,7 @@
     // requests that are not submitted yet, by stream: more input of this client may be waiting
     private final Map<Integer, Input.Request> receivedRequests = new LinkedHashMap<>();
     private long receivedSince; // when the oldest of them was received
-    private Future<?> refusal; // of the received requests, if more input goes on coming; null while none is held
+    private Future<?> submission; // of the received requests, at the latest; null while none is held
     private int unreadFrames; // since all input that was available had been read
     private int invalidRequests;
     private boolean sentValidRequest;
@@ -148,10 +148,9 @@
     }
 
     /**
-     * Submits the received requests once all available input has been read: the client may have cancelled them, or have
-     * left, in what it sent after them. While it goes on sending they wait for a short time and are then refused, so
-     * that none is sent long after its client has left; at once if it sends more than its open requests and their
-     * cancellations without a pause.
+     * Submits the received requests once all available input has been read, or a short time has passed: the client may
+     * have cancelled them, or have left, in what it sent after them. A client that goes on sending more than its open
+     * requests and their cancellations without a pause gets no new request accepted meanwhile.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -167,8 +166,8 @@
             submitReceived();
         } else if (unreadFrames > limits.maxUnreadFrames()) {
             refuseReceived();
-        } else if (!receivedRequests.isEmpty() && refusal == null) {
-            refusal = ctx.executor().schedule(this::refuseReceived, limits.maxReceivedHold(), TimeUnit.MICROSECONDS);
+        } else if (!receivedRequests.isEmpty() && submission == null) {
+            submission = ctx.executor().schedule(this::submitReceived, limits.maxReceivedHold(), TimeUnit.MICROSECONDS);
         }
         ctx.fireChannelReadComplete();
     }
@@ -195,7 +194,7 @@
 
     /** Submits the received requests, with the time for which they were held here. */
     void submitReceived() {
-        cancelRefusal();
+        cancelSubmission();
         long heldMicros = receivedRequests.isEmpty() ? 0 : loop.clock() - receivedSince;
         while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
             Input.Request request =
@@ -205,19 +204,16 @@
     }
 
     private void refuseReceived() {
-        cancelRefusal();
+        cancelSubmission();
         List<Integer> streams = List.copyOf(receivedRequests.keySet());
         releaseReceived();
         streams.forEach(this::refuse);
-        if (stage == Stage.ENDING && openStreams.isEmpty()) {
-            closeGracefully();
-        }
     }
 
-    private void cancelRefusal() {
-        if (refusal != null) {
-            refusal.cancel(false);
-            refusal = null;
+    private void cancelSubmission() {
+        if (submission != null) {
+            submission.cancel(false);
+            submission = null;
         }
     }
 
@@ -240,7 +236,7 @@
     }
 
     private void releaseReceived() {
-        cancelRefusal();
+        cancelSubmission();
         receivedRequests.values().forEach(request -> request.body().release());
         receivedRequests.clear();
     }
