Submit a request whose last read had just the length that it lacked

Cause: a read that filled its buffer was taken for a sign that more input is waiting. A read of a client is as long as what its frame lacks, so the last read of a large frame fills its buffer just so, and no further read comes that would submit the request. Change: with requests waiting the client is always read once more, whatever the last read was; only bytes found then make them wait. Measured: ClientConnectionTest.requestWhoseLastReadFilledItsBufferIsSubmittedAtOnce, red before (not submitted), green with this; 62 tests of the clients' side green, among them the one that was red.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -174,15 +174,13 @@
 
     /**
      * Whether no more input of the client is available. If requests wait to be submitted, this reads once more: the
-     * client may have cancelled them or left just now.
+     * client may have cancelled them or left just now. A read that filled its buffer does not tell, since the buffer
+     * may be as long as the rest of a frame.
      */
     private boolean allInputRead() {
-        RecvByteBufAllocator.Handle lastRead = context.channel().unsafe().recvBufAllocHandle();
-        if (lastRead.lastBytesRead() > 0 && lastRead.lastBytesRead() == lastRead.attemptedBytesRead()) {
-            return false; // the buffer was filled
-        }
         if (receivedRequests.isEmpty()) {
-            return true;
+            RecvByteBufAllocator.Handle lastRead = context.channel().unsafe().recvBufAllocHandle();
+            return lastRead.lastBytesRead() <= 0 || lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
         }
         probing = true;
         try {
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -294,6 +295,31 @@
         inputs().forEach(i -> ((Input.Request) i).body().release());
     }
 
+    /** Guards against a request that waits for more input, since its last read had just the length that it lacked. */
+    @Test
+    void requestWhoseLastReadFilledItsBufferIsSubmittedAtOnce() {
+        channel.config().setRecvByteBufAllocator(new FilledReads());
+        write(request(5));
+        checkRequest();
+    }
+
+    /** Read sizes of a socket whose reads fill their buffer. */
+    private static final class FilledReads extends DefaultMaxMessagesRecvByteBufAllocator {
+        @Override
+        @SuppressWarnings("deprecation") // the method that Netty calls
+        public Handle newHandle() {
+            MaxMessageHandle handle = new MaxMessageHandle() {
+                @Override
+                public int guess() {
+                    return 1;
+                }
+            };
+            handle.attemptedBytesRead(1);
+            handle.lastBytesRead(1);
+            return handle;
+        }
+    }
+
     @Test
     void tagWithIllegalCharactersIsNotPassedOn() {
         write(request(5, "ver", "a,b"));
