Log and count repeated calls that are refused, with what refused them

The counters did not tell who words these refusals. Change: the counter processor-repeats-refused and a log line with the id, what refused it, the caller's mark and whether the id is known here. Tests: ProcessorFrontTest, AdmissionTest green.

--- a/src/main/java/pumicemoor/calls/CallRegistry.java
+++ b/src/main/java/pumicemoor/calls/CallRegistry.java
@@ -51,6 +51,12 @@
         return true;
     }
 
+    /** Whether a call with this id is known to be open, or to have ended after it may have run. */
+    public boolean mayHaveRun(String id) {
+        Status status = statusById.get(id);
+        return status == Status.OPEN || status == Status.MAY_HAVE_RUN;
+    }
+
     /**
      * Records the end of a call. It may have run if an attempt was announced and no later report has shown that the
      * attempt never ran.
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -83,6 +83,7 @@
         REFUSED_BY_BOUND,
         REFUSED_BY_RULE,
         REFUSED_LATE,
+        REPEATS_REFUSED,
         REPEATS_FAILED,
         NAMED,
         ENDS,
@@ -123,6 +124,7 @@
         Effect.AnnounceAttempt attempt; // the last attempt sent to the caller
         AnswerStatus endStatus; // of that attempt, as reported; null if only its connection is known to be lost
         String note;
+        boolean clientRetry; // its caller has sent it before
         boolean admitted;
         boolean ended;
         boolean unreached; // the attempt that ended never reached its member
@@ -316,6 +318,11 @@
         if (attributes.isEmpty()) {
             boolean pass = rules.noRule() == CallRules.NoRule.PASS;
             count(pass ? Count.PASSED : Count.REFUSED_BY_RULE);
+            stream.id = stream.caller + '/' + headers.get("x-request-id");
+            stream.clientRetry = parseNumber(headers.get("x-envoy-attempt-count")) > 1;
+            if (!pass) {
+                reportIfRepeated(stream, "no rule matches");
+            }
             execute(stream, pass ? stream.state.passThrough() : stream.state.answerLocally(CallState.Code.REFUSED, 0));
             return;
         }
@@ -343,10 +350,12 @@
             return;
         }
         stream.id = stream.caller + '/' + id;
+        stream.clientRetry = clientRetry;
         ReadyAttempt ready = readyAttempts.remove(stream.id);
         FairAdmission.Decision decision = draining ? null : admission.admit(loop.clock(), stream.caller);
         if (decision == null || !decision.admitted()) {
             count(Count.REFUSED_BY_BOUND);
+            reportIfRepeated(stream, decision == null ? "draining" : "limit of " + decision.bound());
             if (ready != null) {
                 readyAttempts.put(stream.id, ready);
             }
@@ -409,11 +418,22 @@
             List<StreamAction> actions = stream.state.messageTimeUp(section.messageTimeoutMicros());
             if (!actions.isEmpty()) {
                 count(Count.REFUSED_LATE);
+                reportIfRepeated(stream, "message timeout");
             }
             execute(stream, actions);
         }
     }
 
+    /** Logs a refused call of which an earlier attempt may have run, with what has refused it. */
+    private void reportIfRepeated(Stream stream, String refusedBy) {
+        boolean known = callRegistry.mayHaveRun(stream.id);
+        if (stream.clientRetry || known) {
+            count(Count.REPEATS_REFUSED);
+            loop.reportError("a repeated call is refused: id " + stream.id + ", by " + refusedBy + ", marked as retry: "
+                    + stream.clientRetry + ", known to have been sent: " + known);
+        }
+    }
+
     /** Ends a stream that is still open after its request's deadline and the grace period. */
     private void expire(Stream stream) {
         if (!stream.ended) {
@@ -549,6 +569,9 @@
     public void answered(long call, Effect.Code code, long retryAfterMillis) {
         Stream stream = streams.remove(call);
         if (stream != null) {
+            if (code == Effect.Code.REFUSED) {
+                reportIfRepeated(stream, "decision module, or a limit before it");
+            }
             execute(
                     stream,
                     stream.state.finalAnswer(CallState.Code.valueOf(code.name()), retryAfterMillis * MICROS_PER_MILLI));
