Fail repeated calls that may have run instead of refusing them over a limit

Cause: ProcessorFront.request asked the limits (open calls, of a caller, rate, drain) before the registry of ids, and worded every refusal itself, without a look at the mark or at what it knows of the id. Both services share that method, so Envoy's external processing did the same, and so did ids that the registry itself knew as open or as possibly run, marked or not. Change: RefusalPolicy, beside Logic and listed under policy, decides every refusal; a Rejection can't be made elsewhere, and CallState takes nothing else for a call that is answered without the decision module, also at the message timeout. The earlier attempts of a call are looked up first: one that must not run twice and may have run is failed before any limit is asked, so it takes no part of the limits. Logic words its refusals by the same policy (RecordedChoicesTest: the same choices).

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -17,6 +17,8 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
+import pumicemoor.RefusalPolicy.Rejection;
 
 /**
  * Makes all decisions of one router. The interface, with its settings, events and actions, is {@link RouterApi}.
@@ -978,17 +980,17 @@
                     newFetch(request, edge, source == null ? edge : source, true));
             return;
         }
-        boolean harmless = !request.mayHaveRun
-                || request.requestClass.idempotency() == Idempotency.SAFE
-                || request.requestClass.idempotency() == Idempotency.KEYED
-                        && request.requestClass.deduplicationScope() == DeduplicationScope.ALL;
         if (!request.closed) {
             long retryAfter = (long) Math.min(
                     settings.limits().maxRetryAfter(), RETRY_AFTER_FRACTION * request.requestClass.latencyTarget());
+            Rejection rejection = RefusalPolicy.reject(
+                    request.requestClass,
+                    EarlierAttempts.of(request.mayHaveRun),
+                    settings.limits().retryAfter() ? retryAfter : 0);
             actions.accept(
-                    !harmless
-                            ? new Fail(request.arrival.id())
-                            : new Refuse(request.arrival.id(), settings.limits().retryAfter() ? retryAfter : 0));
+                    rejection.refused()
+                            ? new Refuse(request.arrival.id(), rejection.retryAfterMicros())
+                            : new Fail(request.arrival.id()));
         }
         close(request);
     }
--- a/src/main/java/pumicemoor/calls/CallRegistry.java
+++ b/src/main/java/pumicemoor/calls/CallRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
 
 /**
  * A registry of calls by id, so that a request with side effects is not sent to a member twice. It owns a bounded
@@ -36,25 +37,20 @@
     }
 
     /**
-     * Registers a call as open and returns true. Returns false if the call must not be passed to the decision module
-     * because another call with the same id is open or may have run, or because it is a client retry with an unknown
-     * id.
+     * What is known of the earlier attempts of a call that arrives now. They may have run if another call with the same
+     * id is open or may have run, or if it is a client retry with an unknown id.
      */
-    public boolean tryBegin(long now, String id, boolean clientRetry) {
+    public EarlierAttempts earlierAttempts(long now, String id, boolean clientRetry) {
         evict(now);
         Status status = statusById.get(id);
-        if (status == null && clientRetry || status == Status.OPEN || status == Status.MAY_HAVE_RUN) {
-            return false;
-        }
-        endedAt.remove(id);
-        statusById.put(id, Status.OPEN);
-        return true;
+        return EarlierAttempts.of(
+                status == null ? clientRetry : status == Status.OPEN || status == Status.MAY_HAVE_RUN);
     }
 
-    /** Whether a call with this id is known to be open, or to have ended after it may have run. */
-    public boolean mayHaveRun(String id) {
-        Status status = statusById.get(id);
-        return status == Status.OPEN || status == Status.MAY_HAVE_RUN;
+    /** Registers a call as open. */
+    public void begin(String id) {
+        endedAt.remove(id);
+        statusById.put(id, Status.OPEN);
     }
 
     /**
--- a/src/main/java/pumicemoor/calls/CallState.java
+++ b/src/main/java/pumicemoor/calls/CallState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import pumicemoor.RefusalPolicy.Rejection;
 
 /**
  * The state machine of one stream on which another proxy makes a call. It maps each message from the caller or the
@@ -101,13 +102,13 @@
         return List.of(new StreamAction.RequestDecision());
     }
 
-    /** Handles a request that the server answers without the decision module. */
-    public List<StreamAction> answerLocally(Code code, long retryAfterMicros) {
+    /** Handles a request that the server rejects without the decision module. */
+    public List<StreamAction> reject(Rejection rejection) {
         if (phase != Phase.NEW) {
             return abort("a second request on a stream");
         }
         phase = Phase.ENDED;
-        return List.of(new StreamAction.SendFinalAnswer(code, retryAfterMicros), new StreamAction.Complete());
+        return List.of(finalAnswer(rejection), new StreamAction.Complete());
     }
 
     /** Handles a request that no rule matches and that is passed through unchanged. */
@@ -178,9 +179,14 @@
         return end(false);
     }
 
-    /** Handles the imminent end of a proxy's message timeout: refuses a request that is not yet decided. */
-    public List<StreamAction> messageTimeUp(long retryAfterMicros) {
-        return phase == Phase.DECIDING && style == Style.PROXY ? sendFinal(Code.REFUSED, retryAfterMicros) : List.of();
+    /** Handles the imminent end of a proxy's message timeout: rejects a request that is not yet decided. */
+    public List<StreamAction> messageTimeUp(Rejection rejection) {
+        if (phase != Phase.DECIDING || style != Style.PROXY) {
+            return List.of();
+        }
+        List<StreamAction> acts = new ArrayList<>(List.of(finalAnswer(rejection)));
+        acts.addAll(end(true));
+        return acts;
     }
 
     // ---- messages of the decision module --------------------------------------------------------------
@@ -212,10 +218,9 @@
         return List.of();
     }
 
-    private List<StreamAction> sendFinal(Code code, long retryAfterMicros) {
-        List<StreamAction> acts = new ArrayList<>(List.of(new StreamAction.SendFinalAnswer(code, retryAfterMicros)));
-        acts.addAll(end(true));
-        return acts;
+    private static StreamAction finalAnswer(Rejection rejection) {
+        return new StreamAction.SendFinalAnswer(
+                rejection.refused() ? Code.REFUSED : Code.FAILED, rejection.retryAfterMicros());
     }
 
     private List<StreamAction> withdraw() {
--- a/src/main/java/pumicemoor/calls/FairAdmission.java
+++ b/src/main/java/pumicemoor/calls/FairAdmission.java
@@ -37,6 +37,8 @@
      */
     public record Decision(boolean admitted, String bound, long retryAfterMicros) {
         static final Decision ADMITTED = new Decision(true, "", 0);
+        /** The decision on every call while the router drains. */
+        public static final Decision DRAINING = new Decision(false, "draining", (long) MICROS_PER_SECOND);
     }
 
     private static final class Account {
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -32,6 +32,9 @@
 import javax.net.ssl.SSLSession;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pumicemoor.RefusalPolicy;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.RouterApi;
 import pumicemoor.calls.CallRegistry;
 import pumicemoor.calls.CallRules;
@@ -83,7 +86,6 @@
         REFUSED_BY_BOUND,
         REFUSED_BY_RULE,
         REFUSED_LATE,
-        REPEATS_REFUSED,
         REPEATS_FAILED,
         NAMED,
         ENDS,
@@ -124,7 +126,7 @@
         Effect.AnnounceAttempt attempt; // the last attempt sent to the caller
         AnswerStatus endStatus; // of that attempt, as reported; null if only its connection is known to be lost
         String note;
-        boolean clientRetry; // its caller has sent it before
+        RouterApi.RequestClass requestClass; // null before it is known
         boolean admitted;
         boolean ended;
         boolean unreached; // the attempt that ended never reached its member
@@ -318,12 +320,11 @@
         if (attributes.isEmpty()) {
             boolean pass = rules.noRule() == CallRules.NoRule.PASS;
             count(pass ? Count.PASSED : Count.REFUSED_BY_RULE);
-            stream.id = stream.caller + '/' + headers.get("x-request-id");
-            stream.clientRetry = parseNumber(headers.get("x-envoy-attempt-count")) > 1;
-            if (!pass) {
-                reportIfRepeated(stream, "no rule matches");
-            }
-            execute(stream, pass ? stream.state.passThrough() : stream.state.answerLocally(CallState.Code.REFUSED, 0));
+            execute(
+                    stream,
+                    pass
+                            ? stream.state.passThrough()
+                            : stream.state.reject(RefusalPolicy.rejectUnclassified(EarlierAttempts.NONE_RAN, 0)));
             return;
         }
         long ttlMillis = parseNumber(headers.get("x-envoy-expected-rq-timeout-ms"));
@@ -350,46 +351,39 @@
             return;
         }
         stream.id = stream.caller + '/' + id;
-        stream.clientRetry = clientRetry;
-        ReadyAttempt ready = readyAttempts.remove(stream.id);
-        FairAdmission.Decision decision = draining ? null : admission.admit(loop.clock(), stream.caller);
-        if (decision == null || !decision.admitted()) {
+        stream.requestClass = settingsReader.settings().classes().get(requestClass);
+        ReadyAttempt ready = readyAttempts.get(stream.id);
+        EarlierAttempts earlier = ready != null
+                ? EarlierAttempts.of(ready.mayHaveRun())
+                : callRegistry.earlierAttempts(loop.clock(), stream.id, clientRetry);
+        if (isUnsafe(stream) && earlier == EarlierAttempts.MAY_HAVE_RUN) {
+            failRepeat(stream);
+            return;
+        }
+        FairAdmission.Decision decision =
+                draining ? FairAdmission.Decision.DRAINING : admission.admit(loop.clock(), stream.caller);
+        if (!decision.admitted()) {
             count(Count.REFUSED_BY_BOUND);
-            reportIfRepeated(stream, decision == null ? "draining" : "limit of " + decision.bound());
-            if (ready != null) {
-                readyAttempts.put(stream.id, ready);
-            }
             execute(
                     stream,
-                    stream.state.answerLocally(
-                            CallState.Code.REFUSED, decision == null ? 1_000_000 : decision.retryAfterMicros()));
+                    stream.state.reject(
+                            RefusalPolicy.reject(stream.requestClass, earlier, decision.retryAfterMicros())));
             return;
         }
         stream.admitted = true;
-        RouterApi.RequestClass settings = settingsReader.settings().classes().get(requestClass);
         if (ready != null) {
-            count(Count.TRIED_AGAIN);
-            stream.requestNumber = ready.requestNumber();
-            stream.registryId = ready.registryId();
-            stream.attempt = ready.attempt();
-            streams.put(stream.requestNumber, stream);
-            stream.timers.add(loop.schedule(settings.deadline() + STREAM_GRACE_MICROS, () -> expire(stream)));
-            execute(stream, stream.state.adopt(ready.attempt().attempt()));
+            adopt(stream, ready);
             return;
         }
-        if (settings.idempotency() != RouterApi.Idempotency.SAFE) {
-            if (!callRegistry.tryBegin(loop.clock(), stream.id, clientRetry)) {
-                count(Count.REPEATS_FAILED); // it may have run already, so it gets no further attempt
-                execute(stream, stream.state.answerLocally(CallState.Code.FAILED, 0));
-                return;
-            }
+        if (isUnsafe(stream)) {
+            callRegistry.begin(stream.id);
             stream.registryId = stream.id;
         }
         stream.requestNumber = --lastRequestNumber;
         streams.put(stream.requestNumber, stream);
         long timeoutMillis = ttlMillis > 0
-                ? Math.min(ttlMillis, settings.deadline() / MICROS_PER_MILLI)
-                : settings.deadline() / MICROS_PER_MILLI;
+                ? Math.min(ttlMillis, stream.requestClass.deadline() / MICROS_PER_MILLI)
+                : stream.requestClass.deadline() / MICROS_PER_MILLI;
         List<StreamAction> actions = stream.state.request();
         stream.timers.add(loop.schedule(
                 Math.max(
@@ -413,27 +407,41 @@
         }
     }
 
+    private static boolean isUnsafe(Stream stream) {
+        return stream.requestClass.idempotency() != RouterApi.Idempotency.SAFE;
+    }
+
+    /** Fails a call of which an earlier attempt may have run, so that it must get neither an attempt nor a refusal. */
+    private void failRepeat(Stream stream) {
+        count(Count.REPEATS_FAILED);
+        loop.reportError("a repeated call fails, since an earlier attempt may have run: " + stream.id);
+        execute(stream, stream.state.reject(RefusalPolicy.FAILED));
+    }
+
+    /** Gives the attempt that was kept ready to the next try of the same request. */
+    private void adopt(Stream stream, ReadyAttempt ready) {
+        count(Count.TRIED_AGAIN);
+        readyAttempts.remove(stream.id);
+        stream.requestNumber = ready.requestNumber();
+        stream.registryId = ready.registryId();
+        stream.attempt = ready.attempt();
+        streams.put(stream.requestNumber, stream);
+        stream.timers.add(loop.schedule(stream.requestClass.deadline() + STREAM_GRACE_MICROS, () -> expire(stream)));
+        execute(stream, stream.state.adopt(ready.attempt().attempt()));
+    }
+
     private void onMessageTimeout(Stream stream) {
         if (!stream.ended && stream.state.phase() == Phase.DECIDING) {
-            List<StreamAction> actions = stream.state.messageTimeUp(section.messageTimeoutMicros());
+            Rejection rejection = RefusalPolicy.reject(
+                    stream.requestClass, EarlierAttempts.of(stream.state.mayHaveRun()), section.messageTimeoutMicros());
+            List<StreamAction> actions = stream.state.messageTimeUp(rejection);
             if (!actions.isEmpty()) {
                 count(Count.REFUSED_LATE);
-                reportIfRepeated(stream, "message timeout");
             }
             execute(stream, actions);
         }
     }
 
-    /** Logs a refused call of which an earlier attempt may have run, with what has refused it. */
-    private void reportIfRepeated(Stream stream, String refusedBy) {
-        boolean known = callRegistry.mayHaveRun(stream.id);
-        if (stream.clientRetry || known) {
-            count(Count.REPEATS_REFUSED);
-            loop.reportError("a repeated call is refused: id " + stream.id + ", by " + refusedBy + ", marked as retry: "
-                    + stream.clientRetry + ", known to have been sent: " + known);
-        }
-    }
-
     /** Ends a stream that is still open after its request's deadline and the grace period. */
     private void expire(Stream stream) {
         if (!stream.ended) {
@@ -569,9 +577,6 @@
     public void answered(long call, Effect.Code code, long retryAfterMillis) {
         Stream stream = streams.remove(call);
         if (stream != null) {
-            if (code == Effect.Code.REFUSED) {
-                reportIfRepeated(stream, "decision module, or a limit before it");
-            }
             execute(
                     stream,
                     stream.state.finalAnswer(CallState.Code.valueOf(code.name()), retryAfterMillis * MICROS_PER_MILLI));
--- a/src/test/java/pumicemoor/calls/AdmissionTest.java
+++ b/src/test/java/pumicemoor/calls/AdmissionTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
 import pumicemoor.calls.CallRules.NoRule;
 import pumicemoor.calls.CallRules.RequestAttributes;
 import pumicemoor.calls.CallRules.Rule;
@@ -119,19 +120,32 @@
     @Test
     void aCallThatMayHaveRunIsNotAdmittedAgain() {
         CallRegistry registry = new CallRegistry(3, 10 * MICROS_PER_SECOND);
-        assertTrue(registry.tryBegin(0, "a", false));
-        assertFalse(registry.tryBegin(0, "a", true), "a call with this id is open");
+        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(0, "a", false));
+        registry.begin("a");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(0, "a", true), "a call with this id is open");
         registry.ended(1, "a", true);
-        assertFalse(registry.tryBegin(2, "a", true), "the first call may have run");
-        assertFalse(registry.tryBegin(2, "a", false), "reused id of a call that may have run");
-        assertTrue(registry.tryBegin(2, "b", false));
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(2, "a", true), "the first call may have run");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN,
+                registry.earlierAttempts(2, "a", false),
+                "reused id of a call that may have run");
+        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(2, "b", false));
+        registry.begin("b");
         registry.ended(3, "b", false);
-        assertTrue(registry.tryBegin(4, "b", true), "the first call never ran");
-        assertFalse(registry.tryBegin(4, "new", true), "a retry with an unknown id");
+        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(4, "b", true), "the first call never ran");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(4, "new", true), "a retry with an unknown id");
+        registry.begin("b");
         registry.ended(5, "b", true);
-        assertFalse(registry.tryBegin(11 * MICROS_PER_SECOND, "a", true), "the id has expired and is unknown");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN,
+                registry.earlierAttempts(11 * MICROS_PER_SECOND, "a", true),
+                "the id has expired and is unknown");
         for (int i = 0; i < 10; i++) {
-            assertTrue(registry.tryBegin(12 * MICROS_PER_SECOND, "x" + i, false));
+            assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(12 * MICROS_PER_SECOND, "x" + i, false));
+            registry.begin("x" + i);
             registry.ended(12 * MICROS_PER_SECOND, "x" + i, true);
         }
         assertTrue(registry.size() <= 3);
--- a/src/test/java/pumicemoor/calls/CallStateTest.java
+++ b/src/test/java/pumicemoor/calls/CallStateTest.java
@@ -11,6 +11,9 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import pumicemoor.RefusalPolicy;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.calls.CallState.Code;
 import pumicemoor.calls.CallState.Phase;
 import pumicemoor.calls.CallState.StreamAction;
@@ -84,8 +87,8 @@
                 case 4 -> check(state.bodyOrTrailers());
                 case 5 -> check(state.halfClosed());
                 case 6 -> check(state.callerGone());
-                case 7 -> check(state.messageTimeUp(5));
-                case 8 -> check(state.answerLocally(Code.REFUSED, 1));
+                case 7 -> check(state.messageTimeUp(refusal(5)));
+                case 8 -> check(state.reject(refusal(1)));
                 case 9 -> check(state.passThrough());
                 case 10, 11 -> {
                     if (requestOpen && !attemptOpen) {
@@ -109,6 +112,10 @@
         }
     }
 
+    private static Rejection refusal(long retryAfterMicros) {
+        return RefusalPolicy.rejectUnclassified(EarlierAttempts.NONE_RAN, retryAfterMicros);
+    }
+
     @Property(seed = "20261201", tries = 30_000)
     void anyOrderGivesAtMostOneFinalAnswerAndLeavesNoRequestOpen(
             @ForAll boolean reporter, @ForAll @Size(max = 14) List<@IntRange(max = 15) Integer> steps) {
@@ -151,7 +158,7 @@
                         new StreamAction.SendFinalAnswer(Code.REFUSED, 9),
                         new StreamAction.Withdraw(),
                         new StreamAction.Complete()),
-                state.messageTimeUp(9));
+                state.messageTimeUp(refusal(9)));
         assertEquals(List.of(), state.attemptAnnounced(0));
         assertFalse(state.mayHaveRun());
     }
