Fail a repeated call that fits no rule, if it may have run

Callers saw (a test; named by the users): with 'no-rule: refuse' a repeat that no rule of this router matches was refused, though it may have run here or, marked, elsewhere (routers whose rules differ, or were reloaded between two tries). Cause: the refusal was worded before anything looked at the id or the mark. Change: the refusal goes through RefusalPolicy as one of a request whose class is not known. First tries are refused as before; 'no-rule: pass' passes on what it passed on before. A second request on a stream is told from a first one before its rule is looked for. Test: RepeatedCallsTest.aRepeatThatFitsNoRuleFailsIfItMayHaveRun, red before (503 for 502).

--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -308,28 +308,39 @@
     void request(Stream stream, Map<String, String> headers) {
         String method = headers.getOrDefault(":method", "");
         String path = headers.get(":path");
-        if (path == null || headers.get("x-request-id") == null) {
-            execute(
-                    stream,
-                    stream.state.phase() == Phase.NEW
-                            ? malformed(stream, "no path or no x-request-id")
-                            : stream.state.request());
+        String id = headers.get("x-request-id");
+        if (stream.state.phase() != Phase.NEW) {
+            execute(stream, stream.state.request());
             return;
         }
-        Optional<RequestAttributes> attributes = rules.match(method, path, headers);
-        if (attributes.isEmpty()) {
-            boolean pass = rules.noRule() == CallRules.NoRule.PASS;
-            count(pass ? Count.PASSED : Count.REFUSED_BY_RULE);
-            execute(
-                    stream,
-                    pass
-                            ? stream.state.passThrough()
-                            : stream.state.reject(RefusalPolicy.rejectUnclassified(EarlierAttempts.NONE_RAN, 0)));
+        if (path == null || id == null) {
+            execute(stream, malformed(stream, "no path or no x-request-id"));
             return;
         }
-        long ttlMillis = parseNumber(headers.get("x-envoy-expected-rq-timeout-ms"));
-        long attemptCount = parseNumber(headers.get("x-envoy-attempt-count"));
-        request(stream, headers.get("x-request-id"), attributes.get(), ttlMillis, attemptCount > 1);
+        boolean clientRetry = parseNumber(headers.get("x-envoy-attempt-count")) > 1;
+        Optional<RequestAttributes> attributes = rules.match(method, path, headers);
+        if (attributes.isPresent()) {
+            long ttlMillis = parseNumber(headers.get("x-envoy-expected-rq-timeout-ms"));
+            request(stream, id, attributes.get(), ttlMillis, clientRetry);
+        } else if (rules.noRule() == CallRules.NoRule.PASS) {
+            count(Count.PASSED);
+            execute(stream, stream.state.passThrough());
+        } else {
+            rejectWithoutRule(stream, id, clientRetry);
+        }
+    }
+
+    /** Rejects a request that no rule matches, so that its class is not known. */
+    private void rejectWithoutRule(Stream stream, String id, boolean clientRetry) {
+        stream.id = stream.caller + '/' + id;
+        EarlierAttempts earlier = callRegistry.earlierAttempts(loop.clock(), stream.id, clientRetry);
+        Rejection rejection = RefusalPolicy.rejectUnclassified(earlier, 0);
+        if (rejection.refused()) {
+            count(Count.REFUSED_BY_RULE);
+            execute(stream, stream.state.reject(rejection));
+        } else {
+            failRepeat(stream);
+        }
     }
 
     /** Handles a request to be decided; {@code clientRetry} is true if its caller has sent it before. */
@@ -414,7 +425,7 @@
     /** Fails a call of which an earlier attempt may have run, so that it must get neither an attempt nor a refusal. */
     private void failRepeat(Stream stream) {
         count(Count.REPEATS_FAILED);
-        loop.reportError("a repeated call fails, since an earlier attempt may have run: " + stream.id);
+        loop.reportError("a repeated call fails, since an earlier attempt may have run: " + printable(stream.id));
         execute(stream, stream.state.reject(RefusalPolicy.FAILED));
     }
 
@@ -645,6 +656,11 @@
         return state;
     }
 
+    /** A text of a peer in a form that fits a line of the log. */
+    private static String printable(String text) {
+        return text.substring(0, Math.min(2 * MAX_NAME_LENGTH, text.length())).replaceAll("\\p{Cntrl}", "?");
+    }
+
     private static long parseNumber(String text) {
         return text != null && text.matches("\\d{1,9}") ? Long.parseLong(text) : 0;
     }
--- a/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
+++ b/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
@@ -196,4 +196,24 @@
         close(open);
         assertEquals("1", attemptHeaders(book("b-1", 2).next()).get("x-pumicemoor-attempt"));
     }
+
+    /** Guards against a booking that runs twice: the rules at the next router don't know it, and its repeat is refused. */
+    @Test
+    void aRepeatThatFitsNoRuleFailsIfItMayHaveRun() throws Exception {
+        start("open-calls: 9");
+        bookAndLeave("b-1");
+        for (int attemptCount : new int[] {1, 2}) {
+            assertEquals(FAILED, callWithoutARule("b-1", attemptCount), "it may have run here");
+        }
+        assertEquals(FAILED, callWithoutARule("b-2", 2), "it may have run elsewhere, and its class is not known");
+        assertEquals(REFUSED, callWithoutARule("b-3", 1), "a first try never ran");
+        assertEquals(1, rig.state("refused-by-rule"));
+        assertEquals(3, rig.state("repeats-failed"));
+    }
+
+    private int callWithoutARule(String id, int attemptCount) throws Exception {
+        return rig.new ProxyCall()
+                .request("POST", "/elsewhere", id, attemptCount)
+                .rejectedWith();
+    }
 }
