Take a number of tries that can't be read for a repeat

Test: RepeatedCallsTest.aNumberOfTriesThatCanNotBeReadMayMeanARepeat, red before for each of the values (an attempt was named).

--- a/src/main/java/pumicemoor/extproc/Headers.java
+++ b/src/main/java/pumicemoor/extproc/Headers.java
@@ -19,6 +19,7 @@
 
     static final String END = "x-pumicemoor-end";
     private static final String NOTE = "x-pumicemoor-note";
+    private static final String ATTEMPT_COUNT = "x-envoy-attempt-count";
     private static final int MAX_HEADERS = 200;
 
     private Headers() {}
@@ -116,6 +117,15 @@
                         : httpStatus.startsWith("5") || httpStatus.isEmpty() ? AnswerStatus.FAILED : AnswerStatus.DATA;
     }
 
+    /**
+     * How often the caller has sent this request before, as Envoy counts it; the largest number if the header can't be
+     * read.
+     */
+    static int earlierTries(Map<String, String> headers) {
+        String attemptCount = headers.getOrDefault(ATTEMPT_COUNT, "1");
+        return attemptCount.matches("\\d{1,9}") ? Math.max(0, Integer.parseInt(attemptCount) - 1) : Integer.MAX_VALUE;
+    }
+
     static String note(Map<String, String> headers) {
         return headers.get(NOTE);
     }
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -317,7 +317,7 @@
             execute(stream, malformed(stream, "no path or no x-request-id"));
             return;
         }
-        boolean clientRetry = parseNumber(headers.get("x-envoy-attempt-count")) > 1;
+        boolean clientRetry = Headers.earlierTries(headers) > 0;
         Optional<RequestAttributes> attributes = rules.match(method, path, headers);
         if (attributes.isPresent()) {
             long ttlMillis = parseNumber(headers.get("x-envoy-expected-rq-timeout-ms"));
--- a/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
+++ b/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
@@ -216,4 +216,16 @@
                 .request("POST", "/elsewhere", id, attemptCount)
                 .rejectedWith();
     }
+
+    /** Guards against a booking that runs twice: the number of its earlier tries is taken for none. */
+    @Test
+    void aNumberOfTriesThatCanNotBeReadMayMeanARepeat() throws Exception {
+        start("open-calls: 9");
+        for (String attemptCount : new String[] {"3000000000", "12345678901234567890", "1,2", " 2", "two", "-1", ""}) {
+            FrontRig.ProxyCall call = rig.new ProxyCall().request("POST", "/book/7", "b-1", attemptCount);
+            assertEquals(FAILED, call.rejectedWith(), attemptCount);
+        }
+        assertEquals(Final.Code.FAILED, ask("b-2", -1).finalCode(), "4294967295 tries, as an unsigned number");
+        attemptHeaders(book("b-3", 1).next());
+    }
 }
