Fail a repeated call that never ran here but was tried elsewhere too

Callers saw (a test): a booking is turned away by the members that this router names, its proxy tries it at another router, which is killed with the booking sent, and comes back: this router knew the id as one that never ran, and sent it again. Cause: the registry took what it knows of its own tries for all that there is to know; the number of earlier tries, which both services carry, was read as a mark only. Change: the registry counts the tries of an id that it has seen; a call with more earlier tries than that may have run. The retry that takes over a ready attempt counts as one. Test: RepeatedCallsTest.aRepeatThatNeverRanHereFailsIfItWasTriedElsewhereToo, red before (an attempt was named); a repeat whose tries were all made here is still sent.

--- a/src/main/java/pumicemoor/calls/CallRegistry.java
+++ b/src/main/java/pumicemoor/calls/CallRegistry.java
@@ -7,8 +7,8 @@
 /**
  * A registry of calls by id, so that a request with side effects is not sent to a member twice. It owns a bounded
  * number of entries, one for each id of a request that must not run twice, from the call until long after its end; it
- * must not be used for other requests. Since it is empty after a start of the router, it refuses a client retry with an
- * unknown id: the request may have run.
+ * must not be used for other requests. Since it is empty after a start of the router, it can't vouch for a try that was
+ * made elsewhere or before: such a request may have run.
  */
 public final class CallRegistry {
 
@@ -21,9 +21,12 @@
         MAY_HAVE_RUN
     }
 
+    /** What is known of an id, with the number of its tries at this router. */
+    private record Entry(Status status, int tries) {}
+
     private final int capacity;
     private final long retentionMicros;
-    private final Map<String, Status> statusById = new LinkedHashMap<>();
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Long> endedAt = new LinkedHashMap<>();
     private long evictedEarly;
 
@@ -38,19 +41,21 @@
 
     /**
      * What is known of the earlier attempts of a call that arrives now. They may have run if another call with the same
-     * id is open or may have run, or if it is a client retry with an unknown id.
+     * id is open or may have run, or if its caller has tried it more often than this router has seen.
      */
-    public EarlierAttempts earlierAttempts(long now, String id, boolean clientRetry) {
+    public EarlierAttempts earlierAttempts(long now, String id, int earlierTries) {
         evict(now);
-        Status status = statusById.get(id);
-        return EarlierAttempts.of(
-                status == null ? clientRetry : status == Status.OPEN || status == Status.MAY_HAVE_RUN);
+        Entry entry = entries.get(id);
+        if (entry == null) {
+            return EarlierAttempts.of(earlierTries > 0);
+        }
+        return EarlierAttempts.of(entry.status() != Status.NOT_RUN || earlierTries > entry.tries());
     }
 
-    /** Registers a call as open. */
+    /** Registers a try of a call as open, in place of its last one. */
     public void begin(String id) {
         endedAt.remove(id);
-        statusById.put(id, Status.OPEN);
+        entries.put(id, new Entry(Status.OPEN, tries(id) + 1));
     }
 
     /**
@@ -58,27 +63,32 @@
      * attempt never ran.
      */
     public void ended(long now, String id, boolean mayHaveRun) {
-        statusById.put(id, mayHaveRun ? Status.MAY_HAVE_RUN : Status.NOT_RUN);
+        entries.put(id, new Entry(mayHaveRun ? Status.MAY_HAVE_RUN : Status.NOT_RUN, tries(id)));
         endedAt.remove(id);
         endedAt.put(id, now);
         evict(now);
     }
 
+    private int tries(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? 0 : entry.tries();
+    }
+
     private void evict(long now) {
         while (!endedAt.isEmpty()) {
             Map.Entry<String, Long> oldest = endedAt.entrySet().iterator().next();
             boolean expired = now - oldest.getValue() > retentionMicros;
-            if (!expired && statusById.size() <= capacity) {
+            if (!expired && entries.size() <= capacity) {
                 return;
             }
             evictedEarly += expired ? 0 : 1;
             endedAt.remove(oldest.getKey());
-            statusById.remove(oldest.getKey());
+            entries.remove(oldest.getKey());
         }
     }
 
     public int size() {
-        return statusById.size();
+        return entries.size();
     }
 
     /**
--- a/src/main/java/pumicemoor/extproc/DecisionsService.java
+++ b/src/main/java/pumicemoor/extproc/DecisionsService.java
@@ -54,7 +54,7 @@
                             new CallRules.RequestAttributes(
                                     ask.getRequestClass(), ask.getObject(), ask.getPart(), ask.getGroup()),
                             ask.getTimeLeftMs(),
-                            ask.getAttempt() != 0);
+                            ask.getAttempt() < 0 ? Integer.MAX_VALUE : ask.getAttempt());
                 }
             }
             case END -> {
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -317,23 +317,23 @@
             execute(stream, malformed(stream, "no path or no x-request-id"));
             return;
         }
-        boolean clientRetry = Headers.earlierTries(headers) > 0;
+        int earlierTries = Headers.earlierTries(headers);
         Optional<RequestAttributes> attributes = rules.match(method, path, headers);
         if (attributes.isPresent()) {
             long ttlMillis = parseNumber(headers.get("x-envoy-expected-rq-timeout-ms"));
-            request(stream, id, attributes.get(), ttlMillis, clientRetry);
+            request(stream, id, attributes.get(), ttlMillis, earlierTries);
         } else if (rules.noRule() == CallRules.NoRule.PASS) {
             count(Count.PASSED);
             execute(stream, stream.state.passThrough());
         } else {
-            rejectWithoutRule(stream, id, clientRetry);
+            rejectWithoutRule(stream, id, earlierTries);
         }
     }
 
     /** Rejects a request that no rule matches, so that its class is not known. */
-    private void rejectWithoutRule(Stream stream, String id, boolean clientRetry) {
+    private void rejectWithoutRule(Stream stream, String id, int earlierTries) {
         stream.id = stream.caller + '/' + id;
-        EarlierAttempts earlier = callRegistry.earlierAttempts(loop.clock(), stream.id, clientRetry);
+        EarlierAttempts earlier = callRegistry.earlierAttempts(loop.clock(), stream.id, earlierTries);
         Rejection rejection = RefusalPolicy.rejectUnclassified(earlier, 0);
         if (rejection.refused()) {
             count(Count.REFUSED_BY_RULE);
@@ -343,8 +343,8 @@
         }
     }
 
-    /** Handles a request to be decided; {@code clientRetry} is true if its caller has sent it before. */
-    void request(Stream stream, String id, RequestAttributes attributes, long ttlMillis, boolean clientRetry) {
+    /** Handles a request to be decided, which its caller has sent this many times before. */
+    void request(Stream stream, String id, RequestAttributes attributes, long ttlMillis, int earlierTries) {
         count(Count.CALLS);
         int requestClass;
         try {
@@ -366,7 +366,7 @@
         ReadyAttempt ready = readyAttempts.get(stream.id);
         EarlierAttempts earlier = ready != null
                 ? EarlierAttempts.of(ready.mayHaveRun())
-                : callRegistry.earlierAttempts(loop.clock(), stream.id, clientRetry);
+                : callRegistry.earlierAttempts(loop.clock(), stream.id, earlierTries);
         if (isUnsafe(stream) && earlier == EarlierAttempts.MAY_HAVE_RUN) {
             failRepeat(stream);
             return;
@@ -413,7 +413,7 @@
                         attributes.part(),
                         attributes.group(),
                         timeoutMillis,
-                        clientRetry));
+                        earlierTries > 0));
             }
         }
     }
@@ -435,6 +435,9 @@
         readyAttempts.remove(stream.id);
         stream.requestNumber = ready.requestNumber();
         stream.registryId = ready.registryId();
+        if (stream.registryId != null) {
+            callRegistry.begin(stream.registryId);
+        }
         stream.attempt = ready.attempt();
         streams.put(stream.requestNumber, stream);
         stream.timers.add(loop.schedule(stream.requestClass.deadline() + STREAM_GRACE_MICROS, () -> expire(stream)));
--- a/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
+++ b/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
@@ -1,6 +1,7 @@
 package pumicemoor.extproc;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pumicemoor.extproc.FrontRig.attemptHeaders;
 
 import io.grpc.Status;
@@ -228,4 +229,18 @@
         assertEquals(Final.Code.FAILED, ask("b-2", -1).finalCode(), "4294967295 tries, as an unsigned number");
         attemptHeaders(book("b-3", 1).next());
     }
+
+    /** Guards against a booking that runs twice: it never ran here, but may have run at another router since. */
+    @Test
+    void aRepeatThatNeverRanHereFailsIfItWasTriedElsewhereToo() throws Exception {
+        start("open-calls: 9");
+        for (String id : new String[] {"b-1", "b-2"}) {
+            FrontRig.ReporterCall first = ask(id, 0);
+            for (ToCaller answer = first.next(); answer.hasNamed(); answer = first.next()) {
+                first.report(answer.getNamed().getAttempt(), End.How.FULL);
+            }
+        }
+        assertEquals(Final.Code.FAILED, ask("b-1", 2).finalCode(), "its second try was made elsewhere");
+        assertTrue(ask("b-2", 1).next().hasNamed(), "its only try was made here");
+    }
 }
