Keep ids of requests that may have run when others fill the memory

Callers would see: of a proxy with many calls that its members turn away, an earlier booking comes again unmarked and runs twice, since its id was pushed out of the registry. Cause: ids of calls that never ran shared one bound (100,000) with those of calls that may have run, and the oldest went first, whichever it was. Change: RequestHistory, in a package of its own, takes the place of CallRegistry, with a bound for each of the two kinds. What is forgotten of ids that never ran costs no safety (a marked repeat fails), so only the others count as forgotten early. Test: RequestHistoryTest.callsThatNeverRanPushNoneOutThatMayHave, red on CallRegistry (NONE_RAN for an id that may have run); the registry's other checks moved there unchanged. Not shown on a real process. The front's tests, AdmissionTest and ArchitectureTest are green.

--- a/src/main/java/pumicemoor/extproc/DecisionsService.java
+++ b/src/main/java/pumicemoor/extproc/DecisionsService.java
@@ -12,6 +12,7 @@
 import pumicemoor.extproc.proto.v1.FromCaller;
 import pumicemoor.extproc.proto.v1.Named;
 import pumicemoor.extproc.proto.v1.ToCaller;
+import pumicemoor.idempotency.RequestHistory;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input.AnswerStatus;
 
@@ -54,7 +55,7 @@
                             new CallRules.RequestAttributes(
                                     ask.getRequestClass(), ask.getObject(), ask.getPart(), ask.getGroup()),
                             ask.getTimeLeftMs(),
-                            ask.getAttempt() < 0 ? Integer.MAX_VALUE : ask.getAttempt());
+                            ask.getAttempt() < 0 ? RequestHistory.UNKNOWN_TRIES : ask.getAttempt());
                 }
             }
             case END -> {
--- a/src/main/java/pumicemoor/extproc/Headers.java
+++ b/src/main/java/pumicemoor/extproc/Headers.java
@@ -11,6 +11,7 @@
 import pumicemoor.extproc.proto.HeaderMutation;
 import pumicemoor.extproc.proto.HeaderValue;
 import pumicemoor.extproc.proto.HeaderValueOption;
+import pumicemoor.idempotency.RequestHistory;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input.AnswerStatus;
 
@@ -118,12 +119,13 @@
     }
 
     /**
-     * How often the caller has sent this request before, as Envoy counts it; the largest number if the header can't be
-     * read.
+     * How often the caller has sent this request before, as Envoy counts it.
      */
     static int earlierTries(Map<String, String> headers) {
         String attemptCount = headers.getOrDefault(ATTEMPT_COUNT, "1");
-        return attemptCount.matches("\\d{1,9}") ? Math.max(0, Integer.parseInt(attemptCount) - 1) : Integer.MAX_VALUE;
+        return attemptCount.matches("\\d{1,9}")
+                ? Math.max(0, Integer.parseInt(attemptCount) - 1)
+                : RequestHistory.UNKNOWN_TRIES;
     }
 
     static String note(Map<String, String> headers) {
--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -36,7 +36,6 @@
 import pumicemoor.RefusalPolicy.EarlierAttempts;
 import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.RouterApi;
-import pumicemoor.calls.CallRegistry;
 import pumicemoor.calls.CallRules;
 import pumicemoor.calls.CallRules.RequestAttributes;
 import pumicemoor.calls.CallState;
@@ -44,6 +43,7 @@
 import pumicemoor.calls.CallState.StreamAction;
 import pumicemoor.calls.CallState.Style;
 import pumicemoor.calls.FairAdmission;
+import pumicemoor.idempotency.RequestHistory;
 import pumicemoor.node.Bytes;
 import pumicemoor.node.CallFront;
 import pumicemoor.node.CallLoop;
@@ -72,7 +72,8 @@
     private static final Metadata.Key<String> CALLER_NAME =
             Metadata.Key.of("x-pumicemoor-caller", Metadata.ASCII_STRING_MARSHALLER);
     private static final int MAX_NAME_LENGTH = 128;
-    private static final int MAX_REGISTERED_IDS = 100_000; // ids of requests that must not run twice
+    // ids of ended requests that must not run twice: of those that may have run, and of those that have not
+    private static final int MAX_REMEMBERED_IDS = 100_000;
     private static final long ID_RETENTION_MICROS = 600_000_000L;
     // an answer is sent this long before the caller's message timeout
     private static final long ANSWER_MARGIN_MICROS = 15_000;
@@ -100,7 +101,7 @@
     private ProcessorSection section;
     private CallRules rules;
     private final FairAdmission admission;
-    private final CallRegistry callRegistry = new CallRegistry(MAX_REGISTERED_IDS, ID_RETENTION_MICROS);
+    private final RequestHistory history = new RequestHistory(MAX_REMEMBERED_IDS, ID_RETENTION_MICROS);
     private final TlsFiles tls;
     private final Map<Long, Stream> streams = new HashMap<>();
     private final Map<String, ReadyAttempt> readyAttempts = new HashMap<>();
@@ -114,7 +115,7 @@
 
     /** An attempt that is kept ready until the caller itself retries the request. */
     private record ReadyAttempt(
-            long requestNumber, Effect.AnnounceAttempt attempt, String registryId, boolean mayHaveRun) {}
+            long requestNumber, Effect.AnnounceAttempt attempt, String historyId, boolean mayHaveRun) {}
 
     /** One stream of a caller, of either service. */
     abstract static class Stream {
@@ -122,7 +123,7 @@
         final CallState state;
         long requestNumber; // in the reducer; negative
         String id = "";
-        String registryId; // null if the request may run twice
+        String historyId; // null if the request may run twice
         Effect.AnnounceAttempt attempt; // the last attempt sent to the caller
         AnswerStatus endStatus; // of that attempt, as reported; null if only its connection is known to be lost
         String note;
@@ -333,7 +334,7 @@
     /** Rejects a request that no rule matches, so that its class is not known. */
     private void rejectWithoutRule(Stream stream, String id, int earlierTries) {
         stream.id = stream.caller + '/' + id;
-        EarlierAttempts earlier = callRegistry.earlierAttempts(loop.clock(), stream.id, earlierTries);
+        EarlierAttempts earlier = history.earlierAttempts(loop.clock(), stream.id, earlierTries);
         Rejection rejection = RefusalPolicy.rejectUnclassified(earlier, 0);
         if (rejection.refused()) {
             count(Count.REFUSED_BY_RULE);
@@ -366,7 +367,7 @@
         ReadyAttempt ready = readyAttempts.get(stream.id);
         EarlierAttempts earlier = ready != null
                 ? EarlierAttempts.of(ready.mayHaveRun())
-                : callRegistry.earlierAttempts(loop.clock(), stream.id, earlierTries);
+                : history.earlierAttempts(loop.clock(), stream.id, earlierTries);
         if (isUnsafe(stream) && earlier == EarlierAttempts.MAY_HAVE_RUN) {
             failRepeat(stream);
             return;
@@ -387,8 +388,8 @@
             return;
         }
         if (isUnsafe(stream)) {
-            callRegistry.begin(stream.id);
-            stream.registryId = stream.id;
+            history.begin(stream.id);
+            stream.historyId = stream.id;
         }
         stream.requestNumber = --lastRequestNumber;
         streams.put(stream.requestNumber, stream);
@@ -434,9 +435,9 @@
         count(Count.TRIED_AGAIN);
         readyAttempts.remove(stream.id);
         stream.requestNumber = ready.requestNumber();
-        stream.registryId = ready.registryId();
-        if (stream.registryId != null) {
-            callRegistry.begin(stream.registryId);
+        stream.historyId = ready.historyId();
+        if (stream.historyId != null) {
+            history.begin(stream.historyId);
         }
         stream.attempt = ready.attempt();
         streams.put(stream.requestNumber, stream);
@@ -550,8 +551,8 @@
         if (stream.admitted) {
             admission.ended(stream.caller);
         }
-        if (stream.registryId != null) {
-            callRegistry.ended(loop.clock(), stream.registryId, stream.state.mayHaveRun());
+        if (stream.historyId != null) {
+            history.ended(loop.clock(), stream.historyId, stream.state.mayHaveRun());
         }
     }
 
@@ -576,8 +577,8 @@
     private void keepReady(Stream stream, Effect.AnnounceAttempt attempt) {
         stream.state.detach();
         streams.remove(attempt.call());
-        ReadyAttempt ready = new ReadyAttempt(attempt.call(), attempt, stream.registryId, stream.state.mayHaveRun());
-        stream.registryId = null;
+        ReadyAttempt ready = new ReadyAttempt(attempt.call(), attempt, stream.historyId, stream.state.mayHaveRun());
+        stream.historyId = null;
         readyAttempts.put(stream.id, ready);
         loop.schedule(section.retryWaitMicros(), () -> {
             if (readyAttempts.remove(stream.id, ready)) {
@@ -607,8 +608,8 @@
 
     /** Discards a ready attempt that was not used; whether its request may have run is still recorded. */
     private void discard(ReadyAttempt ready) {
-        if (ready.registryId() != null) {
-            callRegistry.ended(loop.clock(), ready.registryId(), ready.mayHaveRun());
+        if (ready.historyId() != null) {
+            history.ended(loop.clock(), ready.historyId(), ready.mayHaveRun());
         }
     }
 
@@ -654,8 +655,8 @@
                 "processor-" + counter.name().toLowerCase(Locale.ROOT).replace('_', '-'), Long.toString(value)));
         state.put("processor-open", Integer.toString(admission.openCalls()));
         state.put("processor-held-ready", Integer.toString(readyAttempts.size()));
-        state.put("processor-ids-kept", Integer.toString(callRegistry.size()));
-        state.put("processor-ids-forgotten-early", Long.toString(callRegistry.evictedEarly()));
+        state.put("processor-ids-kept", Integer.toString(history.size()));
+        state.put("processor-ids-forgotten-early", Long.toString(history.forgottenEarly()));
         return state;
     }
 
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -14,10 +14,15 @@
 class ArchitectureTest {
 
     private static final String[] DECISION_PACKAGES = {
-        "pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..", "pumicemoor.fleet.."
+        "pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..", "pumicemoor.idempotency..", "pumicemoor.fleet.."
     };
     private static final String[] LOWER_LAYERS = {
-        "pumicemoor", "pumicemoor.hierarchy..", "pumicemoor.calls..", "pumicemoor.fleet..", "pumicemoor.node.."
+        "pumicemoor",
+        "pumicemoor.hierarchy..",
+        "pumicemoor.calls..",
+        "pumicemoor.idempotency..",
+        "pumicemoor.fleet..",
+        "pumicemoor.node.."
     };
     private static final JavaClasses PRODUCTION_CLASSES = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
@@ -35,6 +40,7 @@
                         "pumicemoor",
                         "pumicemoor.hierarchy..",
                         "pumicemoor.calls..",
+                        "pumicemoor.idempotency..",
                         "pumicemoor.fleet..",
                         "com.google.re2j..")
                 .check(PRODUCTION_CLASSES);
--- a/src/test/java/pumicemoor/calls/AdmissionTest.java
+++ b/src/test/java/pumicemoor/calls/AdmissionTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import pumicemoor.RefusalPolicy.EarlierAttempts;
 import pumicemoor.calls.CallRules.NoRule;
 import pumicemoor.calls.CallRules.RequestAttributes;
 import pumicemoor.calls.CallRules.Rule;
@@ -116,43 +115,4 @@
                 "an object name over the maximum length");
         assertEquals(Optional.empty(), rules.match("GET", "/v/a/2", Map.of("x-kind", "film", "x-lot", "300")));
     }
-
-    @Test
-    void aCallThatMayHaveRunIsNotAdmittedAgain() {
-        CallRegistry registry = new CallRegistry(3, 10 * MICROS_PER_SECOND);
-        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(0, "a", 0));
-        registry.begin("a");
-        assertEquals(EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(0, "a", 1), "a call with this id is open");
-        registry.ended(1, "a", true);
-        assertEquals(EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(2, "a", 1), "the first call may have run");
-        assertEquals(
-                EarlierAttempts.MAY_HAVE_RUN,
-                registry.earlierAttempts(2, "a", 0),
-                "reused id of a call that may have run");
-        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(2, "b", 0));
-        registry.begin("b");
-        registry.ended(3, "b", false);
-        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(4, "b", 1), "the first call never ran");
-        assertEquals(EarlierAttempts.MAY_HAVE_RUN, registry.earlierAttempts(4, "new", 1), "a retry with an unknown id");
-        assertEquals(
-                EarlierAttempts.MAY_HAVE_RUN,
-                registry.earlierAttempts(4, "b", 2),
-                "its second try was made at another router");
-        registry.begin("b");
-        registry.ended(5, "b", false);
-        assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(5, "b", 2), "both tries were made here");
-        registry.begin("b");
-        registry.ended(5, "b", true);
-        assertEquals(
-                EarlierAttempts.MAY_HAVE_RUN,
-                registry.earlierAttempts(11 * MICROS_PER_SECOND, "a", 1),
-                "the id has expired and is unknown");
-        for (int i = 0; i < 10; i++) {
-            assertEquals(EarlierAttempts.NONE_RAN, registry.earlierAttempts(12 * MICROS_PER_SECOND, "x" + i, 0));
-            registry.begin("x" + i);
-            registry.ended(12 * MICROS_PER_SECOND, "x" + i, true);
-        }
-        assertTrue(registry.size() <= 3);
-        assertTrue(registry.evictedEarly() > 0);
-    }
 }
--- /dev/null
+++ b/src/test/java/pumicemoor/idempotency/RequestHistoryTest.java
@@ -0,0 +1,66 @@
+package pumicemoor.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
+
+/** What is known of the earlier attempts of a request, and the bounds on the memory of ids. */
+class RequestHistoryTest {
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
+
+    @Test
+    void aRequestThatMayHaveRunIsKnownByItsId() {
+        RequestHistory history = new RequestHistory(3, 10 * MICROS_PER_SECOND);
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(0, "a", 0));
+        history.begin("a");
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(0, "a", 1), "a call with this id is open");
+        history.ended(1, "a", true);
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(2, "a", 1), "the first call may have run");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN,
+                history.earlierAttempts(2, "a", 0),
+                "reused id of a call that may have run");
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(2, "b", 0));
+        history.begin("b");
+        history.ended(3, "b", false);
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(4, "b", 1), "the first call never ran");
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(4, "new", 1), "a retry with an unknown id");
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN,
+                history.earlierAttempts(4, "b", 2),
+                "its second try was made at another router");
+        history.begin("b");
+        history.ended(5, "b", false);
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(5, "b", 2), "both tries were made here");
+        history.begin("b");
+        history.ended(5, "b", true);
+        assertEquals(
+                EarlierAttempts.MAY_HAVE_RUN,
+                history.earlierAttempts(11 * MICROS_PER_SECOND, "a", 1),
+                "the id has expired and is unknown");
+        for (int i = 0; i < 10; i++) {
+            assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(12 * MICROS_PER_SECOND, "x" + i, 0));
+            history.begin("x" + i);
+            history.ended(12 * MICROS_PER_SECOND, "x" + i, true);
+        }
+        assertTrue(history.size() <= 3);
+        assertTrue(history.forgottenEarly() > 0);
+    }
+
+    /** Guards against a booking that runs twice: ids of calls that never ran push its id out of the memory. */
+    @Test
+    void callsThatNeverRanPushNoneOutThatMayHave() {
+        RequestHistory history = new RequestHistory(3, 10 * MICROS_PER_SECOND);
+        history.begin("booked");
+        history.ended(0, "booked", true);
+        for (int i = 0; i < 10; i++) {
+            history.begin("x" + i);
+            history.ended(1, "x" + i, false);
+        }
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(2, "booked", 0));
+        assertEquals(0, history.forgottenEarly());
+    }
+}
