Accept a call again that was refused over a limit before

Callers saw (a test): a first try is refused over a limit, which says that trying again does no harm; its caller does so under the same id, with one earlier try, and is failed, since this router did not know the id. Only a caller that hid its earlier try was served. Cause: ids of calls that were refused before the decision module were not remembered. Change: such a try is remembered as one that never ran (10,000 ids at most; one that is forgotten fails, as before), also where no rule matches. Test: RepeatedCallsTest.aCallThatWasRefusedOverALimitIsAcceptedWhenItComesBack, red before (FAILED for REFUSED on the second try); RequestHistoryTest. The front's tests are green.

--- a/src/main/java/pumicemoor/extproc/ProcessorFront.java
+++ b/src/main/java/pumicemoor/extproc/ProcessorFront.java
@@ -72,8 +72,9 @@
     private static final Metadata.Key<String> CALLER_NAME =
             Metadata.Key.of("x-pumicemoor-caller", Metadata.ASCII_STRING_MARSHALLER);
     private static final int MAX_NAME_LENGTH = 128;
-    // ids of ended requests that must not run twice: of those that may have run, and of those that have not
-    private static final int MAX_REMEMBERED_IDS = 100_000;
+    // ids of ended requests that must not run twice
+    private static final int MAX_IDS_THAT_MAY_HAVE_RUN = 100_000;
+    private static final int MAX_IDS_THAT_HAVE_NOT_RUN = 10_000;
     private static final long ID_RETENTION_MICROS = 600_000_000L;
     // an answer is sent this long before the caller's message timeout
     private static final long ANSWER_MARGIN_MICROS = 15_000;
@@ -101,7 +102,8 @@
     private ProcessorSection section;
     private CallRules rules;
     private final FairAdmission admission;
-    private final RequestHistory history = new RequestHistory(MAX_REMEMBERED_IDS, ID_RETENTION_MICROS);
+    private final RequestHistory history =
+            new RequestHistory(MAX_IDS_THAT_MAY_HAVE_RUN, MAX_IDS_THAT_HAVE_NOT_RUN, ID_RETENTION_MICROS);
     private final TlsFiles tls;
     private final Map<Long, Stream> streams = new HashMap<>();
     private final Map<String, ReadyAttempt> readyAttempts = new HashMap<>();
@@ -338,6 +340,9 @@
         Rejection rejection = RefusalPolicy.rejectUnclassified(earlier, 0);
         if (rejection.refused()) {
             count(Count.REFUSED_BY_RULE);
+            if (id.length() <= MAX_NAME_LENGTH) {
+                history.turnedAway(loop.clock(), stream.id);
+            }
             execute(stream, stream.state.reject(rejection));
         } else {
             failRepeat(stream);
@@ -376,6 +381,9 @@
                 draining ? FairAdmission.Decision.DRAINING : admission.admit(loop.clock(), stream.caller);
         if (!decision.admitted()) {
             count(Count.REFUSED_BY_BOUND);
+            if (isUnsafe(stream)) {
+                history.turnedAway(loop.clock(), stream.id);
+            }
             execute(
                     stream,
                     stream.state.reject(
--- a/src/main/java/pumicemoor/idempotency/RequestHistory.java
+++ b/src/main/java/pumicemoor/idempotency/RequestHistory.java
@@ -18,7 +18,8 @@
     /** The number of earlier tries of a request whose sender has given none that can be read. */
     public static final int UNKNOWN_TRIES = Integer.MAX_VALUE;
 
-    private final int capacity;
+    private final int mayHaveRunCapacity;
+    private final int notRunCapacity;
     private final long retentionMicros;
     private final Map<String, Integer> openTries = new HashMap<>(); // by id, the open one included
     private final Map<String, Ended> mayHaveRun = new LinkedHashMap<>(); // the order of the maps is that of the ends
@@ -29,11 +30,12 @@
     private record Ended(long at, int tries) {}
 
     /**
-     * Creates an empty history that keeps ids of ended requests for a retention time (microseconds), up to the capacity
-     * for those that may have run and as many for those that have not.
+     * Creates an empty history that keeps ids of ended requests for a retention time (microseconds), up to a capacity
+     * for those that may have run and another one for those that have not.
      */
-    public RequestHistory(int capacity, long retentionMicros) {
-        this.capacity = capacity;
+    public RequestHistory(int mayHaveRunCapacity, int notRunCapacity, long retentionMicros) {
+        this.mayHaveRunCapacity = mayHaveRunCapacity;
+        this.notRunCapacity = notRunCapacity;
         this.retentionMicros = retentionMicros;
     }
 
@@ -56,18 +58,28 @@
         openTries.merge(id, ended == null ? 1 : ended.tries() + 1, (tries, first) -> tries + 1);
     }
 
+    /** Records that a try was turned away before any attempt. */
+    public void turnedAway(long now, String id) {
+        if (openTries.containsKey(id)) {
+            begin(id); // an attempt is kept for the next try
+        } else if (!isKept(mayHaveRun.get(id), now)) {
+            begin(id);
+            ended(now, id, false);
+        }
+    }
+
     /** Records the end of an open request: it may have run unless each of its attempts is known not to have. */
     public void ended(long now, String id, boolean requestMayHaveRun) {
         Integer tries = openTries.remove(id);
         notRun.remove(id);
         mayHaveRun.remove(id); // it goes to the end of the order
         (requestMayHaveRun ? mayHaveRun : notRun).put(id, new Ended(now, tries == null ? 1 : tries));
-        forgottenEarly += removeOldest(mayHaveRun, now);
-        removeOldest(notRun, now);
+        forgottenEarly += removeOldest(mayHaveRun, mayHaveRunCapacity, now);
+        removeOldest(notRun, notRunCapacity, now);
     }
 
     /** Removes expired ids and those over the capacity; returns the number of the latter. */
-    private int removeOldest(Map<String, Ended> ids, long now) {
+    private int removeOldest(Map<String, Ended> ids, int capacity, long now) {
         int removedEarly = 0;
         for (Iterator<Ended> oldest = ids.values().iterator(); oldest.hasNext(); ) {
             boolean kept = isKept(oldest.next(), now);
--- a/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
+++ b/src/test/java/pumicemoor/extproc/RepeatedCallsTest.java
@@ -243,4 +243,15 @@
         assertEquals(Final.Code.FAILED, ask("b-1", 2).finalCode(), "its second try was made elsewhere");
         assertTrue(ask("b-2", 1).next().hasNamed(), "its only try was made here");
     }
+
+    /** Guards against a refusal whose invitation to come back is not kept: the retry fails as one that may have run. */
+    @Test
+    void aCallThatWasRefusedOverALimitIsAcceptedWhenItComesBack() throws Exception {
+        start(ONE_OPEN_CALL);
+        FrontRig.ProxyCall open = openCall();
+        assertEquals(REFUSED, book("b-1", 1).rejectedWith());
+        assertEquals(Final.Code.REFUSED, ask("b-1", 1).finalCode());
+        close(open);
+        attemptHeaders(book("b-1", 3).next());
+    }
 }
--- a/src/test/java/pumicemoor/idempotency/RequestHistoryTest.java
+++ b/src/test/java/pumicemoor/idempotency/RequestHistoryTest.java
@@ -13,7 +13,7 @@
 
     @Test
     void aRequestThatMayHaveRunIsKnownByItsId() {
-        RequestHistory history = new RequestHistory(3, 10 * MICROS_PER_SECOND);
+        RequestHistory history = new RequestHistory(3, 3, 10 * MICROS_PER_SECOND);
         assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(0, "a", 0));
         history.begin("a");
         assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(0, "a", 1), "a call with this id is open");
@@ -53,7 +53,7 @@
     /** Guards against a booking that runs twice: ids of calls that never ran push its id out of the memory. */
     @Test
     void callsThatNeverRanPushNoneOutThatMayHave() {
-        RequestHistory history = new RequestHistory(3, 10 * MICROS_PER_SECOND);
+        RequestHistory history = new RequestHistory(3, 3, 10 * MICROS_PER_SECOND);
         history.begin("booked");
         history.ended(0, "booked", true);
         for (int i = 0; i < 10; i++) {
@@ -63,4 +63,20 @@
         assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(2, "booked", 0));
         assertEquals(0, history.forgottenEarly());
     }
+
+    @Test
+    void aTryThatWasTurnedAwayCountsAsOneThatNeverRan() {
+        RequestHistory history = new RequestHistory(3, 3, 10 * MICROS_PER_SECOND);
+        history.turnedAway(0, "a");
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(1, "a", 1));
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(1, "a", 2), "one of them was elsewhere");
+        history.begin("a");
+        history.turnedAway(2, "a"); // the retry for which an attempt of the open request is kept
+        history.ended(3, "a", false);
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(4, "a", 3));
+        history.begin("a");
+        history.ended(5, "a", true);
+        history.turnedAway(6, "a");
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(7, "a", 0));
+    }
 }
