Count a call as possibly run if any of its attempts may have

Not seen by callers: with today's decisions a call that must not run twice gets no attempt after one that may have run. Cause: CallState overwrote what it knew with each attempt's end. Change: an attempt that ended without proof that it never ran, or was replaced by another, is kept in mind to the end of the call. Test: CallStateTest.aCallMayHaveRunIfAnyOfItsAttemptsMay, red before; the tests of the front are green.

--- a/src/main/java/pumicemoor/calls/CallState.java
+++ b/src/main/java/pumicemoor/calls/CallState.java
@@ -70,7 +70,8 @@
     private int attempt = -1; // announced to the caller and not ended
     private boolean inputEnded;
     private boolean requestOpen; // the decision module has the request and has not answered it
-    private boolean mayHaveRun;
+    private boolean attemptUnknown; // the attempt announced last has not been reported as one that never ran
+    private boolean earlierMayHaveRun; // one before it has ended without such a report
 
     public CallState(Style style) {
         this.style = style;
@@ -85,9 +86,9 @@
         return requestOpen;
     }
 
-    /** Whether an attempt was announced and no report since has shown that it never ran. */
+    /** Whether an attempt was announced of which no report has shown that it never ran. */
     public boolean mayHaveRun() {
-        return mayHaveRun;
+        return attemptUnknown || earlierMayHaveRun;
     }
 
     // ---- messages of the caller -----------------------------------------------------------------------
@@ -149,7 +150,7 @@
         }
         int endedAttempt = attempt;
         attempt = -1;
-        mayHaveRun = !neverRan;
+        attemptUnknown = !neverRan;
         if (style == Style.PROXY) {
             phase = Phase.RESPONDED;
             return List.of(new StreamAction.ReportAttemptEnd(endedAttempt), new StreamAction.PassThrough());
@@ -196,7 +197,8 @@
         if (phase == Phase.DECIDING || phase == Phase.ANNOUNCED && style == Style.REPORTER) {
             attempt = number;
             phase = Phase.ANNOUNCED;
-            mayHaveRun = true;
+            earlierMayHaveRun |= attemptUnknown;
+            attemptUnknown = true;
             List<StreamAction> acts = new ArrayList<>(List.of(new StreamAction.AnnounceAttempt(number)));
             if (inputEnded) { // the caller can no longer report the attempt's end
                 acts.addAll(end(true));
--- a/src/test/java/pumicemoor/calls/CallStateTest.java
+++ b/src/test/java/pumicemoor/calls/CallStateTest.java
@@ -174,4 +174,25 @@
                 state.response(-1, false),
                 "the response is passed through, the request is closed already");
     }
+
+    /** Guards against a memory that takes the last attempt's end for that of all: an earlier one may have run. */
+    @Test
+    void aCallMayHaveRunIfAnyOfItsAttemptsMay() {
+        CallState state = new CallState(Style.REPORTER);
+        state.request();
+        state.attemptAnnounced(0);
+        state.response(0, true);
+        assertFalse(state.mayHaveRun());
+        state.attemptAnnounced(1);
+        state.attemptAnnounced(2); // the decision module has given up the one before
+        state.response(2, true);
+        assertTrue(state.mayHaveRun());
+        CallState failed = new CallState(Style.REPORTER);
+        failed.request();
+        failed.attemptAnnounced(0);
+        failed.response(0, false);
+        failed.attemptAnnounced(1);
+        failed.response(1, true);
+        assertTrue(failed.mayHaveRun());
+    }
 }
