Fail clients' requests that may have run instead of refusing them for lack of room

Callers saw (a test on a real socket): a booking is sent, its client leaves, its id comes again on a connection that has its 32 requests open, and is refused, which says that trying again does no harm. Cause: the connection worded five refusals by itself (32 open, unread replies, no memory for the body, frames without a pause, a dropped frame) and the reducer two (its limit, the last moment before the exit), none of which asked what is known of the id or the mark; a Refuse of the decision module was passed on unseen. Change: Loop.rejectionOf and Reducer.rejectionOf answer for the connection, by RefusalPolicy; a dropped frame keeps the first 1,024 bytes of its payload, in which the fields are, and what can't be read fails. The reducer words its own by the policy too, and a Refuse for a request of which an attempt may have run becomes a failure. ArchitectureTest holds that only the policy makes refusals. RequestHistory takes the place of PossiblyExecutedIds, whose checks moved.

--- a/src/main/java/pumicemoor/idempotency/RequestHistory.java
+++ b/src/main/java/pumicemoor/idempotency/RequestHistory.java
@@ -68,14 +68,19 @@
         }
     }
 
-    /** Records the end of an open request: it may have run unless each of its attempts is known not to have. */
-    public void ended(long now, String id, boolean requestMayHaveRun) {
+    /**
+     * Records the end of a request, which may have run unless each of its attempts is known not to have. Returns the
+     * number of ids that were forgotten early for it.
+     */
+    public int ended(long now, String id, boolean requestMayHaveRun) {
         Integer tries = openTries.remove(id);
         notRun.remove(id);
         mayHaveRun.remove(id); // it goes to the end of the order
         (requestMayHaveRun ? mayHaveRun : notRun).put(id, new Ended(now, tries == null ? 1 : tries));
-        forgottenEarly += removeOldest(mayHaveRun, mayHaveRunCapacity, now);
         removeOldest(notRun, notRunCapacity, now);
+        int forgotten = removeOldest(mayHaveRun, mayHaveRunCapacity, now);
+        forgottenEarly += forgotten;
+        return forgotten;
     }
 
     /** Removes expired ids and those over the capacity; returns the number of the latter. */
--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -15,17 +15,19 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import pumicemoor.RefusalPolicy;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.net.ReadPauses.Reason;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input;
+import pumicemoor.node.RequestIdentity;
 import pumicemoor.node.ResourceLimits;
 
 /**
@@ -52,6 +54,7 @@
         CLOSED
     }
 
+    private static final long MICROS_PER_MILLI = 1_000;
     private static final int MAX_DIRECT_READS = 16; // in a row, outside of the selector's reads
     // for which a client that sends what is discarded is not read; short enough to notice its end
     private static final long DISCARD_PAUSE_MILLIS = 50;
@@ -203,9 +206,10 @@
 
     private void refuseReceived() {
         cancelSubmission();
-        List<Integer> streams = List.copyOf(receivedRequests.keySet());
+        Map<Integer, RequestIdentity> identities = new LinkedHashMap<>();
+        receivedRequests.forEach((stream, request) -> identities.put(stream, RequestIdentity.of(request)));
         releaseReceived();
-        streams.forEach(this::refuse);
+        identities.forEach(this::turnAway);
     }
 
     private void cancelSubmission() {
@@ -303,7 +307,7 @@
         }
     }
 
-    /** Refuses a request that was dropped while it was received, for lack of memory; it never ran. */
+    /** Turns away a request that was dropped while it was received, for lack of memory. */
     private void handleDroppedFrame(FrameDecoder.DroppedFrame dropped) {
         activeAt = loop.clock();
         partialFrameSince = -1;
@@ -311,7 +315,7 @@
             throw new CorruptedFrameException("long frame of type " + dropped.type());
         }
         acceptStream(dropped.stream());
-        refuse(dropped.stream());
+        turnAway(dropped.stream(), ClientFrame.identity(dropped.payloadStart()));
     }
 
     private void handleReadinessRequest(int stream, ByteBuf frame) {
@@ -358,7 +362,7 @@
     private void handleRequest(int stream, ByteBuf frame) {
         acceptStream(stream);
         if (unreadFrames > limits.maxUnreadFrames()) {
-            refuse(stream);
+            turnAway(stream, ClientFrame.identity(frame));
             return;
         }
         Input.Request request;
@@ -376,7 +380,7 @@
         // seen
         if (tooMany || output.isFull() || !budget.hasCapacity(request.body().size())) {
             request.body().release();
-            refuse(stream);
+            turnAway(stream, RequestIdentity.of(request));
             if (tooMany) {
                 onInvalidRequest();
             }
@@ -396,10 +400,15 @@
         openStreams.add(stream);
     }
 
-    /** Refuses a request for lack of capacity, before the reducer has seen it. */
-    private void refuse(int stream) {
+    /** Turns a request away for lack of capacity, before the reducer has seen it. */
+    private void turnAway(int stream, RequestIdentity identity) {
         counters.add(Name.TURNED_AWAY);
-        replyWithoutRequest(stream, Code.REFUSED, limits.retryAfterMillis());
+        boolean received = receivedRequests.values().stream()
+                .anyMatch(r -> r.clientRequestId().equals(identity.clientRequestId()));
+        Rejection rejection = received
+                ? RefusalPolicy.FAILED // its first copy is going to be submitted
+                : loop.rejectionOf(identity);
+        replyWithoutRequest(stream, Code.of(rejection), rejection.retryAfterMicros() / MICROS_PER_MILLI);
     }
 
     /** Answers a request that was not admitted. */
--- a/src/main/java/pumicemoor/net/ClientFrame.java
+++ b/src/main/java/pumicemoor/net/ClientFrame.java
@@ -12,6 +12,7 @@
 import pumicemoor.node.Bytes;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input;
+import pumicemoor.node.RequestIdentity;
 import pumicemoor.node.ResourceLimits;
 
 /**
@@ -61,6 +62,16 @@
                 frame.isReadable() ? NettyBytes.of(frame.readRetainedSlice(frame.readableBytes())) : Bytes.NONE);
     }
 
+    /** Decodes what identifies a request from the rest of its frame, or of the part of it that was received. */
+    static RequestIdentity identity(ByteBuf frame) {
+        try {
+            Map<String, String> fields = fields(frame);
+            return new RequestIdentity(token(fields, "call", ID), token(fields, "op", TOKEN), clientRetry(fields));
+        } catch (CorruptedFrameException e) {
+            return RequestIdentity.UNKNOWN;
+        }
+    }
+
     private static Map<String, String> fields(ByteBuf frame) {
         try {
             Map<String, String> fields = new LinkedHashMap<>();
--- a/src/main/java/pumicemoor/net/FrameDecoder.java
+++ b/src/main/java/pumicemoor/net/FrameDecoder.java
@@ -18,11 +18,15 @@
  */
 final class FrameDecoder extends ChannelInboundHandlerAdapter {
 
-    /** The end of a frame that was dropped, since the frames received in part needed too much memory. */
-    record DroppedFrame(int type, int stream) {}
+    /**
+     * The end of a frame that was dropped, since the frames received in part needed too much memory. Of its payload the
+     * beginning is kept, in which the fields of a usual request are.
+     */
+    record DroppedFrame(int type, int stream, ByteBuf payloadStart) {}
 
     private static final int HEADER_BYTES = ClientFrame.LENGTH_BYTES + 1 + 4; // length, type, stream
     private static final int MIN_BUFFER_BYTES = 256;
+    private static final int KEPT_PAYLOAD_BYTES = 1_024; // of a dropped frame
 
     private final int maxFrameBytes;
     private final PartialFrames partialFrames;
@@ -201,7 +205,9 @@
 
     private void skip(ChannelHandlerContext ctx, ByteBuf in) {
         int skipped = Math.min(bytesToSkip, in.readableBytes());
-        in.skipBytes(skipped);
+        int kept = Math.min(skipped, dropped.payloadStart().writableBytes());
+        dropped.payloadStart().writeBytes(in, kept);
+        in.skipBytes(skipped - kept);
         bytesToSkip -= skipped;
         if (bytesToSkip == 0) {
             DroppedFrame end = dropped;
@@ -218,9 +224,17 @@
     /** Drops the part of a frame that is held, and skips the rest as it arrives; only if {@link #canDrop}. */
     void drop() {
         int start = partial.readerIndex();
+        int payloadBytes = ClientFrame.LENGTH_BYTES + checkedLength(partial) - HEADER_BYTES;
+        ByteBuf payloadStart = Unpooled.wrappedBuffer(new byte[Math.min(payloadBytes, KEPT_PAYLOAD_BYTES)])
+                .clear();
+        payloadStart.writeBytes(
+                partial,
+                start + HEADER_BYTES,
+                Math.min(partial.readableBytes() - HEADER_BYTES, payloadStart.writableBytes()));
         dropped = new DroppedFrame(
                 partial.getUnsignedByte(start + ClientFrame.LENGTH_BYTES),
-                partial.getInt(start + ClientFrame.LENGTH_BYTES + 1));
+                partial.getInt(start + ClientFrame.LENGTH_BYTES + 1),
+                payloadStart);
         bytesToSkip = ClientFrame.LENGTH_BYTES + checkedLength(partial) - partial.readableBytes();
         releasePartial();
     }
--- a/src/main/java/pumicemoor/net/Inbox.java
+++ b/src/main/java/pumicemoor/net/Inbox.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import pumicemoor.node.Input;
 
 /**
@@ -37,6 +38,13 @@
         return queuedBefore - others.size() - heldRequests.size();
     }
 
+    /** Whether a request with this id is queued; the id may be null. */
+    boolean containsRequest(String clientRequestId) {
+        return Stream.concat(others.stream(), heldRequests.stream())
+                .anyMatch(input -> input instanceof Input.Request request
+                        && request.clientRequestId().equals(clientRequestId));
+    }
+
     private static void release(Input request) {
         ((Input.Request) request).body().release();
     }
--- a/src/main/java/pumicemoor/net/Loop.java
+++ b/src/main/java/pumicemoor/net/Loop.java
@@ -2,7 +2,9 @@
 
 import java.util.Map;
 import java.util.Optional;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.node.Input;
+import pumicemoor.node.RequestIdentity;
 
 /** The services that the event loop offers to the connections on it; callable on the loop's thread only. */
 interface Loop {
@@ -25,6 +27,9 @@
     /** Rows about one subject as JSON; empty for an unknown subject. */
     Optional<String> rows(String subject);
 
+    /** The answer to a client's request that is turned away before it is submitted. */
+    Rejection rejectionOf(RequestIdentity identity);
+
     void clientOpened(long connectionId, ClientConnection client);
 
     void clientClosed(long connectionId);
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -36,6 +36,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pumicemoor.Logic;
+import pumicemoor.RefusalPolicy;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.node.CallFront;
 import pumicemoor.node.CallLoop;
 import pumicemoor.node.Counters;
@@ -45,6 +47,7 @@
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.RateLimitedLog;
 import pumicemoor.node.Reducer;
+import pumicemoor.node.RequestIdentity;
 import pumicemoor.node.ResourceLimits;
 import pumicemoor.operator.OperatorConfig;
 
@@ -334,6 +337,13 @@
         errorLog.warn(clock(), text);
     }
 
+    @Override
+    public Rejection rejectionOf(RequestIdentity identity) {
+        return inbox.containsRequest(identity.clientRequestId())
+                ? RefusalPolicy.FAILED // it is going to be sent
+                : reducer.rejectionOf(clock(), identity);
+    }
+
     @Override
     public void clientOpened(long connectionId, ClientConnection client) {
         clients.put(connectionId, client);
--- a/src/main/java/pumicemoor/net/WarmUp.java
+++ b/src/main/java/pumicemoor/net/WarmUp.java
@@ -13,12 +13,14 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import pumicemoor.Logic;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.RouterApi.RequestClass;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
 import pumicemoor.node.Input;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.Reducer;
+import pumicemoor.node.RequestIdentity;
 import pumicemoor.node.ResourceLimits;
 
 /**
@@ -199,6 +201,11 @@
         // no peer takes part in the warm-up
     }
 
+    @Override
+    public Rejection rejectionOf(RequestIdentity identity) {
+        return reducer.rejectionOf(clock, identity);
+    }
+
     @Override
     public Optional<String> rows(String subject) {
         return Optional.empty();
--- a/src/main/java/pumicemoor/node/Effect.java
+++ b/src/main/java/pumicemoor/node/Effect.java
@@ -1,6 +1,7 @@
 package pumicemoor.node;
 
 import java.util.List;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.operator.OperatorConfig;
 
 /**
@@ -14,7 +15,12 @@
     enum Code {
         SERVED,
         REFUSED,
-        FAILED
+        FAILED;
+
+        /** The code of a request that is not served. */
+        public static Code of(Rejection rejection) {
+            return rejection.refused() ? REFUSED : FAILED;
+        }
     }
 
     /**
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -17,6 +17,9 @@
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pumicemoor.RefusalPolicy;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
@@ -40,6 +43,7 @@
 import pumicemoor.RouterApi.Refuse;
 import pumicemoor.RouterApi.RequestAbandoned;
 import pumicemoor.RouterApi.RequestArrived;
+import pumicemoor.RouterApi.RequestClass;
 import pumicemoor.RouterApi.SetTimer;
 import pumicemoor.RouterApi.Settings;
 import pumicemoor.RouterApi.State;
@@ -49,6 +53,7 @@
 import pumicemoor.fleet.drains.Drains;
 import pumicemoor.hierarchy.Hierarchy;
 import pumicemoor.hierarchy.TopologyValidator.Violation;
+import pumicemoor.idempotency.RequestHistory;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.Effect.Code;
 import pumicemoor.node.Input.AnswerStatus;
@@ -115,7 +120,7 @@
     private final Map<String, Request> requestsById = new HashMap<>(); // closed ones until their last attempt ends
     private final Map<StreamKey, Request> unanswered = new LinkedHashMap<>();
     private final Map<String, Request> unansweredByClientId = new HashMap<>(); // key: the id that the client chose
-    private final PossiblyExecutedIds possiblyExecutedIds;
+    private final RequestHistory history; // of clients' requests that must not run twice and may have run
     private final RateLimitedLog warningLog;
     private final Map<Long, Attempt> attemptsByKey = new HashMap<>();
     private final Map<Long, Endpoint> endpointsByMember = new HashMap<>();
@@ -197,7 +202,7 @@
         this.settingsReader = settingsReader;
         this.limits = limits;
         this.counters = counters;
-        this.possiblyExecutedIds = new PossiblyExecutedIds(limits.maxExecutedIds(), limits.executedIdRetention());
+        this.history = new RequestHistory(limits.maxExecutedIds(), 0, limits.executedIdRetention());
         this.warningLog = new RateLimitedLog(LOG, limits.warningsPerSecond());
         this.fleetLog = new RateLimitedLog(LOG, limits.fleetLogLinesPerSecond());
         this.endpointLog = new RateLimitedLog(LOG, limits.fleetLogLinesPerSecond());
@@ -335,10 +340,10 @@
         request.deadline = now + Math.max(0, input.ttlMillis()) * MICROS_PER_MILLI;
         unanswered.put(stream, request);
         RequestTrace.arrived(input, input.ttlMillis());
-        int requestClass = requestClass(input);
+        int requestClass = requestClass(input.requestClass());
         request.mustNotRepeat = requestClass >= 0
                 && !sentByProxy // calls of proxies have their own registry of ids
-                && settings.classes().get(requestClass).idempotency() != Idempotency.SAFE;
+                && requestClassOf(requestClass).idempotency() != Idempotency.SAFE;
         String problem = findProblem(request, requestClass);
         unansweredByClientId.putIfAbsent(input.clientRequestId(), request);
         if (problem != null) {
@@ -352,7 +357,7 @@
                 || exitStage == ExitStage.DONE
                 || terminatedAt >= 0 && now >= terminatedAt + limits.exitDeadline()) {
             counters.add(Name.TURNED_AWAY);
-            answer(request, Code.REFUSED, false, limits.retryAfterMillis(), Bytes.NONE);
+            reject(request, RefusalPolicy.reject(requestClassOf(requestClass), attemptsBefore(request), retryAfter()));
         } else {
             request.requestClass = requestClass;
             requestsById.put(request.id, request);
@@ -382,17 +387,16 @@
         if (openRequest != null && !openRequest.input.object().equals(input.object())) {
             return "its id belongs to an open request for another object";
         }
-        if (request.mustNotRepeat
-                && (openRequest != null || possiblyExecutedIds.contains(now, input.clientRequestId()))) {
+        if (request.mustNotRepeat && earlierAttempts(now, input.clientRequestId(), 0) == EarlierAttempts.MAY_HAVE_RUN) {
             counters.add(Name.REPEATED_IDS);
             return "its id belongs to a request that is open or may have run, and must not run twice";
         }
         return null;
     }
 
-    private int requestClass(Input.Request input) {
+    private int requestClass(String name) {
         try {
-            return settingsReader.requestClass(input.requestClass());
+            return settingsReader.requestClass(name);
         } catch (InvalidInputException e) {
             return -1;
         }
@@ -408,6 +412,62 @@
         }
     }
 
+    /**
+     * Returns the answer to a client's request that is turned away unseen, at this time (microseconds): a refusal, or a
+     * failure if an earlier attempt of it may have run.
+     */
+    public Rejection rejectionOf(long time, RequestIdentity identity) {
+        int requestClass = identity.requestClass() == null ? -1 : requestClass(identity.requestClass());
+        EarlierAttempts earlier = identity.clientRequestId() == null
+                ? EarlierAttempts.MAY_HAVE_RUN
+                : earlierAttempts(time, identity.clientRequestId(), triesElsewhere(identity.clientRetry()));
+        Rejection rejection = requestClass < 0
+                ? RefusalPolicy.rejectUnclassified(earlier, retryAfter())
+                : RefusalPolicy.reject(requestClassOf(requestClass), earlier, retryAfter());
+        counters.add(Name.REPEATED_IDS, rejection.refused() ? 0 : 1);
+        return rejection;
+    }
+
+    private RequestClass requestClassOf(int requestClass) {
+        return settings.classes().get(requestClass);
+    }
+
+    /** The delay in microseconds that a refusal for lack of capacity advises. */
+    private long retryAfter() {
+        return limits.retryAfterMillis() * MICROS_PER_MILLI;
+    }
+
+    /**
+     * What is known of the earlier attempts of a request over a limit. A proxy's call is checked before it becomes a
+     * request, and a client's request that repeats an open one has failed already.
+     */
+    private EarlierAttempts attemptsBefore(Request request) {
+        return request.sentByProxy
+                ? EarlierAttempts.NONE_RAN
+                : history.earlierAttempts(
+                        now, request.input.clientRequestId(), triesElsewhere(request.input.clientRetry()));
+    }
+
+    /** What is known of the earlier attempts of a client's request that comes at this time and is not open itself. */
+    private EarlierAttempts earlierAttempts(long time, String clientRequestId, int earlierTries) {
+        return unansweredByClientId.containsKey(clientRequestId)
+                ? EarlierAttempts.MAY_HAVE_RUN
+                : history.earlierAttempts(time, clientRequestId, earlierTries);
+    }
+
+    /**
+     * The number of tries that a client's mark tells of. A client's retry has a new id, so this router can't know how
+     * the tries before it have ended.
+     */
+    private static int triesElsewhere(boolean clientRetry) {
+        return clientRetry ? RequestHistory.UNKNOWN_TRIES : 0;
+    }
+
+    private void reject(Request request, Rejection rejection) {
+        long retryAfterMillis = (rejection.retryAfterMicros() + MICROS_PER_MILLI - 1) / MICROS_PER_MILLI;
+        answer(request, Code.of(rejection), false, retryAfterMillis, Bytes.NONE);
+    }
+
     /** Sends the one final answer; returns false if there is no such request or it is already closed. */
     private boolean answer(Request request, Code code, boolean unchanged, long retryAfterMillis, Bytes body) {
         if (request == null || request.closed) {
@@ -443,7 +503,7 @@
     /** Remembers the id of a closed request that must not run twice and of which an attempt may have run. */
     private void rememberIfExecuted(Request request) {
         if (request.closed && request.mustNotRepeat && (request.mayHaveRun || !request.openAttempts.isEmpty())) {
-            counters.add(Name.IDS_FORGOTTEN, possiblyExecutedIds.add(now, request.input.clientRequestId()));
+            counters.add(Name.IDS_FORGOTTEN, history.ended(now, request.input.clientRequestId(), true));
         }
     }
 
@@ -480,12 +540,7 @@
                 endAttempt(attempt, Outcome.CANCELLED);
             }
         } else if (action instanceof Refuse refuse) {
-            answer(
-                    requestsById.get(refuse.id()),
-                    Code.REFUSED,
-                    false,
-                    (refuse.retryAfter() + MICROS_PER_MILLI - 1) / MICROS_PER_MILLI,
-                    Bytes.NONE);
+            refuse(requestsById.get(refuse.id()), refuse.retryAfter());
         } else if (action instanceof Fail fail) {
             answer(requestsById.get(fail.id()), Code.FAILED, false, 0, Bytes.NONE);
         } else if (action instanceof SetTimer timer) {
@@ -502,6 +557,14 @@
         }
     }
 
+    /** Refuses a request as the decision module wants, unless one of its attempts may have run. */
+    private void refuse(Request request, long retryAfterMicros) {
+        if (request != null) {
+            EarlierAttempts attempts = EarlierAttempts.of(request.mayHaveRun || !request.openAttempts.isEmpty());
+            reject(request, RefusalPolicy.reject(requestClassOf(request.requestClass), attempts, retryAfterMicros));
+        }
+    }
+
     private void send(Request request, Fetch fetch) {
         if (request == null) {
             throw new IllegalStateException("an attempt for request " + fetch.id() + ", which is not open");
--- a/src/test/java/pumicemoor/ArchitectureTest.java
+++ b/src/test/java/pumicemoor/ArchitectureTest.java
@@ -5,10 +5,13 @@
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
 import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
+import pumicemoor.calls.CallState;
+import pumicemoor.node.Effect;
 
 /** Checks the dependencies between the layers of docs/architecture.md. */
 class ArchitectureTest {
@@ -109,6 +112,43 @@
         slices().matching("pumicemoor.(*)..").should().beFreeOfCycles().check(PRODUCTION_CLASSES);
     }
 
+    /** Refusals promise that trying again does no harm: {@link RefusalPolicy} decides each, whoever sends it. */
+    @Test
+    void noRefusalIsMadeWithoutTheRefusalPolicy() {
+        classes()
+                .that(accessField(Effect.Code.class, "REFUSED"))
+                .should()
+                .haveFullyQualifiedName(Effect.Code.class.getName()) // made from a Rejection
+                .orShould()
+                .haveFullyQualifiedName("pumicemoor.net.ClientFrame") // encodes
+                .orShould()
+                .haveFullyQualifiedName("pumicemoor.node.Reducer") // counts
+                .check(PRODUCTION_CLASSES);
+        classes()
+                .that(accessField(CallState.Code.class, "REFUSED"))
+                .should()
+                .haveFullyQualifiedName(CallState.Code.class.getName())
+                .orShould()
+                .haveFullyQualifiedName(CallState.class.getName()) // made from a Rejection
+                .orShould()
+                .haveFullyQualifiedName("pumicemoor.extproc.ExtProcService$ProxyStream") // encodes
+                .check(PRODUCTION_CLASSES);
+        classes()
+                .that(DescribedPredicate.describe(
+                        "create RouterApi.Refuse", (JavaClass c) -> c.getConstructorCallsFromSelf().stream()
+                                .anyMatch(call -> call.getTargetOwner().isEquivalentTo(RouterApi.Refuse.class))))
+                .should()
+                .haveFullyQualifiedName(Logic.class.getName()) // as the policy says
+                .check(PRODUCTION_CLASSES);
+    }
+
+    private static DescribedPredicate<JavaClass> accessField(Class<?> owner, String field) {
+        return DescribedPredicate.describe(
+                "access " + owner.getName() + "." + field, c -> c.getFieldAccessesFromSelf().stream()
+                        .anyMatch(access -> access.getTarget().getOwner().isEquivalentTo(owner)
+                                && access.getTarget().getName().equals(field)));
+    }
+
     /** Only the scale tool may use libraries for statistics and plots: nothing that serves requests may load them. */
     @Test
     void statisticsAndPlotsStayInTheScaleTool() {
--- a/src/test/java/pumicemoor/idempotency/RequestHistoryTest.java
+++ b/src/test/java/pumicemoor/idempotency/RequestHistoryTest.java
@@ -10,6 +10,7 @@
 class RequestHistoryTest {
 
     private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long RETENTION_MICROS = 1_000;
 
     @Test
     void aRequestThatMayHaveRunIsKnownByItsId() {
@@ -79,4 +80,27 @@
         history.turnedAway(6, "a");
         assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(7, "a", 0));
     }
+
+    @Test
+    void anIdIsRememberedForTheRetentionTime() {
+        RequestHistory history = new RequestHistory(3, 0, RETENTION_MICROS);
+        history.ended(100, "a", true);
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(100 + RETENTION_MICROS, "a", 0));
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(101 + RETENTION_MICROS, "a", 0));
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(100, "b", 0));
+        assertEquals(0, history.ended(102 + RETENTION_MICROS, "b", true), "the first one has expired");
+        assertEquals(1, history.size());
+    }
+
+    @Test
+    void theOldestIdIsForgottenAtTheBound() {
+        RequestHistory history = new RequestHistory(3, 0, RETENTION_MICROS);
+        for (String id : new String[] {"a", "b", "a", "c"}) {
+            assertEquals(0, history.ended(100, id, true));
+        }
+        assertEquals(1, history.ended(100, "d", true));
+        assertEquals(3, history.size());
+        assertEquals(EarlierAttempts.NONE_RAN, history.earlierAttempts(100, "b", 0), "'a' has ended again since");
+        assertEquals(EarlierAttempts.MAY_HAVE_RUN, history.earlierAttempts(100, "a", 0));
+    }
 }
--- a/src/test/java/pumicemoor/net/ClientConnectionTest.java
+++ b/src/test/java/pumicemoor/net/ClientConnectionTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import pumicemoor.RefusalPolicy.EarlierAttempts;
 import pumicemoor.node.Bytes;
 import pumicemoor.node.Counters;
 import pumicemoor.node.Effect;
@@ -25,6 +26,7 @@
 import pumicemoor.node.Input;
 import pumicemoor.node.NodeConfig;
 import pumicemoor.node.NodeTestConfig;
+import pumicemoor.node.RequestIdentity;
 import pumicemoor.node.ResourceLimits;
 
 /** Frames of clients, however their bytes are split, and the frames that answer them. */
@@ -621,4 +623,99 @@
         connection.sweep(loop.time);
         assertFalse(channel.isOpen());
     }
+
+    private static final String PUSHED_BACK = "00000015" + "08" + "%08x" + "0001" + PUSHBACK;
+    private static final String FAILED_ANSWER = "00000007" + "08" + "%08x" + "0900";
+    private static final String BOOKED = "00000000000000b1";
+
+    /** Turns away one request in some way, which may run twice if it is refused, and checks how it is answered. */
+    private void checkTurnedAway(int stream, Runnable arrival) {
+        for (EarlierAttempts earlier : EarlierAttempts.values()) {
+            loop.earlierAttempts = earlier;
+            arrival.run();
+            boolean mayHaveRun = earlier == EarlierAttempts.MAY_HAVE_RUN;
+            String answer = (mayHaveRun ? FAILED_ANSWER : PUSHED_BACK).formatted(stream);
+            assertTrue(written().endsWith(answer), "earlier attempts: " + earlier);
+            RequestIdentity identity = loop.turnedAway.poll();
+            assertEquals(new RequestIdentity(BOOKED, "order", mayHaveRun), identity, "what is asked about");
+            assertTrue(loop.turnedAway.isEmpty());
+            stop();
+            open();
+        }
+    }
+
+    private byte[] booking(int stream) {
+        return request(stream, "op", "order", "call", BOOKED, "rep", loop.earlierAttempts.ordinal() == 0 ? "0" : "1");
+    }
+
+    /** Guards against a request that is refused by its connection, although it may have run before. */
+    @Test
+    void requestThatIsTurnedAwayFailsIfItMayHaveRunBefore() {
+        checkTurnedAway(33, () -> {
+            for (int stream = 1; stream <= 32; stream++) {
+                write(request(stream));
+            }
+            loop.inputs.forEach(input -> ((Input.Request) input).body().release());
+            write(booking(33));
+        });
+        checkTurnedAway(5, () -> {
+            usedBytes = 999_999;
+            write(booking(5));
+            usedBytes = 0;
+        });
+        checkTurnedAway(6, () -> {
+            channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+            write(booking(6));
+            channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+            channel.runPendingTasks();
+        });
+    }
+
+    /** Guards against a request that was dropped half way, and is refused although it may have run before. */
+    @Test
+    void requestWhoseFrameWasDroppedFailsIfItMayHaveRunBefore() {
+        for (int received : new int[] {9, 10, 30, 100}) { // the fields end after these
+            checkTurnedAway(7, () -> {
+                byte[] frame = booking(7);
+                write(java.util.Arrays.copyOf(frame, received));
+                channel.pipeline().get(FrameDecoder.class).drop();
+                write(java.util.Arrays.copyOfRange(frame, received, received + 1));
+                write(java.util.Arrays.copyOfRange(frame, received + 1, frame.length));
+            });
+        }
+    }
+
+    /** Guards against a request in a flood of frames that is refused although it may have run before. */
+    @Test
+    void requestAfterTooManyUnreadFramesFailsIfItMayHaveRunBefore() {
+        checkTurnedAway(8, () -> {
+            ByteBuf flood = Unpooled.buffer();
+            for (int i = 0; i <= limits.maxUnreadFrames(); i++) {
+                flood.writeBytes(frame(9, 1_000 + i, null, new byte[0]));
+            }
+            write(ByteBufUtil.getBytes(flood.writeBytes(booking(8))));
+        });
+    }
+
+    /** Guards against a refusal of what can't be identified: it may have run before. */
+    @Test
+    void requestThatCanNotBeIdentifiedIsAskedAboutAsUnknown() {
+        byte[] longHead = request(5, "aaa", "x".repeat(2_000));
+        write(java.util.Arrays.copyOf(longHead, 30));
+        channel.pipeline().get(FrameDecoder.class).drop();
+        write(java.util.Arrays.copyOfRange(longHead, 30, longHead.length));
+        assertEquals(RequestIdentity.UNKNOWN, loop.turnedAway.poll());
+    }
+
+    /** Guards against a request that is refused while its first copy waits to be submitted. */
+    @Test
+    void secondCopyOfAReceivedRequestFails() {
+        ByteBuf copies = Unpooled.buffer();
+        for (int stream = 1; stream <= 33; stream++) {
+            copies.writeBytes(request(stream, "call", "%016x".formatted(stream % 32))); // 33 repeats 1
+        }
+        write(ByteBufUtil.getBytes(copies));
+        assertEquals(FAILED_ANSWER.formatted(33), written());
+        loop.inputs.forEach(input -> ((Input.Request) input).body().release());
+    }
 }
--- a/src/test/java/pumicemoor/net/FrameDecoderTest.java
+++ b/src/test/java/pumicemoor/net/FrameDecoderTest.java
@@ -86,7 +86,10 @@
                 .writeInt(5)
                 .writeByte(ClientFrame.CANCEL)
                 .writeInt(3));
-        assertEquals(new FrameDecoder.DroppedFrame(ClientFrame.REQUEST, 9), large.readInbound());
+        FrameDecoder.DroppedFrame dropped = large.readInbound();
+        assertEquals(ClientFrame.REQUEST, dropped.type());
+        assertEquals(9, dropped.stream());
+        assertEquals(1_024, dropped.payloadStart().readableBytes(), "no more of a dropped frame is kept");
         ByteBuf next = large.readInbound();
         assertEquals(3, next.getInt(next.readerIndex() + 1));
         next.release();
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -245,23 +246,22 @@
 
     /** The frame of a request, whose id follows from its stream. */
     static byte[] requestFrame(int stream, String requestClass, byte[] body) throws IOException {
+        return requestFrame(stream, requestClass, id(stream), 1_800, false, body);
+    }
+
+    /** The frame of a request with this id, which its client may mark as a retry. */
+    static byte[] requestFrame(
+            int stream, String requestClass, String id, int ttlMillis, boolean clientRetry, byte[] body)
+            throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream frame = new DataOutputStream(bytes);
         frame.writeByte(7);
         frame.writeInt(stream);
-        Map<String, String> fields = Map.of(
-                "op",
-                requestClass,
-                "call",
-                id(stream),
-                "ttl",
-                "1800",
-                "row",
-                "7f3a9c21e0b4d655",
-                "piece",
-                "3",
-                "lot",
-                "17");
+        Map<String, String> fields = new LinkedHashMap<>(Map.of(
+                "op", requestClass, "call", id, "ttl", "1800", "row", "7f3a9c21e0b4d655", "piece", "3", "lot", "17"));
+        if (clientRetry) {
+            fields.put("rep", "1");
+        }
         frame.writeByte(fields.size());
         for (Map.Entry<String, String> field : fields.entrySet()) {
             frame.writeByte(field.getKey().length());
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pumicemoor.RefusalPolicy.Rejection;
 import pumicemoor.RouterApi;
 import pumicemoor.RouterApi.Action;
 import pumicemoor.RouterApi.AttemptEnded;
@@ -825,6 +826,77 @@
         assertEquals(1, ofType(effects, Effect.SendAttempt.class).size());
     }
 
+    /** Guards against a refusal over a limit of a request whose client has tried it before: who knows what became of it. */
+    @Test
+    void aMarkedRetryFailsOverTheBoundAndPastTheExitDeadlineUnlessItMayRunAgain() throws Exception {
+        start(1);
+        sendRequest(1, "segment", Bytes.NONE);
+        checkTurnedAway(10);
+        accept(new Input.RequestCancelled(1, 1));
+        accept(new Input.Terminate());
+        advance(limits.exitDeadline());
+        checkTurnedAway(20);
+    }
+
+    private void checkTurnedAway(int firstStream) {
+        assertEquals(Code.REFUSED, answerTo(firstStream, "order", false), "a first try");
+        assertEquals(Code.FAILED, answerTo(firstStream + 1, "order", true));
+        assertEquals(Code.REFUSED, answerTo(firstStream + 2, "segment", true));
+    }
+
+    private Code answerTo(int stream, String requestClass, boolean clientRetry) {
+        effects.clear();
+        String id = "%016x".formatted(stream);
+        accept(new Input.Request(
+                1, stream, id, requestClass, "7f3a9c21e0b4d655", 3, 17, null, 1500, clientRetry, Bytes.NONE));
+        return ofType(effects, Effect.Answer.class).get(0).code();
+    }
+
+    /** Guards against a refusal that the decision module words for a request that may have run. */
+    @Test
+    void aRefusalOfTheDecisionModuleBecomesAFailureIfAnAttemptMayHaveRun() {
+        onEvent = e -> {
+            if (e instanceof RequestArrived r) {
+                actions.accept(new Fetch(r.id(), CACHE, PARENT, 0, 0, false, false, false, false, 0));
+            } else if (e instanceof AttemptEnded end && !end.closed()) {
+                actions.accept(new Refuse(end.id(), 0));
+            }
+        };
+        for (String requestClass : new String[] {"order", "segment"}) {
+            sendRequest(1, requestClass, Bytes.NONE);
+            long attempt = lastSent().attempt();
+            accept(new Input.AttemptWritten(attempt));
+            effects.clear();
+            accept(new Input.ConnectionLost(attempt));
+            assertEquals(
+                    requestClass.equals("order") ? Code.FAILED : Code.REFUSED,
+                    ofType(effects, Effect.Answer.class).get(0).code());
+        }
+    }
+
+    /** Guards against a request that is turned away unseen and refused, although this router knows that it may have run. */
+    @Test
+    void aRequestThatIsTurnedAwayUnseenIsRefusedOnlyIfItNeverRan() {
+        fetchOnArrivedRequest(0, 0);
+        sendRequest(1, "order", Bytes.NONE);
+        String booked = "9b1f03aa5c7e2d41";
+        assertFalse(rejected(booked, "order", false).refused(), "it is open");
+        accept(new Input.AttemptWritten(lastSent().attempt()));
+        accept(new Input.ClientClosed(1));
+        assertFalse(rejected(booked, "order", false).refused(), "it may have run");
+        assertFalse(rejected(booked, "unknown", false).refused(), "its class may be any");
+        assertTrue(rejected(booked, "segment", false).refused(), "it may run again");
+        assertTrue(rejected("00000000000000b2", "order", false).refused(), "a first try");
+        assertTrue(rejected("00000000000000b2", "unknown", false).refused(), "a first try");
+        assertFalse(rejected("00000000000000b2", "order", true).refused(), "tried before, under another id");
+        assertFalse(reducer.rejectionOf(now, RequestIdentity.UNKNOWN).refused(), "it may be any request");
+        assertEquals(5, counters.get(Counters.Name.REPEATED_IDS));
+    }
+
+    private Rejection rejected(String id, String requestClass, boolean clientRetry) {
+        return reducer.rejectionOf(now, new RequestIdentity(id, requestClass, clientRetry));
+    }
+
     @Test
     void anEventIsAppliedOnceAndAGapIsRequestedOnce() {
         String third = NodeTestConfig.list(3, false, NodeTestConfig.member("s-1", "127.0.0.1:11", "box", "left", 0));
