Submit a client's requests only once a read has found nothing more

Cause: a request that had waited for 50 ms while its client's input went on was submitted, though the close could stand behind what was unread. A connection whose reading is paused counted as read to its end, too. Change: a request is submitted after a read that found nothing more, which shows that its client had not left until then; it waits for 200 ms at most and is turned away then. Test: DepartedClientTest.requestsThatABusyRouterReadsSlowlyAreNotSent (the loop is busy for 30 ms a turn), red before (9 of 30 sent after the close), green with this; requestBeforeAnUnfinishedOneIsServed holds the other side. 11 test classes of the clients' side green, FrameFloodProcessesTest and HalfFramesProcessesTest among them. The trial on the real process was not repeated.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -54,7 +54,15 @@
         CLOSED
     }
 
+    /** The result of a read outside of the selector's reads; NOT_READ if the connection must not be read now. */
+    private enum ReadResult {
+        BYTES,
+        NOTHING,
+        NOT_READ
+    }
+
     private static final long MICROS_PER_MILLI = 1_000;
+    private static final long RECHECK_MILLIS = 5; // while more input of a client may be waiting
     private static final int MAX_DIRECT_READS = 16; // in a row, outside of the selector's reads
     // for which a client that sends what is discarded is not read; short enough to notice its end
     private static final long DISCARD_PAUSE_MILLIS = 50;
@@ -70,10 +78,8 @@
     private ClientOutput output;
     private final FrameDecoder decoder;
     private int usedStreamsUpTo; // every stream up to this number is used, or too old to be new
-    // requests that are not submitted yet, by stream: more input of this client may be waiting
-    private final Map<Integer, Input.Request> receivedRequests = new LinkedHashMap<>();
-    private long receivedSince; // when the oldest of them was received
-    private Future<?> submission; // of the received requests, at the latest; null while none is held
+    private final ReceivedRequests received;
+    private Future<?> recheck; // of the received requests; null while none is scheduled
     private int unreadFrames; // since all input that was available had been read
     private int invalidRequests;
     private boolean sentValidRequest;
@@ -101,6 +107,7 @@
         this.budget = budget;
         this.counters = counters;
         this.loop = loop;
+        this.received = new ReceivedRequests(loop);
         this.discardedBytesAllowed = limits.maxFrameBytes();
     }
 
@@ -150,11 +157,6 @@
         }
     }
 
-    /**
-     * Submits the received requests once all available input has been read, or a short time has passed: the client may
-     * have cancelled them, or have left, in what it sent after them. A client that goes on sending more than its open
-     * requests and their cancellations without a pause gets no new request accepted meanwhile.
-     */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
@@ -164,15 +166,33 @@
         if (probing) {
             return; // the read that looks for more input has ended
         }
-        if (allInputRead()) {
+        settleReceived();
+        ctx.fireChannelReadComplete();
+    }
+
+    /**
+     * Submits the received requests once all available input has been read: the client may have cancelled them, or have
+     * left, in what it sent after them. While it goes on sending they wait for a limited time and are then turned away,
+     * so that none is sent long after its client has left; at once if it sends more than its open requests and their
+     * cancellations without a pause.
+     */
+    private void settleReceived() {
+        if (isAllInputRead()) {
             unreadFrames = 0;
             submitReceived();
-        } else if (unreadFrames > limits.maxUnreadFrames()) {
-            refuseReceived();
-        } else if (!receivedRequests.isEmpty() && submission == null) {
-            submission = ctx.executor().schedule(this::submitReceived, limits.maxReceivedHold(), TimeUnit.MICROSECONDS);
+        } else if (unreadFrames > limits.maxUnreadFrames() || received.heldMicros() > limits.maxReceivedHold()) {
+            turnReceivedAway();
+        } else if (!received.isEmpty() && recheck == null) {
+            recheck = context.executor().schedule(this::recheckReceived, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Looks for more input again: after a read that has brought some, nothing else shows that there is no more. */
+    private void recheckReceived() {
+        recheck = null;
+        if (!received.isEmpty()) {
+            settleReceived();
         }
-        ctx.fireChannelReadComplete();
     }
 
     /**
@@ -180,42 +200,47 @@
      * client may have cancelled them or left just now. A read that filled its buffer does not tell, since the buffer
      * may be as long as the rest of a frame.
      */
-    private boolean allInputRead() {
-        if (receivedRequests.isEmpty()) {
+    private boolean isAllInputRead() {
+        if (received.isEmpty()) {
             RecvByteBufAllocator.Handle lastRead = context.channel().unsafe().recvBufAllocHandle();
             return lastRead.lastBytesRead() <= 0 || lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
         }
         probing = true;
         try {
-            return !readOnce();
+            return read() == ReadResult.NOTHING;
         } finally {
             probing = false;
         }
     }
 
-    /** Submits the received requests, with the time for which they were held here. */
-    void submitReceived() {
-        cancelSubmission();
-        long heldMicros = receivedRequests.isEmpty() ? 0 : loop.clock() - receivedSince;
-        while (!receivedRequests.isEmpty()) { // one by one: processing one may reveal that the next was cancelled
-            Input.Request request =
-                    receivedRequests.remove(receivedRequests.keySet().iterator().next());
-            loop.submit(heldMicros == 0 ? request : request.withUnreadDelay(heldMicros));
+    /** Submits the received requests if all available input has been read, else turns them away; for the exit. */
+    void settleReceivedAtOnce() {
+        if (received.isEmpty() || isAllInputRead()) {
+            submitReceived();
+        } else {
+            turnReceivedAway();
         }
     }
 
-    private void refuseReceived() {
-        cancelSubmission();
-        Map<Integer, RequestIdentity> identities = new LinkedHashMap<>();
-        receivedRequests.forEach((stream, request) -> identities.put(stream, RequestIdentity.of(request)));
-        releaseReceived();
-        identities.forEach(this::turnAway);
+    private void submitReceived() {
+        cancelRecheck();
+        received.submit();
+    }
+
+    private void turnReceivedAway() {
+        cancelRecheck();
+        received.removeAll().forEach(this::turnAway);
     }
 
-    private void cancelSubmission() {
-        if (submission != null) {
-            submission.cancel(false);
-            submission = null;
+    private void releaseReceived() {
+        cancelRecheck();
+        received.removeAll();
+    }
+
+    private void cancelRecheck() {
+        if (recheck != null) {
+            recheck.cancel(false);
+            recheck = null;
         }
     }
 
@@ -237,12 +262,6 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    private void releaseReceived() {
-        cancelSubmission();
-        receivedRequests.values().forEach(request -> request.body().release());
-        receivedRequests.clear();
-    }
-
     /**
      * Reads the input that is available now, including the close of the connection, as far as a limited number of reads
      * goes. Called before an apparently idle connection is closed.
@@ -258,19 +277,25 @@
      * delivered bytes, so that more may be available.
      */
     boolean readOnce() {
+        return read() == ReadResult.BYTES;
+    }
+
+    private ReadResult read() {
+        if (!(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
+            return ReadResult.NOTHING; // not a socket
+        }
         if (reading
                 || !context.channel().isActive()
-                || !context.channel().config().isAutoRead()
-                || !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe)) {
-            return false;
+                || !context.channel().config().isAutoRead()) {
+            return ReadResult.NOT_READ;
         }
         int readsBefore = decoder.reads();
         unsafe.read();
         if (!context.channel().isActive()) {
             onClosed(); // channelInactive is called only after the current task
-            return false;
+            return ReadResult.NOTHING;
         }
-        return decoder.reads() != readsBefore;
+        return decoder.reads() == readsBefore ? ReadResult.NOTHING : ReadResult.BYTES;
     }
 
     /** Whether the connection is being released and no answer to a request waits on it for the socket. */
@@ -293,10 +318,8 @@
         switch (type) {
             case ClientFrame.REQUEST -> handleRequest(stream, frame);
             case ClientFrame.CANCEL -> {
-                Input.Request received = receivedRequests.remove(stream);
-                if (received != null) {
+                if (received.cancel(stream)) {
                     openStreams.remove(stream);
-                    received.body().release();
                     counters.add(Name.WITHDRAWN);
                 } else if (openStreams.remove(stream)) {
                     loop.submit(new Input.RequestCancelled(connectionId, stream));
@@ -387,8 +410,7 @@
             return;
         }
         sentValidRequest = true;
-        receivedSince = receivedRequests.isEmpty() ? activeAt : receivedSince;
-        receivedRequests.put(stream, request);
+        received.add(request);
     }
 
     /** Opens a stream for a request. */
@@ -403,9 +425,7 @@
     /** Turns a request away for lack of capacity, before the reducer has seen it. */
     private void turnAway(int stream, RequestIdentity identity) {
         counters.add(Name.TURNED_AWAY);
-        boolean received = receivedRequests.values().stream()
-                .anyMatch(r -> r.clientRequestId().equals(identity.clientRequestId()));
-        Rejection rejection = received
+        Rejection rejection = received.containsId(identity.clientRequestId())
                 ? RefusalPolicy.FAILED // its first copy is going to be submitted
                 : loop.rejectionOf(identity);
         replyWithoutRequest(stream, Code.of(rejection), rejection.retryAfterMicros() / MICROS_PER_MILLI);
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -560,7 +560,7 @@
         }
         List.copyOf(clients.values()).forEach(ClientConnection::readAvailable);
         readTurns.finish();
-        List.copyOf(clients.values()).forEach(ClientConnection::submitReceived);
+        List.copyOf(clients.values()).forEach(ClientConnection::settleReceivedAtOnce);
         submit(new Input.ClientReadsCompleted());
     }
 
--- a/src/main/java/pumicemoor/node/ResourceLimits.java
+++ b/src/main/java/pumicemoor/node/ResourceLimits.java
@@ -29,7 +29,7 @@
         long clientCloseDelay, // delay before a released client connection is closed
         long clientStallTimeout, // for which a client may leave its answers unread
         int maxUnreadFrames, // frames of a client without a pause, past which its requests are refused
-        long maxReceivedHold, // for which a request waits until all available input of its client has been read
+        long maxReceivedHold, // for which a request waits for the end of its client's available input
         int maxTrackedStreams, // stream numbers remembered per client
         int maxProtocolErrors, // protocol errors after which a client is disconnected
         int maxExecutedIds, // ids remembered of ended requests that may have run and must not run twice
@@ -119,7 +119,7 @@
                 150 * MICROS_PER_MILLI,
                 4 * MICROS_PER_SECOND,
                 256,
-                50 * MICROS_PER_MILLI,
+                200 * MICROS_PER_MILLI,
                 256,
                 16,
                 16_384,
--- a/src/test/java/pumicemoor/net/DepartedClientTest.java
+++ b/src/test/java/pumicemoor/net/DepartedClientTest.java
@@ -8,7 +8,9 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import pumicemoor.node.Counters.Name;
 import pumicemoor.node.NodeTestConfig;
 
 /** Clients that write requests and leave before the router has read them: none of these requests may be sent. */
@@ -16,9 +18,12 @@
 
     private static final int REQUESTS = 30; // of the 32 that may be open on a connection
     private static final int LARGE_BODY_BYTES = 8_000;
+    private static final long BUSY_MILLIS = 30;
     private static final int OTHER_FRAMES = 20_000;
     private static final int PROBE_STREAM = 777;
 
+    private Runnable beforeReading = () -> {}; // runs after the client has left
+
     /** Guards against requests that are sent after the router has read the close of their connection. */
     @Test
     void requestsInOneReadWithTheCloseAreNotSent() throws Exception {
@@ -58,7 +63,9 @@
         assertTrue(loopIsBusy.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
         departing.out.write(requests);
         departing.close();
+        beforeReading.run();
         clientHasLeft.countDown();
+        awaitNoMoreInput();
         Client probe = new Client();
         probe.request(PROBE_STREAM, "order", new byte[0]);
         assertEquals(1, probe.next().code());
@@ -69,6 +76,60 @@
                 () -> "first sent: " + origin.requests.peek().line());
     }
 
+    /** Guards against requests that are sent long after the close, since a busy router reads what precedes it slowly. */
+    @Test
+    void requestsThatABusyRouterReadsSlowlyAreNotSent() throws Exception {
+        AtomicBoolean busy = new AtomicBoolean(true);
+        beforeReading = () -> keepLoopBusy(busy);
+        assertNothingIsSentForADepartedClient(LARGE_BODY_BYTES, 0);
+        busy.set(false);
+    }
+
+    /** Lets each turn of the event loop take longer than the router would hold a request for. */
+    private void keepLoopBusy(AtomicBoolean busy) {
+        server.schedule(1_000, () -> {
+            if (busy.get()) {
+                pause(BUSY_MILLIS);
+                keepLoopBusy(busy);
+            }
+        });
+    }
+
+    /** Waits until the router has read what it can of a client that has left: its own replies may end the connection. */
+    private void awaitNoMoreInput() throws InterruptedException {
+        long readBefore = -1;
+        for (long read = 0; read != readBefore; read = server.counters().get(Name.BYTES_IN)) {
+            readBefore = read;
+            Thread.sleep(20 * BUSY_MILLIS);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Guards against a request that is turned away since the next one of its client has come only in part. */
+    @Test
+    void requestBeforeAnUnfinishedOneIsServed() throws Exception {
+        Cache origin = new Cache("data");
+        start("", NodeTestConfig.list(1, true, member("o-1", origin, "store")));
+        Client client = new Client();
+        byte[] second = requestFrame(2, "order", new byte[LARGE_BODY_BYTES]);
+        client.out.write(requestFrame(1, "order", new byte[LARGE_BODY_BYTES]));
+        client.out.write(second, 0, second.length / 2);
+        client.out.flush();
+        Frame answer = client.next();
+        assertEquals(1, answer.stream());
+        assertEquals(1, answer.code());
+        client.out.write(second, second.length / 2, second.length - second.length / 2);
+        client.out.flush();
+        assertEquals(1, client.next().code());
+    }
+
     private byte[] requests(int bodyBytes, int otherFrames) throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(all);
