Close a connection after an error with the answer to its last request

Cause: only the reducer's answers were followed by a look whether anything is still owed; a request that is turned away before it is submitted has none. Change: closeOnceAnswered is called after both, and where the connection begins to end. Test: NodeServerTest.connectionEndsAfterAnErrorOnceItsLastRequestIsTurnedAway, red before (over 4 s); with ClientConnectionTest and ClientBacklogTest green.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -230,6 +230,7 @@
     private void turnReceivedAway() {
         cancelRecheck();
         received.removeAll().forEach(this::turnAway);
+        closeOnceAnswered();
     }
 
     private void releaseReceived() {
@@ -491,9 +492,7 @@
     private void closeAfterAnswers() {
         stage = Stage.ENDING;
         discardInput();
-        if (openStreams.isEmpty()) {
-            closeGracefully();
-        }
+        closeOnceAnswered();
     }
 
     /** Decodes no more input; it is still read, so that the end of the client is seen. */
@@ -554,6 +553,11 @@
                 answer.body().size());
         counters.add(Name.BYTES_OUT, head.readableBytes() + answer.body().size());
         output.writeAnswer(head, NettyBytes.buffer(answer.body()), loop.clock());
+        closeOnceAnswered();
+    }
+
+    /** Closes a connection on which no frame is accepted any more once no answer is owed. */
+    private void closeOnceAnswered() {
         if (stage == Stage.ENDING && openStreams.isEmpty()) {
             closeGracefully();
         }
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import pumicemoor.node.Counters.Name;
@@ -313,4 +315,29 @@
         assertEquals(0, server.counters().get(Name.GAPS));
         assertEquals(1, server.counters().get(Name.RELOADS));
     }
+
+    /** Guards against a connection that stays for seconds after an error, since its last request was turned away. */
+    @Test
+    void connectionEndsAfterAnErrorOnceItsLastRequestIsTurnedAway() throws Exception {
+        start("", NodeTestConfig.list(1, true, member("o-1", new Cache("data"), "store")));
+        Client client = new Client();
+        ByteArrayOutputStream flood = new ByteArrayOutputStream();
+        flood.write(requestFrame(1, "order", new byte[10]));
+        for (int stream = 2; stream < 400; stream++) {
+            flood.write(new byte[] {0, 0, 0, 5, ClientFrame.CANCEL, 0, 0, (byte) (stream >> 8), (byte) stream});
+        }
+        flood.write(new byte[] {0, 0, 0, 5, 42, 0, 0, 0, 1}); // an unknown type
+        flood.write(new byte[100_000]);
+        CountDownLatch resumeLoop = stallLoop();
+        client.out.write(flood.toByteArray());
+        client.out.flush();
+        resumeLoop.countDown();
+        long startNanos = System.nanoTime();
+        int answers = 0;
+        while (client.next() != null) {
+            answers++;
+        }
+        assertEquals(2, answers, "the error and the answer to the request");
+        assertTrue(System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(4), "it was closed as an idle one");
+    }
 }
