Test that the end of a client is noticed that reads nothing and is not read itself

Change: a test (the router has stopped reading, the client closes, its open booking is withdrawn within 2 s); green on the code as it is, so nothing is mended. SocketRig.requestFrame ignored the time that it was given, so RepeatedRequestsTest's requests had 1.8 s in place of 20 s; they have 20 s now.

--- a/src/test/java/pumicemoor/net/DepartedClientTest.java
+++ b/src/test/java/pumicemoor/net/DepartedClientTest.java
@@ -1,6 +1,7 @@
 package pumicemoor.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -9,6 +10,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import pumicemoor.node.Counters.Name;
 import pumicemoor.node.NodeTestConfig;
@@ -19,6 +22,7 @@
     private static final int REQUESTS = 30; // of the 32 that may be open on a connection
     private static final int LARGE_BODY_BYTES = 8_000;
     private static final long BUSY_MILLIS = 30;
+    private static final int SMALL_RECEIVE_BUFFER = 4_096;
     private static final int OTHER_FRAMES = 20_000;
     private static final int PROBE_STREAM = 777;
 
@@ -85,6 +89,40 @@
         busy.set(false);
     }
 
+    /** Guards against a client whose end goes unnoticed, since it has left its replies unread and is not read itself. */
+    @Test
+    void theEndOfAClientThatReadsNothingIsNoticed() throws Exception {
+        Cache origin = new Cache(""); // it answers nothing
+        start("", NodeTestConfig.list(1, true, member("o-1", origin, "store")));
+        Client departing = new Client(SMALL_RECEIVE_BUFFER);
+        departing.out.write(requestFrame(1, "order", id(1), TIMEOUT_MILLIS, false, new byte[0]));
+        assertNotNull(origin.next());
+        AtomicLong written = new AtomicLong();
+        Thread writer = new Thread(() -> writeReadinessRequests(departing, written));
+        writer.start();
+        awaitNoMore(written::get);
+        assertEquals(0, server.counters().get(Name.WITHDRAWN));
+        departing.close();
+        writer.join(TIMEOUT_MILLIS);
+        long leftNanos = System.nanoTime();
+        while (server.counters().get(Name.WITHDRAWN) == 0) {
+            assertTrue(System.nanoTime() - leftNanos < TimeUnit.SECONDS.toNanos(2), "its end is not noticed");
+            Thread.sleep(1);
+        }
+    }
+
+    /** Writes until the router reads no more, or the connection is closed. */
+    private static void writeReadinessRequests(Client client, AtomicLong written) {
+        try {
+            for (int stream = 2; ; stream++) {
+                client.send(ClientFrame.READINESS_REQUEST, stream);
+                written.incrementAndGet();
+            }
+        } catch (IOException e) {
+            // the client has left
+        }
+    }
+
     /** Lets each turn of the event loop take longer than the router would hold a request for. */
     private void keepLoopBusy(AtomicBoolean busy) {
         server.schedule(1_000, () -> {
@@ -97,9 +135,13 @@
 
     /** Waits until the router has read what it can of a client that has left: its own replies may end the connection. */
     private void awaitNoMoreInput() throws InterruptedException {
-        long readBefore = -1;
-        for (long read = 0; read != readBefore; read = server.counters().get(Name.BYTES_IN)) {
-            readBefore = read;
+        awaitNoMore(() -> server.counters().get(Name.BYTES_IN));
+    }
+
+    private static void awaitNoMore(LongSupplier counter) throws InterruptedException {
+        long before = -1;
+        for (long count = counter.getAsLong(); count != before; count = counter.getAsLong()) {
+            before = count;
             Thread.sleep(20 * BUSY_MILLIS);
         }
     }
--- a/src/test/java/pumicemoor/net/SocketRig.java
+++ b/src/test/java/pumicemoor/net/SocketRig.java
@@ -258,7 +258,18 @@
         frame.writeByte(7);
         frame.writeInt(stream);
         Map<String, String> fields = new LinkedHashMap<>(Map.of(
-                "op", requestClass, "call", id, "ttl", "1800", "row", "7f3a9c21e0b4d655", "piece", "3", "lot", "17"));
+                "op",
+                requestClass,
+                "call",
+                id,
+                "ttl",
+                Integer.toString(ttlMillis),
+                "row",
+                "7f3a9c21e0b4d655",
+                "piece",
+                "3",
+                "lot",
+                "17"));
         if (clientRetry) {
             fields.put("rep", "1");
         }
