Compare clients' request ids without regard to the case of their digits

Cause: ids are hexadecimal numbers and were compared as text. What is passed on to caches stays as written. Test: ReducerTest.anIdIsTheSameInCapitalDigits, red before (sent again); five test classes of node and net green. Not played on a real process.

--- a/src/main/java/pumicemoor/net/Inbox.java
+++ b/src/main/java/pumicemoor/net/Inbox.java
@@ -42,7 +42,7 @@
     boolean containsRequest(String clientRequestId) {
         return Stream.concat(others.stream(), heldRequests.stream())
                 .anyMatch(input -> input instanceof Input.Request request
-                        && request.clientRequestId().equals(clientRequestId));
+                        && request.clientRequestId().equalsIgnoreCase(clientRequestId));
     }
 
     private static void release(Input request) {
--- a/src/main/java/pumicemoor/net/ReceivedRequests.java
+++ b/src/main/java/pumicemoor/net/ReceivedRequests.java
@@ -40,7 +40,7 @@
 
     /** Whether one of the requests has this id; the id may be null. */
     boolean containsId(String clientRequestId) {
-        return requests.values().stream().anyMatch(r -> r.clientRequestId().equals(clientRequestId));
+        return requests.values().stream().anyMatch(r -> r.clientRequestId().equalsIgnoreCase(clientRequestId));
     }
 
     /** The time (microseconds) for which the oldest request has been held; 0 if there is none. */
--- a/src/main/java/pumicemoor/node/Reducer.java
+++ b/src/main/java/pumicemoor/node/Reducer.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -119,7 +120,7 @@
     private final Counters counters;
     private final Map<String, Request> requestsById = new HashMap<>(); // closed ones until their last attempt ends
     private final Map<StreamKey, Request> unanswered = new LinkedHashMap<>();
-    private final Map<String, Request> unansweredByClientId = new HashMap<>(); // key: the id that the client chose
+    private final Map<String, Request> unansweredBySentId = new HashMap<>();
     private final RequestHistory history; // of clients' requests that must not run twice and may have run
     private final RateLimitedLog warningLog;
     private final Map<Long, Attempt> attemptsByKey = new HashMap<>();
@@ -171,6 +172,7 @@
     private static final class Request {
         Input.Request input;
         String id;
+        String sentId; // the id that the client or the proxy chose, in the form in which ids are compared
         StreamKey stream;
         long deadline;
         boolean closed;
@@ -337,6 +339,7 @@
         request.stream = stream;
         request.sentByProxy = sentByProxy;
         request.id = Long.toString(++lastNumber);
+        request.sentId = sentByProxy ? input.clientRequestId() : comparable(input.clientRequestId());
         request.deadline = now + Math.max(0, input.ttlMillis()) * MICROS_PER_MILLI;
         unanswered.put(stream, request);
         RequestTrace.arrived(input, input.ttlMillis());
@@ -345,7 +348,7 @@
                 && !sentByProxy // calls of proxies have their own registry of ids
                 && requestClassOf(requestClass).idempotency() != Idempotency.SAFE;
         String problem = findProblem(request, requestClass);
-        unansweredByClientId.putIfAbsent(input.clientRequestId(), request);
+        unansweredBySentId.putIfAbsent(request.sentId, request);
         if (problem != null) {
             counters.add(Name.BAD_INPUT);
             warningLog.warn(now, "a request fails: " + problem);
@@ -383,11 +386,11 @@
         if (requestClass < 0) {
             return "unknown class '" + input.requestClass() + "'";
         }
-        Request openRequest = unansweredByClientId.get(input.clientRequestId());
+        Request openRequest = unansweredBySentId.get(request.sentId);
         if (openRequest != null && !openRequest.input.object().equals(input.object())) {
             return "its id belongs to an open request for another object";
         }
-        if (request.mustNotRepeat && earlierAttempts(now, input.clientRequestId(), 0) == EarlierAttempts.MAY_HAVE_RUN) {
+        if (request.mustNotRepeat && earlierAttempts(now, request.sentId, 0) == EarlierAttempts.MAY_HAVE_RUN) {
             counters.add(Name.REPEATED_IDS);
             return "its id belongs to a request that is open or may have run, and must not run twice";
         }
@@ -420,7 +423,7 @@
         int requestClass = identity.requestClass() == null ? -1 : requestClass(identity.requestClass());
         EarlierAttempts earlier = identity.clientRequestId() == null
                 ? EarlierAttempts.MAY_HAVE_RUN
-                : earlierAttempts(time, identity.clientRequestId(), triesElsewhere(identity.clientRetry()));
+                : earlierAttempts(time, comparable(identity.clientRequestId()), triesElsewhere(identity.clientRetry()));
         Rejection rejection = requestClass < 0
                 ? RefusalPolicy.rejectUnclassified(earlier, retryAfter())
                 : RefusalPolicy.reject(requestClassOf(requestClass), earlier, retryAfter());
@@ -444,15 +447,19 @@
     private EarlierAttempts attemptsBefore(Request request) {
         return request.sentByProxy
                 ? EarlierAttempts.NONE_RAN
-                : history.earlierAttempts(
-                        now, request.input.clientRequestId(), triesElsewhere(request.input.clientRetry()));
+                : history.earlierAttempts(now, request.sentId, triesElsewhere(request.input.clientRetry()));
     }
 
     /** What is known of the earlier attempts of a client's request that comes at this time and is not open itself. */
-    private EarlierAttempts earlierAttempts(long time, String clientRequestId, int earlierTries) {
-        return unansweredByClientId.containsKey(clientRequestId)
+    private EarlierAttempts earlierAttempts(long time, String sentId, int earlierTries) {
+        return unansweredBySentId.containsKey(sentId)
                 ? EarlierAttempts.MAY_HAVE_RUN
-                : history.earlierAttempts(time, clientRequestId, earlierTries);
+                : history.earlierAttempts(time, sentId, earlierTries);
+    }
+
+    /** A client's id, which is a hexadecimal number, in the form in which ids are compared. */
+    private static String comparable(String clientRequestId) {
+        return clientRequestId.toLowerCase(Locale.ROOT);
     }
 
     /**
@@ -495,7 +502,7 @@
         timers.cancel(request.overdueTimer);
         request.input.body().release();
         unanswered.remove(request.stream);
-        unansweredByClientId.remove(request.input.clientRequestId(), request);
+        unansweredBySentId.remove(request.sentId, request);
         rememberIfExecuted(request);
         removeIfDone(request);
     }
@@ -503,7 +510,7 @@
     /** Remembers the id of a closed request that must not run twice and of which an attempt may have run. */
     private void rememberIfExecuted(Request request) {
         if (request.closed && request.mustNotRepeat && (request.mayHaveRun || !request.openAttempts.isEmpty())) {
-            counters.add(Name.IDS_FORGOTTEN, history.ended(now, request.input.clientRequestId(), true));
+            counters.add(Name.IDS_FORGOTTEN, history.ended(now, request.sentId, true));
         }
     }
 
--- a/src/test/java/pumicemoor/node/ReducerTest.java
+++ b/src/test/java/pumicemoor/node/ReducerTest.java
@@ -797,6 +797,24 @@
         assertEquals(1, ofType(effects, Effect.SendAttempt.class).size());
     }
 
+    /** Guards against an unsafe request that runs twice: its id comes again in capital digits. */
+    @Test
+    void anIdIsTheSameInCapitalDigits() {
+        fetchOnArrivedRequest(0, 0);
+        assertFailsInCapitalDigits(1); // while it is open
+        accept(new Input.ClientClosed(1));
+        assertFailsInCapitalDigits(3); // it may have run
+        assertFalse(rejected("9B1F03AA5C7E2D41", "order", false).refused());
+    }
+
+    private void assertFailsInCapitalDigits(int stream) {
+        sendRequest(stream, "order", Bytes.NONE);
+        effects.clear();
+        accept(new Input.Request(
+                2, stream, "9B1F03AA5C7E2D41", "order", "7f3a9c21e0b4d655", 3, 17, null, 1500, false, Bytes.NONE));
+        assertEquals(Code.FAILED, ofType(effects, Effect.Answer.class).get(0).code());
+    }
+
     /** Guards against an unsafe request that runs twice: two requests are open under one id. */
     @Test
     void anUnsafeRequestIsNotSentWhileItsIdIsOpen() {
