Give away no client's slot while it sends its first request and others are silent

Cause: a connection counted as silent until its first valid request had been decoded. Change: what a candidate has sent is read first, and clients that are receiving a frame come after all silent ones.

--- a/src/main/java/pumicemoor/net/ClientConnection.java
+++ b/src/main/java/pumicemoor/net/ClientConnection.java
@@ -529,6 +529,21 @@
         return !sentValidRequest;
     }
 
+    /** Whether a frame has been received in part. */
+    boolean isReceivingFrame() {
+        return decoder.hasPartialFrame();
+    }
+
+    /** Closes the connection with an error, to free its slot, unless a valid request has arrived meanwhile. */
+    boolean closeIfSilent() {
+        readAvailable();
+        if (sentValidRequest || decoder.hasUnread() || stage.compareTo(Stage.ENDING) >= 0) {
+            return false;
+        }
+        closeWithError("it sent no valid request, and its slot is needed");
+        return true;
+    }
+
     /** Whether no request is open, nor may be in what is read but not decoded yet. */
     private boolean isIdle() {
         return openStreams.isEmpty() && !decoder.hasUnread();
--- a/src/main/java/pumicemoor/net/NodeServer.java
+++ b/src/main/java/pumicemoor/net/NodeServer.java
@@ -238,11 +238,7 @@
         if (clients.size() < limits.maxClients()) {
             return true;
         }
-        Optional<ClientConnection> silent = clients.values().stream()
-                .filter(ClientConnection::hasSentNoRequest)
-                .findFirst();
-        silent.ifPresent(c -> c.closeWithError("it sent no valid request, and its slot is needed"));
-        return silent.isPresent()
+        return closeSilentClient()
                 || clients.values().stream()
                         .filter(c -> c.idleSince() < Long.MAX_VALUE)
                         .sorted(Comparator.comparingLong(ClientConnection::idleSince))
@@ -251,6 +247,18 @@
                         .anyMatch(ClientConnection::closeIfIdle);
     }
 
+    /**
+     * Closes the oldest connection that has sent no valid request, one that is sending its first frame only if there is
+     * no other; returns false if there is none.
+     */
+    private boolean closeSilentClient() {
+        List<ClientConnection> silent = clients.values().stream()
+                .filter(ClientConnection::hasSentNoRequest)
+                .sorted(Comparator.comparing(ClientConnection::isReceivingFrame))
+                .toList();
+        return silent.stream().anyMatch(ClientConnection::closeIfSilent);
+    }
+
     private void sweep() {
         long now = clock();
         cacheConnections.sweep(now);
--- a/src/test/java/pumicemoor/net/NodeServerTest.java
+++ b/src/test/java/pumicemoor/net/NodeServerTest.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,9 @@
 /** The complete router on loopback, with stubs for members, coordinator and clients. */
 class NodeServerTest extends SocketRig {
 
+    private static final int DESCRIPTORS = 40;
+    private static final int MAX_CLIENTS = DESCRIPTORS / 2;
+
     private static final int UNKNOWN_FRAME_TYPE = 42;
 
     @Test
@@ -340,4 +345,45 @@
         assertEquals(2, answers, "the error and the answer to the request");
         assertTrue(System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(4), "it was closed as an idle one");
     }
+
+    /** Guards against a first request that is dropped half way, or unread, since another client wants its slot. */
+    @Test
+    void clientsThatSendTheirFirstRequestKeepTheirSlotsWhileOthersAreSilent() throws Exception {
+        Cache origin = new Cache("data");
+        String config =
+                NodeTestConfig.json("127.0.0.1:0", "", NodeTestConfig.list(1, true, member("o-1", origin, "store")));
+        server = new NodeServer(
+                NodeTestConfig.parse(config.replace("\"sockets\":1024", "\"sockets\":" + DESCRIPTORS)),
+                OperatorConfig.NONE);
+        server.start();
+        byte[] request = requestFrame(1, "order", new byte[10]);
+        Client slow = new Client();
+        slow.out.write(request, 0, request.length / 2);
+        slow.out.flush();
+        List<Client> silent = new ArrayList<>();
+        for (int i = 1; i < MAX_CLIENTS; i++) {
+            silent.add(new Client());
+        }
+        awaitConnections(MAX_CLIENTS);
+        CountDownLatch resumeLoop = stallLoop();
+        Client quick = silent.get(0);
+        quick.out.write(request);
+        quick.out.flush();
+        Client newcomer = new Client();
+        resumeLoop.countDown();
+        newcomer.out.write(requestFrame(1, "order", "00000000000000c1", TIMEOUT_MILLIS, false, new byte[10]));
+        newcomer.out.flush();
+        assertEquals(1, newcomer.next().code());
+        assertEquals(1, quick.next().code(), "it had sent its request");
+        slow.out.write(request, request.length / 2, request.length - request.length / 2);
+        slow.out.flush();
+        Frame answer = slow.next();
+        assertEquals(1, answer.stream(), "it was sending its request");
+    }
+
+    private void awaitConnections(int count) throws InterruptedException {
+        while (server.counters().get(Name.CONNECTIONS) < count) {
+            Thread.sleep(5);
+        }
+    }
 }
