Ask each cache once for a waiting request, and keep its hashed order of the caches

Cause: every 20 ms Logic routes all waiting requests (8,192 at most). A trial with timers in a scratch copy: of 120 ms a tick (16 caches) 106 were in edgeCache, which ordered the caches anew by hash and asked each of them twice whether it is full, the second time for half of its limit, which no cache can have free that has no room for one more attempt; each question built two streams over no quotas. Change: the order is kept with the request until the next member list; only caches with room for one are asked about half of their limit; Quotas answers at once while there are no shares. The choices are the same: RecordedChoicesTest (24,472 actions) and ten more classes of decision tests green. SourcesBenchmark, one request: 5.4 to 4.5 us (10 hubs), 19.8 to 19.2 us (100).

--- a/src/main/java/pumicemoor/Logic.java
+++ b/src/main/java/pumicemoor/Logic.java
@@ -175,6 +175,8 @@
         boolean retry; // the next attempt is a retry and takes a retry token
         final Map<Integer, Attempt> open = new TreeMap<>();
         final Set<Long> failedMembers = new HashSet<>();
+        List<MemberState> cacheOrder = List.of(); // by the object's hash, of the caches below
+        List<MemberState> orderedCaches;
     }
 
     /** An open attempt, with the load that it adds to each member that it may reach. */
@@ -455,17 +457,22 @@
      * capacity, else a cache that is at most half full.
      */
     private MemberState edgeCache(RequestState request) {
-        List<MemberState> order = rendezvousOrder(caches, request.key, Map.of());
+        List<MemberState> order = new ArrayList<>(cacheOrder(request));
         order.removeIf(m -> !isUsable(m) || !slowStartAllows(m, request));
         if (order.stream().anyMatch(m -> !request.failedMembers.contains(m.listing.id()))) {
             order.removeIf(m -> request.failedMembers.contains(m.listing.id()));
         }
+        List<MemberState> withCapacity = new ArrayList<>();
         for (MemberState cache : order) {
-            if (!isFull(cache, 1, request) && (cache == order.get(0) || holds(history(request), request, cache))) {
-                return cache;
+            if (!isFull(cache, 1, request)) {
+                if (cache == order.get(0) || holds(history(request), request, cache)) {
+                    return cache;
+                }
+                withCapacity.add(cache);
             }
         }
-        return order.stream()
+        // half of any limit is more than one attempt, so none of the others is half empty
+        return withCapacity.stream()
                 .filter(m -> !isFull(m, m.limit / 2, request))
                 .findFirst()
                 .orElse(null);
@@ -588,9 +595,7 @@
      * caches never wait for each other.
      */
     private boolean mayWaitForFill(RequestState request, MemberState edge, Holder holder) {
-        List<MemberState> order = fillSources.isEmpty() || holder.heldSince >= 0
-                ? List.of()
-                : rendezvousOrder(caches, request.key, Map.of());
+        List<MemberState> order = fillSources.isEmpty() || holder.heldSince >= 0 ? List.of() : cacheOrder(request);
         return order.indexOf(holder.cache) <= order.indexOf(edge);
     }
 
@@ -1109,6 +1114,15 @@
                         : ejections == null || ejections.stream().noneMatch(e -> e.covers(member.listing, now)));
     }
 
+    /** Returns the caches in the order of the request's object; it is kept until the next member list update. */
+    private List<MemberState> cacheOrder(RequestState request) {
+        if (request.orderedCaches != caches) {
+            request.orderedCaches = caches;
+            request.cacheOrder = rendezvousOrder(caches, request.key, Map.of());
+        }
+        return request.cacheOrder;
+    }
+
     /** Returns the candidates in the order that weighted rendezvous hashing gives them for a key. */
     private List<MemberState> rendezvousOrder(
             Collection<MemberState> candidates, String key, Map<MemberState, Double> weights) {
--- a/src/main/java/pumicemoor/Quotas.java
+++ b/src/main/java/pumicemoor/Quotas.java
@@ -49,6 +49,9 @@
      * For a member in another zone, the limit on the traffic between zones must allow it too.
      */
     boolean allows(long now, long member, boolean warm, int inFlight, long request, boolean inOtherZone) {
+        if (byMember.isEmpty()) {
+            return true;
+        }
         return quotasOf(member).stream()
                         .allMatch(q ->
                                 q.measure() == LimitMeasure.COLD_IN_FLIGHT && warm || q.allows(now, inFlight, request))
